--- a/src/main/java/gatefront/Rules.java
+++ b/src/main/java/gatefront/Rules.java
@@ -102,6 +102,8 @@
     private static final double WINDOW_SURE = 0.75;
     /** The first wait before discovery is asked again; doubled while it fails. */
     private static final long ASK_BACKOFF = SECOND;
+    /** How often it is told why requests wait. */
+    private static final long TELL_PERIOD = 5 * SECOND;
     private static final long TIMER_PROBE = -1;
     private static final long TIMER_SWEEP = -2;
     private static final long TIMER_ASK = -3;
@@ -132,6 +134,7 @@
     private long nextToken;
     private int probeTurn;
     private boolean sweeping;
+    private long toldAt;
     private boolean probing;
     private long askDelay = ASK_BACKOFF;
 
@@ -262,6 +265,37 @@
         }
     }
 
+    /** Tells on-call staff, now and then, what stands between the requests held and the servers. */
+    private void tellWaiting(long now) {
+        long held = open.values().stream().filter(each -> each.held).count();
+        if (held == 0 || now - toldAt < TELL_PERIOD) {
+            return;
+        }
+        toldAt = now;
+        actions.log("waiting: " + held + "; own zone " + room(now, true) + "; others " + room(now, false));
+    }
+
+    private String room(long now, boolean own) {
+        int ready = 0;
+        int unhealthy = 0;
+        int cold = 0;
+        int resting = 0;
+        int used = 0;
+        double limits = 0;
+        for (Target target : listed) {
+            if (target.ready && (target.listed.zone() == settings.zone()) == own) {
+                ready++;
+                unhealthy += available(target, now) ? 0 : 1;
+                cold += cold(target, now) ? 1 : 0;
+                resting += now < target.restUntil ? 1 : 0;
+                used += target.inFlight;
+                limits += target.limit;
+            }
+        }
+        return used + " out of " + Math.round(limits) + " at " + ready + " ready (" + unhealthy + " unhealthy, "
+            + cold + " cold, " + resting + " resting)";
+    }
+
     /** Orders the classes by what a unit of their work adds to the goal, as measured now. */
     private void rank(long now) {
         double fade = Math.exp(-(double) (now - rankedAt) / RANK_PERIOD);
@@ -390,6 +424,7 @@
         } else if (token == TIMER_SWEEP) {
             rank(now);
             release(now);
+            tellWaiting(now);
             sweeping = false;
             sweepLater();
         } else if (token == TIMER_ASK) {
--- a/src/main/java/gatefront/net/Agent.java
+++ b/src/main/java/gatefront/net/Agent.java
@@ -58,6 +58,7 @@
     private final Backends backends;
     private final Discovery discovery;
     private final ClientServer clients;
+    private final Tally tally = new Tally();
     private final Map<Long, Pending> open = new HashMap<>();
     private final Map<Exchange, Pending> byExchange = new HashMap<>();
     /** The same by the ids that clients gave. */
@@ -81,13 +82,15 @@
         final long id;
         final Incoming request;
         final Exchange exchange;
+        final long cameAt;
         final List<Backends.Attempt> attempts = new ArrayList<>(1);
         int out;
         boolean answered;
         Future<?> guard;
 
-        Pending(long id, Incoming request, Exchange exchange) {
+        Pending(long id, Incoming request, Exchange exchange, long cameAt) {
             this.id = id;
+            this.cameAt = cameAt;
             this.request = request;
             this.exchange = exchange;
         }
@@ -98,7 +101,7 @@
         group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         loop = group.next();
         int each = (config.sockets() - SOCKETS_RESERVED) / 2;
-        backends = new Backends(loop, config, each);
+        backends = new Backends(loop, config, each, tally);
         discovery = new Discovery(loop, config, new Discovery.Listener() {
             @Override
             public void list(Balancer.ListKind kind, List<Discovery.Endpoint> endpoints) {
@@ -168,6 +171,9 @@
         }
         loop.schedule(() -> listed = true, FIRST_LIST_MS, TimeUnit.MILLISECONDS);
         Warmup.run(loop, config, backends, clients, answered -> {
+            tally.take(0, 0); // its own requests are nobody's
+            loop.scheduleAtFixedRate(() -> tally.take(open.size(), backends.connections()).forEach(Agent::say),
+                Tally.PERIOD_SECONDS, Tally.PERIOD_SECONDS, TimeUnit.SECONDS);
             warm = true;
             warmedBy = answered;
         });
@@ -335,7 +341,7 @@
             return;
         }
         long id = nextId++;
-        Pending pending = new Pending(id, incoming, exchange);
+        Pending pending = new Pending(id, incoming, exchange, now());
         open.put(id, pending);
         byExchange.put(exchange, pending);
         byName.put(incoming.id(), pending);
@@ -351,7 +357,7 @@
     private void clientLeft(Exchange exchange) {
         Pending pending = byExchange.get(exchange);
         if (pending != null && !pending.answered) {
-            answered(pending);
+            answered(pending, Tally.Answer.LEFT);
             event(() -> balancer.clientLeft(now(), pending.id));
             abandon(pending);
         }
@@ -364,10 +370,11 @@
 
     private void outcome(Pending pending, int attempt, long server, long sentAt, Backends.Result result) {
         pending.out--;
+        tally.ended(result.outcome());
         boolean first = !pending.answered;
         if (result.served() != null && first) {
             pending.exchange.answer(HttpResponseStatus.OK, result.served(), 0);
-            answered(pending);
+            answered(pending, Tally.Answer.SERVED);
         }
         // Guards against asking every server what one has found to be no good, and against blaming it.
         boolean bad = result.bad() != null;
@@ -383,12 +390,19 @@
     private void answer(Pending pending, HttpResponseStatus status, long retryAfter) {
         if (!pending.answered) {
             pending.exchange.answer(status, null, retryAfter);
-            answered(pending);
+            boolean refused = status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
+            answered(pending, refused ? Tally.Answer.REFUSED : Tally.Answer.FAILED);
         }
     }
 
-    private void answered(Pending pending) {
+    private void answered(Pending pending, Tally.Answer how) {
         pending.answered = true;
+        tally.answered(how, pending.attempts.size());
+        if (how != Tally.Answer.SERVED && how != Tally.Answer.LEFT && tally.wantsUnserved()) {
+            tally.unserved(pending.request.id(), config.classes().get(pending.request.requestClass()),
+                Tally.word(how), now() - pending.cameAt, pending.request.timeoutMs(),
+                pending.attempts.stream().map(each -> names.get(each.server()) + " " + each.told()).toList());
+        }
         pending.guard.cancel(false);
         byExchange.remove(pending.exchange);
         forget(pending);
@@ -412,6 +426,9 @@
         int attempt = pending.attempts.size();
         long sentAt = now();
         pending.out++;
+        if (attempt == 0) {
+            tally.waited(sentAt - pending.cameAt);
+        }
         pending.attempts.add(backends.send(server, pending.request.forward(), timeout,
             result -> outcome(pending, attempt, server, sentAt, result)));
     }
--- a/src/main/java/gatefront/net/Backends.java
+++ b/src/main/java/gatefront/net/Backends.java
@@ -78,6 +78,7 @@
 
     private final EventLoop loop;
     private final Config config;
+    private final Tally tally;
     private final Bootstrap bootstrap;
     private final long idleNanos;
     private final int connectionsMost;
@@ -105,8 +106,9 @@
         }
     }
 
-    Backends(EventLoop loop, Config config, int connectionsMost) {
+    Backends(EventLoop loop, Config config, int connectionsMost, Tally tally) {
         this.loop = loop;
+        this.tally = tally;
         this.config = config;
         this.connectionsMost = connectionsMost;
         this.idleNanos = (long) (1000 * IDLE_PART * config.idleCloseMicros());
@@ -154,6 +156,11 @@
         }
     }
 
+    /** How many connections to servers there are. */
+    int connections() {
+        return connections;
+    }
+
     /** How many servers something is kept for. */
     int size() {
         return pools.size();
@@ -202,8 +209,8 @@
 
     /** Sends a request; a time-out of 0 is none. The result comes later, exactly once. */
     Attempt send(long server, Outgoing request, long timeoutMicros, Consumer<Result> then) {
-        Attempt attempt = new Attempt(request, timeoutMicros, then);
-        attempt.start(server);
+        Attempt attempt = new Attempt(server, request, timeoutMicros, then);
+        attempt.start();
         return attempt;
     }
 
@@ -211,11 +218,13 @@
     void probe(long server, Consumer<Result> then) {
         Outgoing request = new Outgoing(HttpMethod.GET, config.loadByProbe() ? "/load" : "/healthz",
             new DefaultHttpHeaders(), NO_BODY);
-        new Attempt(request, PROBE_TIMEOUT_MICROS, then).start(server);
+        new Attempt(server, request, PROBE_TIMEOUT_MICROS, then).start();
     }
 
     /** One request on its way to a server, or a probe. */
     final class Attempt {
+        private final long server;
+        private final long startedAt = System.nanoTime();
         private final Outgoing request;
         private final Consumer<Result> then;
         private final long endAt;
@@ -226,8 +235,12 @@
         private Channel dialled;
         private boolean written;
         private boolean ended;
+        /** For the log: how it ended and when. */
+        private Outcome outcome;
+        private long endedAt;
 
-        private Attempt(Outgoing request, long timeoutMicros, Consumer<Result> then) {
+        private Attempt(long server, Outgoing request, long timeoutMicros, Consumer<Result> then) {
+            this.server = server;
             this.request = request;
             this.then = then;
             this.limited = timeoutMicros > 0;
@@ -236,7 +249,18 @@
                 ? loop.schedule(() -> end(Outcome.TIMEOUT), timeoutMicros, TimeUnit.MICROSECONDS) : null;
         }
 
-        private void start(long server) {
+        long server() {
+            return server;
+        }
+
+        /** What became of it, in words for the log. */
+        String told() {
+            long nanos = (ended ? endedAt : System.nanoTime()) - startedAt;
+            return (outcome == null ? "out" : Tally.word(outcome)) + (dialled == null ? "" : " dialled")
+                + (written ? "" : " unwritten") + " after " + TimeUnit.NANOSECONDS.toMillis(nanos) + " ms";
+        }
+
+        private void start() {
             pool = pools.get(server);
             if (pool == null) {
                 end(Outcome.NEVER_SENT);
@@ -256,6 +280,7 @@
             Connection fresh = new Connection(pool);
             pool.connecting.add(this);
             connections++;
+            tally.dialled();
             var connecting = bootstrap.clone().handler(fresh).connect(pool.address);
             dialled = connecting.channel();
             dialled.closeFuture().addListener(closed -> connections--);
@@ -313,6 +338,8 @@
                 return;
             }
             ended = true;
+            outcome = result.outcome();
+            endedAt = System.nanoTime();
             if (timer != null) {
                 timer.cancel(false);
             }
--- /dev/null
+++ b/src/main/java/gatefront/net/Tally.java
@@ -0,0 +1,97 @@
+package gatefront.net;
+
+import gatefront.Balancer.Outcome;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * Counts what the agent does and tells it on a line each few seconds, with one unserved request told in full.
+ * Guards against a bad day of which the log says nothing: who gave the final answers, and after how many
+ * attempts. Bounded: two lines a period however many requests come, and none while nothing happens.
+ */
+final class Tally {
+    /** How often it is told. */
+    static final long PERIOD_SECONDS = 5;
+
+    /** How a request ended for its client. */
+    enum Answer { SERVED, REFUSED, FAILED, LEFT }
+
+    private final int[] answers = new int[Answer.values().length];
+    private final int[] outcomes = new int[Outcome.values().length];
+    private int unsent;
+    private int dialled;
+    private long waitedMicros;
+    private long waitedMostMicros;
+    /** The first request of the period that was refused or failed, with all that was tried. */
+    private String unserved;
+
+    /** A request has its final answer, after so many attempts. */
+    void answered(Answer answer, int attempts) {
+        answers[answer.ordinal()]++;
+        unsent += attempts == 0 && answer != Answer.LEFT ? 1 : 0;
+    }
+
+    /** Whether a refused or failed request is still wanted for this period. */
+    boolean wantsUnserved() {
+        return unserved == null;
+    }
+
+    void unserved(String id, String requestClass, String answer, long micros, long timeoutMs,
+                  List<String> attempts) {
+        unserved = "unserved: " + id + " " + requestClass + " " + answer + " after " + micros / 1000 + " of "
+            + timeoutMs + " ms, attempts: " + (attempts.isEmpty() ? "none" : String.join("; ", attempts));
+    }
+
+    /** An attempt has ended. */
+    void ended(Outcome outcome) {
+        outcomes[outcome.ordinal()]++;
+    }
+
+    /** The first attempt of a request begins so long after it came. */
+    void waited(long micros) {
+        waitedMicros += micros;
+        waitedMostMicros = Math.max(waitedMostMicros, micros);
+    }
+
+    /** A connection to a server is dialled. */
+    void dialled() {
+        dialled++;
+    }
+
+    /** The lines of the period that ends now; the next begins. */
+    List<String> take(int open, int toServers) {
+        int total = 0;
+        StringBuilder line = new StringBuilder("tally:");
+        for (Answer answer : Answer.values()) {
+            line.append(' ').append(word(answer)).append(' ').append(answers[answer.ordinal()]);
+            total += answers[answer.ordinal()];
+        }
+        line.append(" (unsent ").append(unsent).append("), open ").append(open).append("; attempts:");
+        int attempts = 0;
+        for (Outcome outcome : Outcome.values()) {
+            int count = outcomes[outcome.ordinal()];
+            attempts += count;
+            if (count > 0) {
+                line.append(' ').append(word(outcome)).append(' ').append(count);
+            }
+        }
+        line.append("; waited ").append(waitedMicros / 1000 / Math.max(1, total)).append(" ms, most ")
+            .append(waitedMostMicros / 1000).append("; dialled ").append(dialled).append(", connections ")
+            .append(toServers);
+        List<String> lines = total + attempts + dialled == 0 ? List.of()
+            : unserved == null ? List.of(line.toString()) : List.of(line.toString(), unserved);
+        Arrays.fill(answers, 0);
+        Arrays.fill(outcomes, 0);
+        unsent = 0;
+        dialled = 0;
+        waitedMicros = 0;
+        waitedMostMicros = 0;
+        unserved = null;
+        return lines;
+    }
+
+    static String word(Enum<?> each) {
+        return each.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+}
