Half the aim is no sign of a queue where the work itself takes as long

An answer past SLOW_SHARE of the aim counted as slow whatever idle servers need; status-read's work is 110 to 200 ms on slower cores, half its aim 300 ms, so limits sank with nothing queued. SLOW_SHARE 0.5 -> 0.65. Test: workThatOftenTakesHalfTheAimLeavesAnIdleServerItsRoom, 1 sent at once before.

--- a/src/main/java/gatefront/Rules.java
+++ b/src/main/java/gatefront/Rules.java
@@ -59,8 +59,11 @@
     private static final double LIMIT_LEAST = 6;
     /** An answer slower than this many times the unhurried time says that the server has too much in hand. */
     private static final double SLOW_MULTIPLE = 1.45;
-    /** Never let the unhurried time excuse answers slower than this part of the time wanted. */
-    private static final double SLOW_SHARE = 0.5;
+    /**
+     * Never let the unhurried time excuse answers slower than this part of the time wanted. Danger: where the
+     * work alone often takes half that time, a smaller part finds idle servers slow and shuts them.
+     */
+    private static final double SLOW_SHARE = 0.65;
     /** To a light agent an answer within this part of the aim is never slow. */
     private static final double HARMLESS_SHARE = 0.4;
     /** The quantile of a class's answer times that is followed; its lowest value is the unhurried time. */
--- a/src/test/java/gatefront/MechanismTest.java
+++ b/src/test/java/gatefront/MechanismTest.java
@@ -628,9 +628,8 @@
             sentAgainAfter[0] + " and " + sentAgainAfter[1]);
     }
 
-    /** Works vary. Failed before: one slow answer in nine outweighed the others, and idle servers were closed. */
-    @Test
-    void oneSlowAnswerInSevenLeavesAnIdleServerItsRoom() {
+    /** How many of eight requests go out at once to one server after many answers of these times, in turn. */
+    private static int roomAfter(long... spent) {
         Hand hand = new Hand(Hand.safe()).full(Hand.server(1, 0));
         int answers = 0;
         for (int round = 0; round < 60; round++) {
@@ -642,13 +641,33 @@
             while (!ids.isEmpty()) { // what was held goes out as room comes
                 long id = ids.stream().filter(each -> !hand.sends(each).isEmpty()).findFirst().orElseThrow();
                 ids.remove(id);
-                hand.end(id, 0, Outcome.OK, ++answers % 7 == 0 ? 300_000 : 50_000);
+                hand.end(id, 0, Outcome.OK, spent[answers++ % spent.length]);
             }
         }
         int sent = 0;
         for (int i = 0; i < 8; i++) {
             sent += hand.sends(hand.request()).size();
         }
+        return sent;
+    }
+
+    /** Works vary. Failed before: one slow answer in nine outweighed the others, and idle servers were closed. */
+    @Test
+    void oneSlowAnswerInSevenLeavesAnIdleServerItsRoom() {
+        int sent = roomAfter(50_000, 50_000, 50_000, 50_000, 50_000, 50_000, 300_000);
         assertTrue(sent >= 4, "sent " + sent);
     }
+
+    /** Failed before: an answer was slow past half the aim, which is a second, though the work took as long. */
+    @Test
+    void workThatOftenTakesHalfTheAimLeavesAnIdleServerItsRoom() {
+        int sent = roomAfter(300_000, 550_000, 400_000, 600_000, 350_000, 500_000, 680_000, 450_000, 630_000);
+        assertTrue(sent >= 4, "sent " + sent);
+    }
+
+    /** Else the limit would hold back nothing. */
+    @Test
+    void answersOfWhichEverySecondIsSlowCloseAServer() {
+        assertEquals(1, roomAfter(50_000, 700_000));
+    }
 }
