A connection that was reset is no sign that its server restarted

Ticket1386: 14 of 100 attempts end in a reset; two in a row, or one under a probe, and the next answer half a second later made the server cold for 5 s (14 and 12 times in 20 s, three to five of twelve servers at any time) while requests were refused without an attempt. Only a refused connection is a sign now. Test: brokenConnectionsAloneAreNoRestartHoweverLongTheServerRested, cold before.

--- a/src/main/java/gatefront/Rules.java
+++ b/src/main/java/gatefront/Rules.java
@@ -633,10 +633,8 @@
             learnTime(req, target, spent, now);
             req.state.served++;
             target.answerRate = rate(target, now) + 1.0 * SECOND / RATE_PERIOD;
-        } else if (outcome == Outcome.CONNECT_FAILED || outcome == Outcome.RESET) {
-            if (target.failuresInRow > 0) { // one alone may be a full table of connections
-                broke(target, now);
-            }
+        } else if (outcome == Outcome.CONNECT_FAILED && target.failuresInRow > 0) {
+            broke(target, now); // one alone may be a full table of connections
         }
         if (outcome != Outcome.OK && (outcome != Outcome.TIMEOUT || now - spent > target.answeredAt)) {
             // Danger: a server that fails at once always has the fewest in flight and would draw everything;
@@ -802,7 +800,7 @@
             // prove that it lives.
             target.probeFailures = 0;
         } else {
-            if (outcome == Outcome.CONNECT_FAILED || outcome == Outcome.RESET) {
+            if (outcome == Outcome.CONNECT_FAILED) {
                 broke(target, now);
             }
             target.probeFailures++;
@@ -818,6 +816,10 @@
 
     // ---- Cold start ----
 
+    /**
+     * It may have died. A reset is no sign of that: behind a process that died nobody takes connections.
+     * Danger: a network that breaks connections would make one server in three cold at any time.
+     */
     private void broke(Target target, long now) {
         target.brokenAt = target.broken ? target.brokenAt : now;
         target.broken = true;
--- a/src/main/java/gatefront/net/Backends.java
+++ b/src/main/java/gatefront/net/Backends.java
@@ -71,6 +71,8 @@
      * the answer, which would be taken for the answer of the next request: it shows in that time.
      */
     private static final long REST_NANOS = TimeUnit.MILLISECONDS.toNanos(25);
+    /** A connection that breaks so soon after a write was dead before it, as far as the log goes. */
+    private static final long AT_ONCE_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
     private static final long PROBE_TIMEOUT_MICROS = 250_000;
     /** The names of the values as the answers' headers have them, where the settings say otherwise. */
     private static final Map<String, String> HEADER_NAMES = Map.of("concurrent", "inflight", "depth", "queue",
@@ -340,6 +342,9 @@
             ended = true;
             outcome = result.outcome();
             endedAt = System.nanoTime();
+            if (outcome == Outcome.RESET) {
+                tally.broke(dialled == null, endedAt - startedAt < AT_ONCE_NANOS);
+            }
             if (timer != null) {
                 timer.cancel(false);
             }
--- a/src/main/java/gatefront/net/Tally.java
+++ b/src/main/java/gatefront/net/Tally.java
@@ -21,6 +21,8 @@
     private final int[] outcomes = new int[Outcome.values().length];
     private int unsent;
     private int dialled;
+    private int brokeAtOnce;
+    private int brokeKept;
     private long waitedMicros;
     private long waitedMostMicros;
     /** The first request of the period that was refused or failed, with all that was tried. */
@@ -54,6 +56,12 @@
         waitedMostMicros = Math.max(waitedMostMicros, micros);
     }
 
+    /** A connection has broken under an attempt, at once or later: one kept from before, or a new one. */
+    void broke(boolean kept, boolean atOnce) {
+        brokeKept += kept ? 1 : 0;
+        brokeAtOnce += atOnce ? 1 : 0;
+    }
+
     /** A connection to a server is dialled. */
     void dialled() {
         dialled++;
@@ -76,6 +84,10 @@
                 line.append(' ').append(word(outcome)).append(' ').append(count);
             }
         }
+        if (outcomes[Outcome.RESET.ordinal()] > 0) {
+            line.append(" (of the resets on kept connections ").append(brokeKept).append(", at once ")
+                .append(brokeAtOnce).append(')');
+        }
         line.append("; waited ").append(waitedMicros / 1000 / Math.max(1, total)).append(" ms, most ")
             .append(waitedMostMicros / 1000).append("; dialled ").append(dialled).append(", connections ")
             .append(toServers);
@@ -85,6 +97,8 @@
         Arrays.fill(outcomes, 0);
         unsent = 0;
         dialled = 0;
+        brokeKept = 0;
+        brokeAtOnce = 0;
         waitedMicros = 0;
         waitedMostMicros = 0;
         unserved = null;
--- a/src/test/java/gatefront/RulesTest.java
+++ b/src/test/java/gatefront/RulesTest.java
@@ -254,6 +254,21 @@
         assertTrue(hand.logged("cold: answers again after a break"));
     }
 
+    /** Failed before: behind a network that breaks connections a third of the servers were cold at any time. */
+    @Test
+    void brokenConnectionsAloneAreNoRestartHoweverLongTheServerRested() {
+        Hand hand = new Hand(Hand.safe()).full(Hand.server(1, 0));
+        hand.serve(25_000);
+        long one = hand.request();
+        long other = hand.request();
+        hand.end(one, 0, Outcome.RESET, 1000);
+        hand.end(other, 0, Outcome.RESET, 1000);
+        hand.balancer.probed(hand.now, 1, Outcome.RESET, 1000, new double[0]);
+        hand.pass(1_000_000);
+        hand.balancer.probed(hand.now, 1, Outcome.OK, 1000, new double[0]);
+        assertFalse(hand.logged("cold"));
+    }
+
     /** Connections that break now and then are no restart. Failed before: each made its server cold for 5 s. */
     @Test
     void aServerThatAnswersAtOnceAfterABreakIsNotCold() {
--- a/src/test/java/gatefront/net/TallyTest.java
+++ b/src/test/java/gatefront/net/TallyTest.java
@@ -17,14 +17,15 @@
         tally.dialled();
         tally.waited(4_000);
         tally.ended(Outcome.RESET);
+        tally.broke(true, false);
         tally.ended(Outcome.OK);
         tally.answered(Tally.Answer.SERVED, 2);
         tally.answered(Tally.Answer.REFUSED, 0);
         assertTrue(tally.wantsUnserved());
         tally.unserved("a1", "lookup", "refused", 51_000, 424, List.of());
         assertFalse(tally.wantsUnserved(), "one a period");
-        assertEquals(List.of("tally: served 1 refused 1 failed 0 left 0 (unsent 1), open 3; attempts: ok 1 reset 1; "
-            + "waited 2 ms, most 4; dialled 1, connections 2",
+        assertEquals(List.of("tally: served 1 refused 1 failed 0 left 0 (unsent 1), open 3; attempts: ok 1 reset 1 "
+            + "(of the resets on kept connections 1, at once 0); waited 2 ms, most 4; dialled 1, connections 2",
             "unserved: a1 lookup refused after 51 of 424 ms, attempts: none"), tally.take(3, 2));
         assertEquals(List.of(), tally.take(0, 0), "nothing has happened since");
     }
