Connections that idled too long for the network are dialled anew

KeptAge learns from breaks by idle time from which age on connections are not used again, and forgets.

--- a/src/main/java/gatefront/net/Backends.java
+++ b/src/main/java/gatefront/net/Backends.java
@@ -71,7 +71,7 @@
      * the answer, which would be taken for the answer of the next request: it shows in that time.
      */
     private static final long REST_NANOS = TimeUnit.MILLISECONDS.toNanos(25);
-    /** A connection that breaks so soon after a write was dead before it, as far as the log goes. */
+    /** A connection that breaks so soon after a write was dead before it. */
     private static final long AT_ONCE_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
     private static final long PROBE_TIMEOUT_MICROS = 250_000;
     /** The names of the values as the answers' headers have them, where the settings say otherwise. */
@@ -82,7 +82,7 @@
     private final Config config;
     private final Tally tally;
     private final Bootstrap bootstrap;
-    private final long idleNanos;
+    private final KeptAge keptAge;
     private final int connectionsMost;
     private final Map<Long, Pool> pools = new HashMap<>();
     private int connections;
@@ -113,7 +113,7 @@
         this.tally = tally;
         this.config = config;
         this.connectionsMost = connectionsMost;
-        this.idleNanos = (long) (1000 * IDLE_PART * config.idleCloseMicros());
+        this.keptAge = new KeptAge((long) (1000 * IDLE_PART * config.idleCloseMicros()), System.nanoTime());
         this.bootstrap = new Bootstrap().group(loop).channelFactory(Inspectable::new)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (config.connectTimeoutMicros() / 1000))
             .option(ChannelOption.TCP_NODELAY, true);
@@ -169,6 +169,7 @@
     }
 
     private void closeOld() {
+        keptAge.fade(System.nanoTime());
         for (Pool pool : pools.values()) {
             while (!pool.idle.isEmpty() && pool.idle.peekLast().old()) {
                 pool.idle.pollLast().channel.close();
@@ -196,7 +197,7 @@
     }
 
     /** Takes the most recently used connection that has rested and was silent meanwhile, or none. */
-    private static Connection rested(Pool pool) {
+    private Connection rested(Pool pool) {
         for (Connection each : List.copyOf(pool.idle)) {
             if (System.nanoTime() - each.idleSince >= pool.restNanos) {
                 pool.idle.remove(each);
@@ -236,6 +237,8 @@
         private Connection connection;
         private Channel dialled;
         private boolean written;
+        /** How long its connection had idled before; negative for a new one. */
+        private long idledNanos = -1;
         private boolean ended;
         /** For the log: how it ended and when. */
         private Outcome outcome;
@@ -270,6 +273,7 @@
             }
             Connection idle = rested(pool);
             if (idle != null) {
+                idledNanos = startedAt - idle.idleSince;
                 write(idle);
             } else if (roomForOne()) {
                 connect();
@@ -342,8 +346,12 @@
             ended = true;
             outcome = result.outcome();
             endedAt = System.nanoTime();
+            boolean atOnce = outcome == Outcome.RESET && endedAt - startedAt < AT_ONCE_NANOS;
             if (outcome == Outcome.RESET) {
-                tally.broke(dialled == null, endedAt - startedAt < AT_ONCE_NANOS);
+                tally.broke(idledNanos >= 0, atOnce);
+            }
+            if (idledNanos >= 0) {
+                keptAge.used(idledNanos, atOnce, endedAt);
             }
             if (timer != null) {
                 timer.cancel(false);
@@ -394,7 +402,7 @@
         }
 
         boolean old() {
-            return System.nanoTime() - idleSince >= idleNanos;
+            return System.nanoTime() - idleSince >= keptAge.limitNanos();
         }
 
         @Override
