A refused client is told when there will be room

Every refusal told the longest wait permitted, and where none is, the sockets' own 250 ms: a time that meant nothing. The module now tells how long those that wait will take as answers come, at least one answer's time. Test: aRefusedClientIsToldToComeBackWhenThereWillBeRoom, 1 s for all before.

--- a/src/main/java/gatefront/Balancer.java
+++ b/src/main/java/gatefront/Balancer.java
@@ -71,7 +71,7 @@
     /** A tenant: requests a second that count in full, over all agents; its fraction of the service. */
     record Tenant(double quotaPerSecond, double fraction) { }
 
-    /** What the host permits. A retry-after of 0 means that clients take no such advice. */
+    /** What the host permits. A retry-after of 0 sets no bound: whether clients take it is not known. */
     record Permits(int maxAttempts, boolean duplicates, boolean cancel, boolean probes, boolean messages,
                    long maxRetryAfter) { }
 
--- a/src/main/java/gatefront/Rules.java
+++ b/src/main/java/gatefront/Rules.java
@@ -383,13 +383,27 @@
             req.state.unservedWait += BLEND * (now - req.cameAt - req.state.unservedWait);
         }
         if (mayRefuse(req)) {
-            actions.refuse(req.request.id(), settings.permits().maxRetryAfter());
+            actions.refuse(req.request.id(), comeBack(req, now));
         } else {
             actions.fail(req.request.id());
         }
         close(req);
     }
 
+    /**
+     * When a refused client should come back: once those that wait now have had room, as answers come now,
+     * and not before one answer's time; nobody is told to wait longer than a client would for all tries.
+     * Danger: a time that is only long keeps clients away from servers that have room.
+     */
+    private long comeBack(Open req, long now) {
+        long permitted = settings.permits().maxRetryAfter();
+        long most = permitted > 0 ? permitted : req.state.type.giveUp();
+        double perSecond = listed.stream().mapToDouble(each -> rate(each, now)).sum();
+        long ahead = 1 + classes.stream().mapToLong(each -> each.held.size()).sum();
+        double wait = perSecond == 0 ? most : ahead / perSecond * SECOND;
+        return (long) Math.min(most, Math.max(settings.tick(), Math.max(wait, req.state.typical)));
+    }
+
     private void cancelAll(Open req) {
         for (int i = 0; i < req.attempts.size() && settings.permits().cancel(); i++) {
             if (req.attempts.get(i).outcome == null) {
--- a/src/test/java/gatefront/MechanismTest.java
+++ b/src/test/java/gatefront/MechanismTest.java
@@ -687,4 +687,24 @@
     void answersOfWhichEverySecondIsSlowCloseAServer() {
         assertEquals(1, roomAfter(50_000, 700_000));
     }
+
+    /** Failed before: every refused client was told the longest wait that it might be told. */
+    @Test
+    void aRefusedClientIsToldToComeBackWhenThereWillBeRoom() {
+        Hand hand = new Hand(Hand.safe()).full(Hand.server(1, 0));
+        for (int i = 0; i < 100; i++) {
+            hand.serve(50_000);
+        }
+        List<Long> ids = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            ids.add(hand.request());
+        }
+        hand.pass(SECOND);
+        List<Long> told = hand.all("refuse").stream().map(Hand.Act::value).toList();
+        assertTrue(told.size() >= 20, "refused " + told.size());
+        for (long wait : told) {
+            assertTrue(wait >= 50_000 && wait <= SECOND, "told " + wait);
+        }
+        assertTrue(told.get(told.size() - 1) < SECOND / 2, "the last of the queue: " + told);
+    }
 }
