--- a/src/main/java/gatefront/Rules.java
+++ b/src/main/java/gatefront/Rules.java
@@ -663,8 +663,10 @@
         }
         // Danger: a connection that breaks says nothing about room; to make less room for each leaves servers
         // idle behind a network that resets now and then.
-        boolean crowded = outcome != Outcome.ERROR && outcome != Outcome.RESET;
-        if (outcome != Outcome.OK && crowded || slow(req, target, spent)) {
+        // Nor does a time-out while others are answered: heavy requests would close every server to the rest.
+        boolean crowded = outcome != Outcome.ERROR && outcome != Outcome.RESET
+            && (outcome != Outcome.TIMEOUT || now - spent > target.answeredAt);
+        if (outcome == Outcome.OK ? slow(req, target, spent) : crowded) {
             // In proportion where it is low: one slow answer must not close a server to a light agent.
             double factor = spent > req.state.type.aim() ? LIMIT_LATE : LIMIT_FACTOR;
             double less = target.limit > LIMIT_FEW ? target.limit - LIMIT_DOWN : factor * target.limit;
--- a/src/test/java/gatefront/MechanismTest.java
+++ b/src/test/java/gatefront/MechanismTest.java
@@ -707,4 +707,36 @@
         }
         assertTrue(told.get(told.size() - 1) < SECOND / 2, "the last of the queue: " + told);
     }
+
+    /** Failed before: heavy requests that timed out at servers that answered the rest closed them all. */
+    @Test
+    void timeOutsWhileTheServerAnswersOthersLeaveItItsRoom() {
+        Hand hand = new Hand(Hand.safe()).full(Hand.server(1, 0));
+        for (int round = 0; round < 60; round++) {
+            List<Long> ids = new ArrayList<>();
+            for (int i = 0; i < 7; i++) {
+                ids.add(hand.request());
+            }
+            hand.pass(50_000);
+            List<Long> heavy = ids.subList(0, 2).stream().filter(id -> !hand.sends(id).isEmpty()).toList();
+            for (long id : ids) {
+                if (!heavy.contains(id) && !hand.sends(id).isEmpty()) {
+                    hand.end(id, 0, Outcome.OK, 50_000);
+                }
+            }
+            hand.pass(300_000);
+            heavy.forEach(id -> hand.end(id, 0, Outcome.TIMEOUT, 350_000));
+            for (long id : ids) { // what has been sent again, or late
+                int attempts = hand.sends(id).size();
+                if (attempts > (heavy.contains(id) ? 1 : 0)) {
+                    hand.end(id, attempts - 1, Outcome.OK, 50_000);
+                }
+            }
+        }
+        int sent = 0;
+        for (int i = 0; i < 8; i++) {
+            sent += hand.sends(hand.request()).size();
+        }
+        assertTrue(sent >= 4, "sent " + sent);
+    }
 }
