Count what the guard answers instead of a log line for each

The tally has their number now. Test: whatTheGuardAnsweredIsCountedOnTheSameLine (the counter was not there).

--- a/src/main/java/gatefront/net/Agent.java
+++ b/src/main/java/gatefront/net/Agent.java
@@ -314,7 +314,7 @@
     /** Guards against a request that the module has lost by a fault of its own: it is still failed once. */
     private void giveUp(Pending pending, HttpResponseStatus status) {
         if (!pending.answered) {
-            say("request given up: " + status);
+            tally.givenUp();
             answer(pending, status, 0);
             event(() -> balancer.clientLeft(now(), pending.id));
             abandon(pending);
--- a/src/main/java/gatefront/net/Tally.java
+++ b/src/main/java/gatefront/net/Tally.java
@@ -20,6 +20,7 @@
     private final int[] answers = new int[Answer.values().length];
     private final int[] outcomes = new int[Outcome.values().length];
     private int unsent;
+    private int givenUp;
     private int dialled;
     private int brokeAtOnce;
     private int brokeKept;
@@ -34,6 +35,11 @@
         unsent += attempts == 0 && answer != Answer.LEFT ? 1 : 0;
     }
 
+    /** The module has left a request without an answer until its last moment. */
+    void givenUp() {
+        givenUp++;
+    }
+
     /** Whether a refused or failed request is still wanted for this period. */
     boolean wantsUnserved() {
         return unserved == null;
@@ -91,11 +97,15 @@
         line.append("; waited ").append(waitedMicros / 1000 / Math.max(1, total)).append(" ms, most ")
             .append(waitedMostMicros / 1000).append("; dialled ").append(dialled).append(", connections ")
             .append(toServers);
+        if (givenUp > 0) {
+            line.append("; given up by the guard ").append(givenUp);
+        }
         List<String> lines = total + attempts + dialled == 0 ? List.of()
             : unserved == null ? List.of(line.toString()) : List.of(line.toString(), unserved);
         Arrays.fill(answers, 0);
         Arrays.fill(outcomes, 0);
         unsent = 0;
+        givenUp = 0;
         dialled = 0;
         brokeKept = 0;
         brokeAtOnce = 0;
--- a/src/test/java/gatefront/net/TallyTest.java
+++ b/src/test/java/gatefront/net/TallyTest.java
@@ -37,4 +37,16 @@
         assertEquals("unserved: b2 pay failed after 9 of 100 ms, attempts: s-1 reset after 1 ms; s-2 out after 2 ms",
             tally.take(0, 0).get(1));
     }
+
+    /** Failed before: each request that the guard answered had a line of its own. */
+    @Test
+    void whatTheGuardAnsweredIsCountedOnTheSameLine() {
+        for (int i = 0; i < 30; i++) {
+            tally.answered(Tally.Answer.FAILED, 0);
+            tally.givenUp();
+        }
+        List<String> lines = tally.take(0, 0);
+        assertEquals(1, lines.size());
+        assertTrue(lines.get(0).endsWith("; given up by the guard 30"), lines.get(0));
+    }
 }
