An agent told to end answers before the kill where deadlines are over 3 s

Cause: Agent.stop reckoned the kill from the longest deadline, 8 s and more there. The protocol takes it as 3 s where it is longer, so the kill came at 3.7 s and the last answers were due seconds after it. One line now tells what is open when the end begins. Test: anAgentToldToEndAnswersBeforeTheKillHoweverLongTheDeadlinesAre, times out without the mend.

--- a/src/main/java/gatefront/net/Agent.java
+++ b/src/main/java/gatefront/net/Agent.java
@@ -42,6 +42,8 @@
     private static final long LINGER_MS = 500;
     /** By so much longer than the longest deadline an agent has until it is killed. */
     private static final long KILL_AFTER_MS = 700;
+    /** However long the deadlines are, the kill comes as if the longest were this: the protocol has it so. */
+    private static final long KILL_DEADLINE_MS = 3_000;
     /** So long before that the last answers are given, and so long before those connections begin to end. */
     private static final long LAST_MS = 200;
     private static final long CLOSING_MS = 300;
@@ -221,8 +223,9 @@
         }
         long longest = config.settings().classes().stream().mapToLong(Balancer.RequestClass::giveUp).max()
             .orElse(0) / 1000;
-        long last = longest + KILL_AFTER_MS - LAST_MS;
+        long last = Math.min(longest, KILL_DEADLINE_MS) + KILL_AFTER_MS - LAST_MS;
         loop.execute(() -> {
+            say("ending: " + open.size() + " requests open, the last answers are given after " + last + " ms");
             clients.leave();
             loop.schedule(this::endIfUnused, LINGER_MS, TimeUnit.MILLISECONDS);
             loop.schedule(this::end, Math.min(SERVE_ON_MOST_MS, last - CLOSING_MS), TimeUnit.MILLISECONDS);
--- a/src/test/java/gatefront/net/AgentTest.java
+++ b/src/test/java/gatefront/net/AgentTest.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -530,9 +531,7 @@
         for (JsonNode each : stage.config.get("settings").get("classes")) {
             ((ObjectNode) each).put("aim-us", 300_000).put("give-up-us", 300_000);
         }
-        // A module that leaves its requests open, and a client that waits for longer than the test.
-        stage.start(agent -> (Balancer) Proxy.newProxyInstance(Balancer.class.getClassLoader(),
-            new Class<?>[] {Balancer.class}, (proxy, method, details) -> null));
+        stage.start(neverAnswers()); // and a client that waits for longer than the test
         Socket client = stage.dial();
         Peer.write(client, stage.request("order", 2 * Stage.GENEROUS_MS, "body"));
         Thread.sleep(100);
@@ -541,6 +540,29 @@
         assertThrows(EOFException.class, () -> Peer.read(client.getInputStream()));
     }
 
+    /**
+     * Guards against what is lost at the kill where clients wait for long: it comes 3.7 s after the signal at the
+     * latest, whatever the deadlines are.
+     */
+    @Test
+    void anAgentToldToEndAnswersBeforeTheKillHoweverLongTheDeadlinesAre() throws Exception {
+        for (JsonNode each : stage.config.get("settings").get("classes")) {
+            ((ObjectNode) each).put("give-up-us", 3_000 * Stage.GENEROUS_MS);
+        }
+        stage.start(neverAnswers());
+        Socket client = stage.dial();
+        Peer.write(client, stage.request("order", 3 * Stage.GENEROUS_MS, "body"));
+        Peer.daemon(stage.agent::stop);
+        assertEquals(504, Peer.read(client.getInputStream()).status());
+        assertThrows(EOFException.class, () -> Peer.read(client.getInputStream()));
+    }
+
+    /** A module that leaves its requests open. */
+    private static Function<Agent, Balancer> neverAnswers() {
+        return agent -> (Balancer) Proxy.newProxyInstance(Balancer.class.getClassLoader(),
+            new Class<?>[] {Balancer.class}, (proxy, method, details) -> null);
+    }
+
     private int health() {
         try (Socket socket = stage.dial()) {
             return Stage.exchange(socket, "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n").status();
