A watch that fell silent is opened anew at once

Cause: Discovery.ask took a watch for silent only 7 s after its start, and Discovery.failed then left the next to the module's wait after a failed call, 1 to 2 s: with the grace of 0.75 s of the first site that is late. Ruled out: discovery itself (the next call was answered within 50 ms). Now: silent after 5.5 s, and the next watch at once. Test: aWatchThatFellSilentIsOpenedAnewAtOnce, told one failed call without the mend.

--- a/src/main/java/gatefront/net/Discovery.java
+++ b/src/main/java/gatefront/net/Discovery.java
@@ -54,8 +54,13 @@
 
     /** How long a watch waits for news. Short enough that a silent discovery is soon asked again. */
     private static final long WATCH_MS = 5_000;
-    /** How much longer than its wait a call may take. */
+    /** How long a call for the whole list may take. */
     private static final long ANSWER_MS = 2_000;
+    /**
+     * How much longer than its wait a watch may take before it has fallen silent. What a silent one misses
+     * counts as told 2 s after its wait: the next has to bring it by then, or servers that drain are still used.
+     */
+    private static final long SILENT_MS = 500;
     private static final long BACKOFF_LEAST_MS = 50;
     private static final long BACKOFF_MOST_MS = 1_000;
     /** Before the next watch when one brought nothing: discovery may answer at once, and would be flooded. */
@@ -148,8 +153,9 @@
     }
 
     private void ask(int mine) {
-        long wait = index < 0 ? 0 : WATCH_MS;
-        timeout = loop.schedule(() -> failed(mine, "no answer"), wait + ANSWER_MS, TimeUnit.MILLISECONDS);
+        timeout = index < 0
+            ? loop.schedule(() -> failed(mine, "no answer"), ANSWER_MS, TimeUnit.MILLISECONDS)
+            : loop.schedule(() -> silent(mine), WATCH_MS + SILENT_MS, TimeUnit.MILLISECONDS);
         if (channel != null && channel.isActive()) {
             write(mine);
             return;
@@ -176,6 +182,18 @@
         });
     }
 
+    /**
+     * A watch has fallen silent: it is opened anew on another connection, at once and without asking when. Guards
+     * against the wait after a failed call, which would leave the agent with an old list for too long.
+     */
+    private void silent(int mine) {
+        if (mine == call && !closed) {
+            Agent.say("discovery: a watch fell silent and is opened anew");
+            drop();
+            next(0);
+        }
+    }
+
     private void failed(int mine, String why) {
         if (mine != call || closed) {
             return;
--- a/src/test/java/gatefront/net/AgentTest.java
+++ b/src/test/java/gatefront/net/AgentTest.java
@@ -369,6 +369,31 @@
         assertEquals(200, stage.call("lookup").status());
     }
 
+    /**
+     * Guards against requests to a server whose drain a silent watch missed: it counts as told 2 s after the
+     * watch's wait, so the next watch must not wait as after a failed call.
+     */
+    @Test
+    void aWatchThatFellSilentIsOpenedAnewAtOnce() throws Exception {
+        ((ObjectNode) stage.config.get("settings")).put("discovery", "subscribe");
+        Peer drained = stage.server(SERVES);
+        Peer other = stage.server((message, socket) -> Peer.answer(socket, 200, "", "other"));
+        AtomicInteger failures = new AtomicInteger();
+        stage.start(stage.overheard((event, details) -> {
+            if (event.equals("servers") && details[1] == Balancer.ListKind.FAILED) {
+                failures.incrementAndGet();
+            }
+        }));
+        stage.news.add(SILENT);
+        stage.news.add(Stage.delta(5, Stage.endpoint(1, drained.address(), "Terminating")));
+        Stage.await(() -> stage.discovery.requests.stream().anyMatch(each -> each.target().contains("since=5&")));
+        assertEquals(0, failures.get(), "and not after the wait that follows a failed call");
+        for (int i = 0; i < 5; i++) {
+            assertEquals("other", stage.call("lookup").text());
+        }
+        assertTrue(other.requests.size() >= 5);
+    }
+
     @Test
     void whileDiscoveryIsDownTheKnownListHasToDo() throws Exception {
         stage.server(SERVES);
