A peer silent at first and then slow is not waited for twice

Cause: ClientServer.Connection.channelReadComplete began the 2 s for half a request anew, after up to 2 s in which nothing was said: 4.1 s in all. A first request now has its 2 s from the connecting on. Ruled out: peers that dribble (the time runs from the first byte) and kept connections (those are clients'). Test: aPeerThatIsSilentAndThenSendsHalfARequestIsNotWaitedForTwice, on its own clock; no answer without it.

--- a/src/main/java/gatefront/net/Agent.java
+++ b/src/main/java/gatefront/net/Agent.java
@@ -131,7 +131,7 @@
             public void clientLeft(Exchange exchange) {
                 Agent.this.clientLeft(exchange);
             }
-        });
+        }, System::nanoTime);
     }
 
     /**
--- a/src/main/java/gatefront/net/ClientServer.java
+++ b/src/main/java/gatefront/net/ClientServer.java
@@ -40,6 +40,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 
 /**
  * The application's side: requests in, final answers out. Each exchange is answered once; what is asked in
@@ -79,7 +80,7 @@
     private static final long TIMEOUT_MS_MAX = 3_600_000;
     /** Requests read ahead on one connection before it is left alone. */
     private static final int AHEAD_MOST = 4;
-    /** How long a connection may say nothing, or take over sending one request. */
+    /** How long a connection may take until its first request is whole, or over sending a later one. */
     private static final long PATIENCE_NANOS = TimeUnit.SECONDS.toNanos(2);
     /** How long one that has had an answer is kept while there is room, and while there is little. */
     private static final long KEPT_NANOS = TimeUnit.SECONDS.toNanos(30);
@@ -99,6 +100,7 @@
     private final Config config;
     private final Listener listener;
     private final BooleanSupplier ready;
+    private final LongSupplier nanoClock;
     private final int connectionsMost;
     private final Channel server;
     private final Set<Connection> connections = new LinkedHashSet<>();
@@ -117,8 +119,9 @@
     private boolean draining;
 
     /** Listens; fails with an exception if it cannot. Called from outside the loop. */
-    ClientServer(EventLoop loop, Config config, int connectionsMost, BooleanSupplier ready, Listener listener)
-            throws IOException {
+    ClientServer(EventLoop loop, Config config, int connectionsMost, BooleanSupplier ready, Listener listener,
+                 LongSupplier nanoClock) throws IOException {
+        this.nanoClock = nanoClock;
         this.config = config;
         this.listener = listener;
         this.ready = ready;
@@ -175,7 +178,7 @@
      * unannounced, for its next request may be on the way.
      */
     private void makeRoom() {
-        long now = System.nanoTime();
+        long now = nanoClock.getAsLong();
         while (connections.size() - ending.size() - finishing.size() >= connectionsMost) {
             Connection first = older(silent, now - SILENT_LEAST_NANOS);
             first = first == null ? older(kept, now - KEPT_LEAST_NANOS) : first;
@@ -213,9 +216,9 @@
         return connections.size() >= PRESSED * connectionsMost;
     }
 
-    private static List<Connection> expired(Set<Connection> some, long nanos) {
-        long since = System.nanoTime() - nanos;
-        return some.stream().takeWhile(each -> each.since - since <= 0).toList();
+    private List<Connection> expired(Set<Connection> some, long nanos) {
+        long since = nanoClock.getAsLong() - nanos;
+        return some.stream().filter(each -> each.since - since <= 0).toList();
     }
 
     /** One request and the answer it is owed. */
@@ -291,7 +294,7 @@
                 at.remove(this);
             }
             at = to;
-            since = System.nanoTime();
+            since = nanoClock.getAsLong();
             if (at != null) {
                 at.add(this);
             }
@@ -351,7 +354,10 @@
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
             if ((at == silent || at == kept) && decoder.begun()) {
+                // Guards against an unknown peer that says nothing and then half a request being waited for twice.
+                long from = at == silent ? since : nanoClock.getAsLong();
                 move(begun);
+                since = from;
             }
         }
 
--- /dev/null
+++ b/src/test/java/gatefront/net/ClientServerTest.java
@@ -0,0 +1,77 @@
+package gatefront.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The application's side alone, over loopback sockets and on the test's own clock. */
+class ClientServerTest {
+    private final AtomicLong nanos = new AtomicLong();
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    /** What is done, on the loop, with each request. */
+    private ClientServer.Listener listener;
+    private ClientServer clients;
+
+    @BeforeEach
+    void set() throws IOException {
+        Config config = Config.of(new ObjectMapper().readTree(Path.of("src/test/resources/config.json").toFile()));
+        clients = new ClientServer(group.next(), config, 100, () -> true, new ClientServer.Listener() {
+            @Override
+            public void request(ClientServer.Incoming request, ClientServer.Exchange exchange) {
+                listener.request(request, exchange);
+            }
+
+            @Override
+            public void clientLeft(ClientServer.Exchange exchange) {
+                listener.clientLeft(exchange);
+            }
+        }, nanos::get);
+    }
+
+    @AfterEach
+    void strike() {
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    private Socket dial() throws IOException {
+        int port = ((InetSocketAddress) clients.channel().localAddress()).getPort();
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+        socket.setSoTimeout((int) Stage.GENEROUS_MS);
+        return socket;
+    }
+
+    private static String request(String id) {
+        return "GET /lookup HTTP/1.1\r\nHost: a\r\nRequest-Id: " + id + "\r\nRequest-Class: lookup\r\n"
+            + "Request-Timeout-Ms: 9000\r\n\r\n";
+    }
+
+    /**
+     * Guards against a peer that is silent for almost as long as it may be, and as long again over half a request:
+     * it is owed an error or a close within 3 s of its connecting.
+     */
+    @Test
+    void aPeerThatIsSilentAndThenSendsHalfARequestIsNotWaitedForTwice() throws Exception {
+        try (Socket peer = dial()) {
+            Stage.await(() -> !group.next().submit(clients::isEmpty).syncUninterruptibly().getNow());
+            nanos.set(TimeUnit.MILLISECONDS.toNanos(1_900));
+            Peer.write(peer, "POST /order HTTP/1.1\r\nHost: a\r\nRequest-Id: a\r\nRequest-Class: order\r\n"
+                + "Request-Timeout-Ms: 9000\r\nContent-Length: 5\r\nExpect: 100-continue\r\n\r\n");
+            assertEquals(100, Peer.read(peer.getInputStream()).status(), "this much has been read");
+            nanos.set(TimeUnit.MILLISECONDS.toNanos(2_100));
+            assertEquals(408, Peer.read(peer.getInputStream()).status());
+        }
+    }
+}
