The end between an answer and the request read behind it loses nothing

It now counts as in use until the request is taken; where the client does not read, it stays among the kept, whose time is limited. Test: theEndBetweenAnAnswerAndTheRequestReadBehindItLosesNothing puts the end between them; EOF without it.

--- a/src/main/java/gatefront/net/ClientServer.java
+++ b/src/main/java/gatefront/net/ClientServer.java
@@ -463,8 +463,10 @@
                 // Guards against a reset for what was not read, which would overtake the answer.
                 written.addListener(unread ? done -> linger() : ChannelFutureListener.CLOSE);
             } else {
-                move(decoder.begun() ? begun : kept);
-                if (!ahead.isEmpty()) {
+                // Guards against the end, or want of room, closing it between this and what is taken next.
+                boolean more = !ahead.isEmpty() && channel.isWritable();
+                move(more ? null : decoder.begun() ? begun : kept);
+                if (more) {
                     channel.eventLoop().execute(this::next);
                 }
             }
--- a/src/test/java/gatefront/net/ClientServerTest.java
+++ b/src/test/java/gatefront/net/ClientServerTest.java
@@ -6,6 +6,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -74,4 +75,36 @@
             assertEquals(408, Peer.read(peer.getInputStream()).status());
         }
     }
+
+    /** Guards against a request that was read, behind another, being lost where the end comes just between them. */
+    @Test
+    void theEndBetweenAnAnswerAndTheRequestReadBehindItLosesNothing() throws Exception {
+        listener = new ClientServer.Listener() {
+            private boolean first = true;
+
+            @Override
+            public void request(ClientServer.Incoming request, ClientServer.Exchange exchange) {
+                if (!first) {
+                    exchange.answer(HttpResponseStatus.OK);
+                    return;
+                }
+                first = false;
+                // Not before the second has been read, too: the loop reads on before it comes to this.
+                group.next().execute(() -> {
+                    exchange.answer(HttpResponseStatus.OK);
+                    clients.drain();
+                });
+            }
+
+            @Override
+            public void clientLeft(ClientServer.Exchange exchange) { }
+        };
+        try (Socket client = dial()) {
+            Peer.write(client, request("a") + request("b"));
+            assertEquals(200, Peer.read(client.getInputStream()).status());
+            Peer.Message second = Peer.read(client.getInputStream());
+            assertEquals(200, second.status());
+            assertEquals("close", second.header("Connection"));
+        }
+    }
 }
