A request whose client left is taken out of the queue at once

Held from now on: such a request is not sent on. Read: Agent.clientLeft, Rules.clientLeft and Attempt.cancel drop it where it waits for room, a dial or a repeat; LeavingTest in three cases forces each by the order of events, and each failed with Agent.clientLeft taken out ('expected: <[id2]> but was: <[id1, id2]>', twice, and TIMEOUT for CANCELLED). At fault was Rules.clientLeft alone: it left the request in its class's queue until its turn came, where it counted among those that wait: a client refused behind 20 that had left was told to come back after 1000 ms instead of 154. Ruled out: that it was sent (dispatch skips what is not held).

--- a/src/main/java/gatefront/Rules.java
+++ b/src/main/java/gatefront/Rules.java
@@ -426,6 +426,7 @@
         Open req = open.get(request);
         if (req != null && !req.closed) {
             cancelAll(req);
+            req.state.held.remove(req); // it would count among those that wait until its turn came
             close(req);
         }
     }
--- a/src/test/java/gatefront/RulesTest.java
+++ b/src/test/java/gatefront/RulesTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.Arrays;
 import java.util.List;
 import gatefront.Balancer.ListKind;
 import gatefront.Balancer.Outcome;
@@ -66,6 +67,27 @@
         assertEquals(before, hand.acts.size());
     }
 
+    /** Failed before: those that had left counted among the waiting, and the refused were told to stay away longer. */
+    @Test
+    void aRequestWhoseClientLeftNoLongerCountsAmongThoseThatWait() {
+        long[] told = new long[2];
+        for (int leaving = 0; leaving < 2; leaving++) {
+            Hand hand = new Hand(Hand.safe()).full(Hand.server(1, 0));
+            for (int i = 0; i < 100; i++) {
+                hand.serve(25_000);
+            }
+            hand.full(Hand.server(1, 0, Phase.DRAINING, 0));
+            long first = hand.request();
+            long[] between = new long[20 * leaving];
+            Arrays.setAll(between, i -> hand.request());
+            hand.request(); // behind which they would wait for their turn
+            Arrays.stream(between).forEach(each -> hand.balancer.clientLeft(hand.now, each));
+            hand.pass(SECOND);
+            told[leaving] = hand.of("refuse", first).get(0).value();
+        }
+        assertEquals(told[0], told[1]);
+    }
+
     @Test
     void nothingIsSentForARequestWhoseClientLeft() {
         Hand hand = two(Semantics.SAFE, Scope.ALL);
--- /dev/null
+++ b/src/test/java/gatefront/net/LeavingTest.java
@@ -0,0 +1,132 @@
+package gatefront.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import gatefront.Balancer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** A client that leaves while its request waits: nobody is to work for it, whatever it waits for. */
+class LeavingTest {
+    private final CountDownLatch came = new CountDownLatch(1);
+    private final CountDownLatch left = new CountDownLatch(1);
+    private final CompletableFuture<Object> outcome = new CompletableFuture<>();
+    private Stage stage;
+
+    @BeforeEach
+    void set() throws IOException {
+        stage = new Stage();
+        stage.settings("caps", caps -> caps.put("probes", false));
+    }
+
+    @AfterEach
+    void strike() throws IOException {
+        stage.close();
+    }
+
+    private void start() throws IOException {
+        stage.start(stage.overheard((event, details) -> {
+            switch (event) {
+                case "request" -> came.countDown();
+                case "clientLeft" -> left.countDown();
+                case "outcome" -> outcome.complete(details[4]);
+                default -> { }
+            }
+        }));
+    }
+
+    /** What the loop was at is done: it has answered this. */
+    private void passTheLoop() throws IOException {
+        try (Socket socket = stage.dial()) {
+            assertEquals(200, Stage.exchange(socket, "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n").status());
+        }
+    }
+
+    private void leave(Socket client) throws Exception {
+        client.close();
+        left.await(Stage.GENEROUS_MS, TimeUnit.MILLISECONDS);
+        assertEquals(0, left.getCount());
+        passTheLoop();
+    }
+
+    /** The first server goes and one is listed that has room: what waits would go to it, as the next request does. */
+    private void assertOnlyTheNextIsSent(String firstAddress) throws Exception {
+        Peer fresh = stage.peer((message, socket) -> Peer.answer(socket, 200, "", message.header("Request-Id")));
+        stage.news.add(Stage.delta(1, Stage.endpoint(9, fresh.address(), "Ready"),
+            Stage.endpoint(1, firstAddress, "Gone")));
+        Stage.await(() -> stage.discovery.requests.stream().anyMatch(each -> each.target().contains("since=1&")));
+        String next = stage.request("lookup", 8000, "");
+        assertEquals("id2", Stage.exchange(stage.dial(), next).text());
+        assertEquals(List.of("id2"), fresh.requests.stream().map(each -> each.header("Request-Id")).toList());
+    }
+
+    @Test
+    void aRequestThatWaitsForRoomIsNotSentOnceItsClientLeft() throws Exception {
+        start();
+        Socket client = stage.dial();
+        Peer.write(client, stage.request("lookup", 8000, ""));
+        came.await(Stage.GENEROUS_MS, TimeUnit.MILLISECONDS);
+        leave(client);
+        assertOnlyTheNextIsSent("127.0.0.1:9");
+    }
+
+    @Test
+    void aRequestThatWaitsForItsRepeatIsNotSentOnceItsClientLeft() throws Exception {
+        Peer full = stage.server((message, socket) -> Peer.answer(socket, 503, "Not-Started: 1\r\n", ""));
+        start();
+        Socket client = stage.dial();
+        Peer.write(client, stage.request("lookup", 8000, ""));
+        assertEquals(Balancer.Outcome.FULL, outcome.get(Stage.GENEROUS_MS, TimeUnit.MILLISECONDS));
+        passTheLoop();
+        leave(client);
+        assertOnlyTheNextIsSent(full.address());
+        assertEquals(1, full.requests.size());
+    }
+
+    @Test
+    void aRequestThatWaitsForItsDialIsNotSentOnceItsClientLeft() throws Exception {
+        stage.settings("caps", caps -> caps.put("dial-timeout-us", 1000 * Stage.GENEROUS_MS));
+        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            String address = "127.0.0.1:" + full.getLocalPort();
+            ((ObjectNode) stage.config.get("known")).putArray("endpoints").add(Stage.endpoint(1, address, "Ready"));
+            List<Socket> filling = new ArrayList<>();
+            for (int i = 0; i < 4; i++) { // the kernel holds back further connections until some are accepted
+                Socket socket = new Socket();
+                filling.add(socket);
+                Peer.daemon(() -> socket.connect(full.getLocalSocketAddress()));
+            }
+            Stage.await(() -> filling.stream().filter(Socket::isConnected).count() >= 2);
+            start();
+            Socket client = stage.dial();
+            Peer.write(client, stage.request("lookup", 8000, ""));
+            came.await(Stage.GENEROUS_MS, TimeUnit.MILLISECONDS);
+            passTheLoop();
+            leave(client);
+            assertEquals(Balancer.Outcome.CANCELLED, outcome.get(Stage.GENEROUS_MS, TimeUnit.MILLISECONDS));
+            AtomicInteger written = new AtomicInteger();
+            Peer.daemon(() -> {
+                while (true) {
+                    Socket accepted = full.accept();
+                    Peer.daemon(() -> written.addAndGet(accepted.getInputStream().readNBytes(1).length));
+                }
+            });
+            assertOnlyTheNextIsSent(address);
+            assertEquals(0, written.get());
+            for (Socket socket : filling) {
+                socket.close();
+            }
+        }
+    }
+}
