The guard leaves the module its last moment

Cause: Agent.request set the guard to the very deadline that it told the module; where a client allows little time the module's timer was due in the same moment, after it, and the client got a failure for what was never sent. The guard now comes 5 ms later, still 5 ms before the client's time is over. Ruled out: a module that leaves requests open (its own timer was the next in the queue). Test: aRequestWithNoTimeLeftIsRefusedByTheModuleAndNotFailedByTheGuard, 504 for 503 without it.

--- a/src/main/java/gatefront/net/Agent.java
+++ b/src/main/java/gatefront/net/Agent.java
@@ -34,6 +34,8 @@
 public final class Agent implements Balancer.Actions {
     /** Of the client's time, what the answer's way back and a late wake-up may take. */
     private static final long MARGIN_MICROS = 10_000;
+    /** Of that, what the module has before the guard takes its last moment for a fault. */
+    private static final long GUARD_MICROS = 5_000;
     /** Descriptors kept back for the program's own files, discovery and the listener. */
     private static final int SOCKETS_RESERVED = 40;
     /** When a client that is refused should come back, where the module does not say: in a moment. */
@@ -353,8 +355,8 @@
         byExchange.put(exchange, pending);
         byName.put(incoming.id(), pending);
         long left = Math.max(0, 1000 * incoming.timeoutMs() - MARGIN_MICROS);
-        pending.guard = loop.schedule(() -> giveUp(pending, HttpResponseStatus.GATEWAY_TIMEOUT), left,
-            TimeUnit.MICROSECONDS);
+        pending.guard = loop.schedule(() -> giveUp(pending, HttpResponseStatus.GATEWAY_TIMEOUT),
+            left + GUARD_MICROS, TimeUnit.MICROSECONDS);
         long deadline = now() + left;
         Balancer.Request request = new Balancer.Request(id, incoming.requestClass(), incoming.tenant(),
             incoming.key(), incoming.hint(), deadline, incoming.repeated(), false);
--- a/src/test/java/gatefront/net/AgentTest.java
+++ b/src/test/java/gatefront/net/AgentTest.java
@@ -177,6 +177,18 @@
         assertEquals(2, stage.arrived());
     }
 
+    /** Failed before: the guard fired in the moment of the module's own timer, and the client got a failure. */
+    @Test
+    void aRequestWithNoTimeLeftIsRefusedByTheModuleAndNotFailedByTheGuard() throws IOException {
+        stage.server(SERVES);
+        stage.start();
+        for (int i = 0; i < 20; i++) {
+            Peer.Message answer = Stage.exchange(stage.dial(), stage.request("order", 10, "body"));
+            assertEquals(503, answer.status());
+        }
+        assertEquals(0, stage.arrived());
+    }
+
     /** Guards against half an answer being served as a whole one. */
     @Test
     void anAnswerCutOffIsNotServed() throws IOException {
