A repeat's window leaves room for the connection to come up

Cause: Rules.maySend decides by the time of the decision, with a quarter of the window for the way. The request is written when its connection is up, up to caps.dial-timeout-us later: past the window it may run again. Ruled out: the first attempt's own dial (the window is counted from its decision, before it). Test: aKeyedRequestIsNotSentAgainWhereItsWindowMayBeOverOnceTheConnectionIsUp, sent twice without it.

--- a/src/main/java/gatefront/SettingsParser.java
+++ b/src/main/java/gatefront/SettingsParser.java
@@ -98,12 +98,21 @@
             classes.add(new Balancer.RequestClass(
                 atLeast(1, at + "aim-us"), number(at + "aim-stretch", 0), atLeast(1, at + "give-up-us"),
                 semantics(at + "semantics"), scope(word(at + "key-scope", "all"), at + "key-scope"),
-                has(at + "window-us") ? whole(at + "window-us") : 0, number(at + "worth", 1),
+                window(at + "window-us"), number(at + "worth", 1),
                 number(at + "late-share", 0), word(at + "stream", "false").equals("true")));
         }
         return List.copyOf(classes);
     }
 
+    /**
+     * The part of a repeat's window in which it may be decided on: its connection may take its time to come up.
+     * Guards against an effect twice where a window is short beside that time.
+     */
+    private long window(String key) {
+        long dial = has("caps.dial-timeout-us") ? whole("caps.dial-timeout-us") : 0;
+        return has(key) ? Math.max(0, whole(key) - dial) : 0;
+    }
+
     private List<Balancer.Tenant> tenants() {
         List<Balancer.Tenant> tenants = new ArrayList<>();
         long count = has("realms.count") ? whole("realms.count") : 0;
--- a/src/test/java/gatefront/net/AgentTest.java
+++ b/src/test/java/gatefront/net/AgentTest.java
@@ -177,6 +177,16 @@
         assertEquals(2, stage.arrived());
     }
 
+    /** Guards against an effect twice: a repeat whose connection may come up after the window is not sent. */
+    @Test
+    void aKeyedRequestIsNotSentAgainWhereItsWindowMayBeOverOnceTheConnectionIsUp() throws IOException {
+        stage.settings("caps", caps -> caps.put("dial-timeout-us", 400_000));
+        ((ObjectNode) stage.config.get("settings").get("classes").get(1)).put("window-us", 400_000);
+        twoServersThatFirst(RESETS);
+        assertEquals(503, stage.call("pay").status());
+        assertEquals(1, stage.arrived());
+    }
+
     /** Failed before: the guard fired in the moment of the module's own timer, and the client got a failure. */
     @Test
     void aRequestWithNoTimeLeftIsRefusedByTheModuleAndNotFailedByTheGuard() throws IOException {
