Calls that fail after discovery has moved are made again without the usual wait

Cause: Discovery.failed left the next call to the module's wait, 1 to 2 s, then 2 to 4 s; after SIGHUP what there is to tell counts as told 4 s later, so two failed calls keep an old list for too long. Until the first list from the new address has come, calls are made again after the net's own back-off, 50 ms doubled up to 1 s, as where lists are pushed; a line tells it.

--- a/src/main/java/gatefront/net/Discovery.java
+++ b/src/main/java/gatefront/net/Discovery.java
@@ -77,6 +77,8 @@
     private long index = -1;
     private boolean watching;
     private boolean closed;
+    /** It has moved, and no list has come from there yet. */
+    private boolean moved;
     /** Numbers the calls: what belongs to an earlier one is disregarded. */
     private int call;
     private Future<?> timeout;
@@ -123,6 +125,7 @@
         if (!closed && !to.equals(address)) {
             address = to;
             backoff = BACKOFF_LEAST_MS;
+            moved = true;
             fetch();
         }
     }
@@ -199,13 +202,19 @@
             return;
         }
         drop();
-        if (config.settings().askDiscovery()) {
+        // Guards against an old list for too long: after a move its changes count as told 4 s later, and two calls
+        // that fail there would cost the module's wait more than that.
+        if (config.settings().askDiscovery() && !moved) {
             watching = false; // the module decides when to ask again
         } else {
             next(backoff);
             backoff = Math.min(2 * backoff, BACKOFF_MOST_MS);
         }
-        listener.failed(why);
+        if (moved) {
+            Agent.say("discovery: after the move: " + why);
+        } else {
+            listener.failed(why);
+        }
     }
 
     private void answered(FullHttpResponse response) {
@@ -225,6 +234,7 @@
             return;
         }
         index = listing.index();
+        moved = false;
         backoff = BACKOFF_LEAST_MS;
         if (!HttpUtil.isKeepAlive(response)) {
             drop();
--- a/src/test/java/gatefront/net/ReloadTest.java
+++ b/src/test/java/gatefront/net/ReloadTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import gatefront.Balancer;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
@@ -14,6 +15,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -102,6 +104,39 @@
         assertEquals("new", stage.call("lookup").text());
     }
 
+    /**
+     * Guards against the module's wait after a failed call, which doubles: after a move the new list is owed
+     * within 4 s, and a discovery that all agents call at once may turn some away.
+     */
+    @Test
+    void callsThatFailAfterAMoveAreMadeAgainWithoutTheWaitOfOthers() throws Exception {
+        ((ObjectNode) stage.config.get("settings")).put("discovery", "subscribe");
+        stage.server((message, socket) -> Peer.answer(socket, 200, "", "old"));
+        Peer fresh = stage.peer((message, socket) -> Peer.answer(socket, 200, "", "new"));
+        Peer busy = stage.peer((message, socket) -> {
+            if (message.target().contains("since")) {
+                return;
+            }
+            if (asked(stage.peers.get(1)).size() <= 3) {
+                Peer.answer(socket, 503, "", "");
+            } else {
+                Peer.answer(socket, 200, "", "{\"index\":1,\"snapshot\":true,\"endpoints\":["
+                    + Stage.endpoint(9, fresh.address(), "Ready") + "]}");
+            }
+        });
+        AtomicInteger waits = new AtomicInteger();
+        stage.start(stage.overheard((event, details) -> {
+            if (event.equals("servers") && details[1] == Balancer.ListKind.FAILED) {
+                waits.incrementAndGet();
+            }
+        }));
+        write(busy.address());
+        stage.agent.reload(file);
+        Stage.await(() -> asked(busy).stream().anyMatch(each -> each.contains("since=1&")));
+        assertEquals(0, waits.get());
+        assertEquals("new", stage.call("lookup").text());
+    }
+
     @Test
     void anUnusableFileChangesNothing() throws Exception {
         stage.server((message, socket) -> Peer.answer(socket, 200, "", "old"));
