--- a/src/main/java/gatefront/net/ClientServer.java
+++ b/src/main/java/gatefront/net/ClientServer.java
@@ -354,7 +354,7 @@
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
             if ((at == silent || at == kept) && decoder.begun()) {
-                // Guards against an unknown peer that says nothing and then half a request being waited for twice.
+                // Guards against waiting twice for an unknown peer that says nothing and then half a request.
                 long from = at == silent ? since : nanoClock.getAsLong();
                 move(begun);
                 since = from;
--- a/src/main/java/gatefront/net/Discovery.java
+++ b/src/main/java/gatefront/net/Discovery.java
@@ -58,7 +58,7 @@
     private static final long ANSWER_MS = 2_000;
     /**
      * How much longer than its wait a watch may take before it has fallen silent. What a silent one misses
-     * counts as told 2 s after its wait: the next has to bring it by then, or servers that drain are still used.
+     * counts as told 2 s after its wait: the next has to bring it by then, or servers that drain are used.
      */
     private static final long SILENT_MS = 500;
     private static final long BACKOFF_LEAST_MS = 50;
@@ -186,8 +186,8 @@
     }
 
     /**
-     * A watch has fallen silent: it is opened anew on another connection, at once and without asking when. Guards
-     * against the wait after a failed call, which would leave the agent with an old list for too long.
+     * A watch has fallen silent: it is opened anew on another connection, at once and without asking when.
+     * Guards against the wait after a failed call, which would leave the agent with an old list for too long.
      */
     private void silent(int mine) {
         if (mine == call && !closed) {
@@ -202,8 +202,8 @@
             return;
         }
         drop();
-        // Guards against an old list for too long: after a move its changes count as told 4 s later, and two calls
-        // that fail there would cost the module's wait more than that.
+        // Guards against an old list for too long: after a move what is new counts as told 4 s later, and two
+        // calls that fail there would cost more than that with the module's waits.
         if (config.settings().askDiscovery() && !moved) {
             watching = false; // the module decides when to ask again
         } else {
