--- a/src/main/java/gatefront/SettingsParser.java
+++ b/src/main/java/gatefront/SettingsParser.java
@@ -105,7 +105,7 @@
     }
 
     /**
-     * The part of a repeat's window in which it may be decided on: its connection may take its time to come up.
+     * The part of a repeat's window in which it may be decided on: its connection may take time to come up.
      * Guards against an effect twice where a window is short beside that time.
      */
     private long window(String key) {
--- a/src/main/java/gatefront/net/Agent.java
+++ b/src/main/java/gatefront/net/Agent.java
@@ -227,7 +227,7 @@
             .orElse(0) / 1000;
         long last = Math.min(longest, KILL_DEADLINE_MS) + KILL_AFTER_MS - LAST_MS;
         loop.execute(() -> {
-            say("ending: " + open.size() + " requests open, the last answers are given after " + last + " ms");
+            say("ending: " + open.size() + " requests open, the last answers come after " + last + " ms");
             clients.leave();
             loop.schedule(this::endIfUnused, LINGER_MS, TimeUnit.MILLISECONDS);
             loop.schedule(this::end, Math.min(SERVE_ON_MOST_MS, last - CLOSING_MS), TimeUnit.MILLISECONDS);
