The end between a new connection and its first request loses nothing

Clients whose kept connections close just then dial anew: a connection accepted just before had its first request on the way and was closed with no answer. Ruled out: kept connections (a client resends what crosses their close). Test: theEndBetweenANewConnectionAndItsFirstRequestLosesNothing, EOF for 200 without it.

--- a/src/main/java/gatefront/net/ClientServer.java
+++ b/src/main/java/gatefront/net/ClientServer.java
@@ -152,18 +152,24 @@
         leaving = true;
     }
 
-    /** From now on each answer is the last of its connection, and connections in no use are closed. */
+    /**
+     * From now on each answer is the last of its connection, and connections in no use are closed; a new one
+     * once its first request must have come.
+     */
     void drain() {
         draining = true;
-        List.copyOf(silent).forEach(Connection::close);
+        expired(silent, SILENT_LEAST_NANOS).forEach(Connection::close);
         List.copyOf(kept).forEach(Connection::close);
     }
 
-    /** Takes no further connections, nor what has not come whole by now. */
+    /** Takes no further connections, and from those there are soon nothing that has not come whole. */
     void stopListening() {
         server.close();
         drain();
-        List.copyOf(begun).forEach(Connection::close);
+        server.eventLoop().schedule(() -> {
+            List.copyOf(silent).forEach(Connection::close);
+            List.copyOf(begun).forEach(Connection::close);
+        }, SILENT_LEAST_NANOS, TimeUnit.NANOSECONDS);
     }
 
     /** Whether no connection is left. */
@@ -171,6 +177,11 @@
         return connections.isEmpty();
     }
 
+    /** How many connections there are. */
+    int size() {
+        return connections.size();
+    }
+
     /**
      * Keeps the connections under the limit on sockets. Guards against running out of descriptors, which
      * would end the agent, and against silent or forgotten connections shutting the others out: they make
--- a/src/test/java/gatefront/net/ClientServerTest.java
+++ b/src/test/java/gatefront/net/ClientServerTest.java
@@ -76,6 +76,31 @@
         }
     }
 
+    /**
+     * Guards against a new connection that is closed with no answer where the end comes between its being
+     * accepted and its first request; one on which nothing comes is not waited for.
+     */
+    @Test
+    void theEndBetweenANewConnectionAndItsFirstRequestLosesNothing() throws Exception {
+        listener = new ClientServer.Listener() {
+            @Override
+            public void request(ClientServer.Incoming request, ClientServer.Exchange exchange) {
+                exchange.answer(HttpResponseStatus.OK);
+            }
+
+            @Override
+            public void clientLeft(ClientServer.Exchange exchange) { }
+        };
+        try (Socket client = dial(); Socket silent = dial()) {
+            Stage.await(() -> group.next().submit(clients::size).syncUninterruptibly().getNow() == 2);
+            group.next().submit(clients::stopListening).syncUninterruptibly();
+            Peer.Message answer = Stage.exchange(client, request("a"));
+            assertEquals(200, answer.status());
+            assertEquals("close", answer.header("Connection"));
+            assertEquals(-1, silent.getInputStream().read());
+        }
+    }
+
     /** Guards against a request that was read, behind another, being lost where the end comes just between them. */
     @Test
     void theEndBetweenAnAnswerAndTheRequestReadBehindItLosesNothing() throws Exception {
