--- a/src/test/java/gatefront/net/AgentTest.java
+++ b/src/test/java/gatefront/net/AgentTest.java
@@ -295,6 +295,33 @@
         assertEquals(200, stage.call("lookup").status());
     }
 
+    /**
+     * Guards against a request written to a connection whose end has come but has not been read: it might have run.
+     * The server closes while the loop is at something else, just before the connection is taken for a request.
+     */
+    @Test
+    void aConnectionThatEndedUnseenIsNotUsed() throws Exception {
+        stage.settings("caps", caps -> caps.put("probes", false));
+        Peer server = stage.server(SERVES);
+        AtomicBoolean second = new AtomicBoolean();
+        stage.start(stage.overheard((event, details) -> {
+            if (event.equals("request") && second.get()) {
+                second.set(false);
+                try {
+                    Thread.sleep(50); // it has rested for long enough to be used
+                    server.sockets.get(0).close();
+                } catch (InterruptedException | IOException e) {
+                    throw new AssertionError(e);
+                }
+            }
+        }));
+        assertEquals(200, stage.call("order").status());
+        second.set(true);
+        assertEquals(200, stage.call("order").status());
+        assertEquals(List.of("id1", "id2"),
+            server.requests.stream().map(each -> each.header("Request-Id")).toList());
+    }
+
     // ---- Discovery and drains ----
 
     @Test
