Test: the drain told while connecting is forced by order of events, not by waiting

The two sleeps, for the listener to be full and for the dial to have begun, are replaced one by one: the first by two connections being up, the second by the request's event and an answer of the loop after it. Seen to fail with the dials of a drained server left alone. The listener's part is shared with LeavingTest.

--- a/src/test/java/gatefront/net/AgentTest.java
+++ b/src/test/java/gatefront/net/AgentTest.java
@@ -349,27 +349,21 @@
         try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             String address = "127.0.0.1:" + full.getLocalPort();
             ((ObjectNode) stage.config.get("known")).putArray("endpoints").add(Stage.endpoint(1, address, "Ready"));
-            stage.start();
-            List<Socket> filling = new ArrayList<>();
-            for (int i = 0; i < 4; i++) { // the kernel holds back further connections until some are accepted
-                Socket socket = new Socket();
-                filling.add(socket);
-                Peer.daemon(() -> socket.connect(full.getLocalSocketAddress()));
-            }
-            Thread.sleep(200);
+            CountDownLatch came = new CountDownLatch(1);
+            stage.start(stage.overheard((event, details) -> {
+                if (event.equals("request")) {
+                    came.countDown();
+                }
+            }));
+            List<Socket> filling = Stage.fill(full);
             Socket client = stage.dial();
             Peer.write(client, stage.request("order", 8000, "body"));
-            Thread.sleep(100);
+            assertTrue(came.await(Stage.GENEROUS_MS, TimeUnit.MILLISECONDS));
+            assertEquals(200, health()); // what it answers after the request: the dial has begun
             stage.news.add(Stage.delta(1, Stage.endpoint(1, address, "Terminating")));
             Stage.await(() -> stage.discovery.requests.stream()
                 .anyMatch(each -> each.target().contains("since=1&")));
-            AtomicInteger written = new AtomicInteger();
-            Peer.daemon(() -> {
-                while (true) {
-                    Socket accepted = full.accept();
-                    Peer.daemon(() -> written.addAndGet(accepted.getInputStream().readNBytes(1).length));
-                }
-            });
+            AtomicInteger written = Stage.accept(full);
             assertEquals(503, Peer.read(client.getInputStream()).status());
             assertEquals(0, written.get());
             for (Socket socket : filling) {
--- a/src/test/java/gatefront/net/LeavingTest.java
+++ b/src/test/java/gatefront/net/LeavingTest.java
@@ -8,7 +8,6 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -101,13 +100,7 @@
         try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             String address = "127.0.0.1:" + full.getLocalPort();
             ((ObjectNode) stage.config.get("known")).putArray("endpoints").add(Stage.endpoint(1, address, "Ready"));
-            List<Socket> filling = new ArrayList<>();
-            for (int i = 0; i < 4; i++) { // the kernel holds back further connections until some are accepted
-                Socket socket = new Socket();
-                filling.add(socket);
-                Peer.daemon(() -> socket.connect(full.getLocalSocketAddress()));
-            }
-            Stage.await(() -> filling.stream().filter(Socket::isConnected).count() >= 2);
+            List<Socket> filling = Stage.fill(full);
             start();
             Socket client = stage.dial();
             Peer.write(client, stage.request("lookup", 8000, ""));
@@ -115,13 +108,7 @@
             passTheLoop();
             leave(client);
             assertEquals(Balancer.Outcome.CANCELLED, outcome.get(Stage.GENEROUS_MS, TimeUnit.MILLISECONDS));
-            AtomicInteger written = new AtomicInteger();
-            Peer.daemon(() -> {
-                while (true) {
-                    Socket accepted = full.accept();
-                    Peer.daemon(() -> written.addAndGet(accepted.getInputStream().readNBytes(1).length));
-                }
-            });
+            AtomicInteger written = Stage.accept(full);
             assertOnlyTheNextIsSent(address);
             assertEquals(0, written.get());
             for (Socket socket : filling) {
--- a/src/test/java/gatefront/net/Stage.java
+++ b/src/test/java/gatefront/net/Stage.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.lang.reflect.Proxy;
 import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -17,6 +18,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -149,6 +151,30 @@
         return servers.stream().mapToInt(each -> each.requests.size()).sum();
     }
 
+    /** Connects to a listener with room for one that nobody accepts from: the next who dials has to wait. */
+    static List<Socket> fill(ServerSocket full) {
+        List<Socket> filling = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            Socket socket = new Socket();
+            filling.add(socket);
+            Peer.daemon(() -> socket.connect(full.getLocalSocketAddress()));
+        }
+        await(() -> filling.stream().filter(Socket::isConnected).count() >= 2); // one more than it has room for
+        return filling;
+    }
+
+    /** Counts what comes on the connections to such a listener, once they are accepted. */
+    static AtomicInteger accept(ServerSocket full) {
+        AtomicInteger written = new AtomicInteger();
+        Peer.daemon(() -> {
+            while (true) {
+                Socket accepted = full.accept();
+                Peer.daemon(() -> written.addAndGet(accepted.getInputStream().readNBytes(1).length));
+            }
+        });
+        return written;
+    }
+
     static void await(BooleanSupplier condition) {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(GENEROUS_MS);
         while (!condition.getAsBoolean()) {
