An agent that was started with SIGHUP ignored says so

Cause: not the agent's code. Ruled out: Agent.reload (its failures are told), Discovery.moveTo (its calls after a move are told otherwise). Nothing told it: now a line at the start does. Lines: Main.serve, where Signal.handle's answer was dropped. Test: aStartThatIgnoresSighupSaysSo, fails without the line.

--- a/src/main/java/gatefront/Main.java
+++ b/src/main/java/gatefront/Main.java
@@ -11,6 +11,7 @@
 import gatefront.drill.WireException;
 import gatefront.net.Agent;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /** The command line of the jar. */
 public final class Main {
@@ -58,7 +59,11 @@
             }
             // Before the agent says that it is ready: SIGHUP without a handler ends the JVM.
             Path file = Path.of(config);
-            Signal.handle(new Signal("HUP"), signal -> started.thenAccept(running -> running.reload(file)));
+            SignalHandler before = Signal.handle(new Signal("HUP"),
+                signal -> started.thenAccept(running -> running.reload(file)));
+            if (before == SignalHandler.SIG_IGN) { // the JVM leaves it so, and nothing else would tell
+                err.println("SIGHUP is ignored where this was started: a new configuration needs a restart");
+            }
             agent = Agent.start(file);
             started.complete(agent);
         } catch (IOException | IllegalArgumentException e) {
--- a/src/test/java/gatefront/net/ReloadTest.java
+++ b/src/test/java/gatefront/net/ReloadTest.java
@@ -12,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -171,6 +172,24 @@
             }
             assertTrue(process.waitFor(Stage.GENEROUS_MS, TimeUnit.MILLISECONDS));
             assertEquals(0, process.exitValue());
+            assertFalse(Files.readString(dir.resolve("log")).contains("SIGHUP is ignored"));
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
+    /** Guards against an agent that follows an old discovery, and nothing tells why: the JVM cannot hear it. */
+    @Test
+    void aStartThatIgnoresSighupSaysSo() throws Exception {
+        write(stage.discovery.address());
+        ProcessBuilder program = builder("-Xmx48m");
+        program.command().addAll(0, List.of("sh", "-c", "trap '' HUP; exec \"$@\"", "sh"));
+        Process process = program.start();
+        try {
+            Stage.await(() -> asked(stage.discovery).stream().anyMatch(each -> each.contains("since")));
+            signal(process, "TERM");
+            assertTrue(process.waitFor(Stage.GENEROUS_MS, TimeUnit.MILLISECONDS));
+            assertTrue(Files.readString(dir.resolve("log")).contains("SIGHUP is ignored"));
         } finally {
             process.destroyForcibly();
         }
@@ -202,11 +221,17 @@
     }
 
     private Process program(String option) throws IOException {
-        ProcessBuilder program = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            option, "-cp", System.getProperty("java.class.path"), "gatefront.Main", "serve")
-            .redirectErrorStream(true).redirectOutput(dir.resolve("log").toFile());
+        return builder(option).start();
+    }
+
+    private ProcessBuilder builder(String option) {
+        List<String> command = new ArrayList<>(List.of(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(), option, "-cp",
+            System.getProperty("java.class.path"), "gatefront.Main", "serve"));
+        ProcessBuilder program = new ProcessBuilder(command).redirectErrorStream(true)
+            .redirectOutput(dir.resolve("log").toFile());
         program.environment().put("RELAY_CONFIG", file.toString());
-        return program.start();
+        return program;
     }
 
     private static void signal(Process process, String name) throws Exception {
