--- a/src/main/java/gatefront/net/Config.java
+++ b/src/main/java/gatefront/net/Config.java
@@ -42,7 +42,7 @@
  * @param connectTimeoutMicros a connection not up by then has failed
  * @param idleCloseMicros a server closes a connection that has been idle for this long
  */
-record Config(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets, JsonNode known,
+public record Config(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets, JsonNode known,
               Balancer.Settings settings, List<String> classes, List<String> tenants, List<String> zones,
               List<String> kinds, List<String> loadFields, boolean loadByProbe, long connectTimeoutMicros,
               long idleCloseMicros) {
@@ -52,7 +52,7 @@
         StreamReadConstraints.builder().maxNestingDepth(NESTING_MAX).build()).build();
 
     /** Reads the file; an unusable one is an exception whose message is one plain line. */
-    static Config read(Path file) {
+    public static Config read(Path file) {
         JsonNode root;
         try {
             root = json(new ByteArrayInputStream(Files.readAllBytes(file)));
@@ -63,7 +63,7 @@
         return of(root);
     }
 
-    static Config of(JsonNode root) {
+    public static Config of(JsonNode root) {
         JsonNode settings = need(root, "settings");
         Map<String, String> pairs = new HashMap<>();
         flatten("", settings, pairs);
@@ -81,7 +81,7 @@
      * Reads JSON. The library's mapper would do the same, but its making takes a quarter of a second on half
      * a core (it sets up dates, locales and the reading of classes): nobody is served meanwhile.
      */
-    static JsonNode json(InputStream from) throws IOException {
+    public static JsonNode json(InputStream from) throws IOException {
         try (JsonParser parser = JSON.createParser(from)) {
             return json(parser, parser.nextToken());
         }
@@ -177,7 +177,7 @@
     }
 
     /** An address as the configuration and discovery write it: a literal one, for there is no DNS. */
-    static InetSocketAddress address(String text) {
+    public static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
         byte[] host = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
         try {
--- a/src/main/java/gatefront/net/Discovery.java
+++ b/src/main/java/gatefront/net/Discovery.java
@@ -36,9 +36,9 @@
  * Follows the server list: the whole list once, then one watch after the other on one connection. All of it
  * runs on the agent's event loop.
  */
-final class Discovery {
+public final class Discovery {
     /** What the agent hears. */
-    interface Listener {
+    public interface Listener {
         /** A list has come. */
         void list(ListKind kind, List<Endpoint> endpoints);
 
@@ -47,10 +47,10 @@
     }
 
     /** A server as discovery lists it: its line for the module, its name, and where this agent reaches it. */
-    record Endpoint(Server server, String name, InetSocketAddress address) { }
+    public record Endpoint(Server server, String name, InetSocketAddress address) { }
 
     /** A decoded answer. */
-    record Listing(long index, boolean snapshot, List<Endpoint> endpoints) { }
+    public record Listing(long index, boolean snapshot, List<Endpoint> endpoints) { }
 
     /** How long a watch waits for news. Short enough that a silent discovery is soon asked again. */
     private static final long WATCH_MS = 5_000;
@@ -84,7 +84,7 @@
     private Future<?> timeout;
     private long backoff = BACKOFF_LEAST_MS;
 
-    Discovery(EventLoop loop, Config config, Listener listener) {
+    public Discovery(EventLoop loop, Config config, Listener listener) {
         this.loop = loop;
         this.config = config;
         this.address = config.discovery();
@@ -102,7 +102,7 @@
     }
 
     /** Begins to follow the list, or goes on after a failure where that is asked for. */
-    void watch() {
+    public void watch() {
         if (!watching) {
             watching = true;
             next(0);
@@ -110,7 +110,7 @@
     }
 
     /** Gets the whole list with the next call, which is made now. */
-    void fetch() {
+    public void fetch() {
         index = -1;
         watching = true;
         drop();
@@ -121,7 +121,7 @@
      * Follows the list at another address from now on. Its versions mean nothing there, so the whole list
      * comes first; until it has come the old one stays.
      */
-    void moveTo(InetSocketAddress to) {
+    public void moveTo(InetSocketAddress to) {
         if (!closed && !to.equals(address)) {
             address = to;
             backoff = BACKOFF_LEAST_MS;
@@ -130,7 +130,7 @@
         }
     }
 
-    void close() {
+    public void close() {
         closed = true;
         drop();
     }
@@ -247,7 +247,7 @@
     }
 
     /** Decodes a list; an entry that makes no sense makes the whole unusable. */
-    static Listing decode(JsonNode root, Config config) {
+    public static Listing decode(JsonNode root, Config config) {
         if (root == null || !root.path("endpoints").isArray() || !root.path("index").canConvertToLong()) {
             throw new IllegalArgumentException("no list of servers");
         }
@@ -273,7 +273,7 @@
     }
 
     /** A number for a name or key: the same at every agent, as the module's hashing needs, and never 0. */
-    static long id(String name) {
+    public static long id(String name) {
         long id = UUID.nameUUIDFromBytes(name.getBytes(StandardCharsets.UTF_8)).getMostSignificantBits();
         return id == 0 ? 1 : id;
     }
