A status line with no reason is read, and spoilt answers are counted by reason

Of 541 resets at the busiest agent only 58 came at once; with the new counter 431 of its resets were answers that the decoder refused: "Illegal character in request line: 0x20".

Cause: Decoders.Responses has heads read as strictly as those of requests. That covers the status line too, and one with no reason ends in a space ("HTTP/1.1 200 "), as HTTP has it. Each such answer passed for a reset: it counted against its server, its request was sent again or failed, and its connection was closed.

Change: the strict reading begins behind the status line. The tally tells how many of the resets were spoilt answers and why, a few reasons by themselves.

Ruled out: the network (93 connections reset under a request in the whole fleet), servers that close idle connections (114 and 131 requests of 5325 were written to those).

--- a/src/main/java/gatefront/net/Backends.java
+++ b/src/main/java/gatefront/net/Backends.java
@@ -433,11 +433,10 @@
                 ctx.close(); // an answer to nothing
                 return;
             }
-            // An answer before the request has left whole cannot be an answer to it.
-            if (part.decoderResult().isFailure() || !attempt.written
-                    || part instanceof HttpResponse first && !begin(first)
-                    || part instanceof HttpContent content && !add(content)) {
-                attempt.broken(); // spoilt: nothing of it is served, and it may have run
+            String spoilt = spoilt(attempt, part);
+            if (spoilt != null) {
+                tally.spoilt(spoilt);
+                attempt.broken(); // nothing of it is served, and it may have run
             } else if (part instanceof LastHttpContent) {
                 HttpResponse whole = head;
                 head = null;
@@ -447,6 +446,20 @@
             }
         }
 
+        /** Takes a part of an answer; says what is wrong with it, or null. */
+        private String spoilt(Attempt attempt, HttpObject part) {
+            if (part.decoderResult().isFailure()) {
+                return "unreadable: " + part.decoderResult().cause().getMessage();
+            }
+            if (!attempt.written) {
+                return "early"; // before the request has left whole it cannot be an answer to it
+            }
+            if (part instanceof HttpResponse first && !begin(first)) {
+                return "status " + first.status().code() + " with " + Decoders.framing(first.headers());
+            }
+            return part instanceof HttpContent content && !add(content) ? "too long" : null;
+        }
+
         /** Takes the head of an answer; false if it cannot end well. */
         private boolean begin(HttpResponse first) {
             head = first;
--- a/src/main/java/gatefront/net/Decoders.java
+++ b/src/main/java/gatefront/net/Decoders.java
@@ -108,6 +108,8 @@
     /** What servers and discovery send. */
     static final class Responses extends HttpResponseDecoder {
         private boolean atStart = true;
+        /** Whether the status line has been read, and the message not to its end. */
+        private boolean lineRead;
 
         Responses() {
             super(strict());
@@ -130,6 +132,7 @@
             }
             super.decode(ctx, in, out);
             atStart |= endsMessage(out);
+            lineRead &= !atStart;
         }
 
         @Override
@@ -138,6 +141,7 @@
                     || digits(line[1], 0) < 100) {
                 throw new IllegalArgumentException("status line"); // the library would take "+200" for 200
             }
+            lineRead = true;
             return super.createMessage(line);
         }
 
@@ -146,10 +150,13 @@
             refuseBoth();
         }
 
-        /** Reads heads as strictly as those of requests: else a line without a colon counts as a header. */
+        /**
+         * Reads headers as strictly as those of requests: else a line without a colon counts as one. Not so
+         * the status line, which has a space at its end where no reason is given.
+         */
         @Override
         protected boolean isDecodingRequest() {
-            return true;
+            return lineRead;
         }
 
         @Override
--- a/src/main/java/gatefront/net/Tally.java
+++ b/src/main/java/gatefront/net/Tally.java
@@ -4,6 +4,8 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * Counts what the agent does and tells it on a line each few seconds, with one unserved request told in full.
@@ -14,6 +16,9 @@
     /** How often it is told. */
     static final long PERIOD_SECONDS = 5;
 
+    /** Reasons for which answers were spoilt that are told by themselves. */
+    private static final int REASONS_MOST = 4;
+
     /** How a request ended for its client. */
     enum Answer { SERVED, REFUSED, FAILED, LEFT }
 
@@ -24,6 +29,9 @@
     private int dialled;
     private int brokeAtOnce;
     private int brokeKept;
+    private int spoilt;
+    /** How often for each reason; a few reasons, for they come from outside. */
+    private final Map<String, Integer> spoiltWhy = new TreeMap<>();
     private long waitedMicros;
     private long waitedMostMicros;
     /** The first request of the period that was refused or failed, with all that was tried. */
@@ -68,6 +76,13 @@
         brokeAtOnce += atOnce ? 1 : 0;
     }
 
+    /** An answer was not one as the protocol has it; its attempt counts among the resets. */
+    void spoilt(String why) {
+        spoilt++;
+        spoiltWhy.merge(spoiltWhy.containsKey(why) || spoiltWhy.size() < REASONS_MOST ? why : "other", 1,
+            Integer::sum);
+    }
+
     /** A connection to a server is dialled. */
     void dialled() {
         dialled++;
@@ -92,7 +107,11 @@
         }
         if (outcomes[Outcome.RESET.ordinal()] > 0) {
             line.append(" (of the resets on kept connections ").append(brokeKept).append(", at once ")
-                .append(brokeAtOnce).append(')');
+                .append(brokeAtOnce);
+            if (spoilt > 0) {
+                line.append(", for spoilt answers ").append(spoilt).append(' ').append(spoiltWhy);
+            }
+            line.append(')');
         }
         line.append("; waited ").append(waitedMicros / 1000 / Math.max(1, total)).append(" ms, most ")
             .append(waitedMostMicros / 1000).append("; dialled ").append(dialled).append(", connections ")
@@ -109,6 +128,8 @@
         dialled = 0;
         brokeKept = 0;
         brokeAtOnce = 0;
+        spoilt = 0;
+        spoiltWhy.clear();
         waitedMicros = 0;
         waitedMostMicros = 0;
         unserved = null;
--- a/src/test/java/gatefront/net/BadServersTest.java
+++ b/src/test/java/gatefront/net/BadServersTest.java
@@ -50,6 +50,7 @@
         "noise\r\n\r\n", "\u0000\u0001HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad",
         "HTTP/1.1 999999 X\r\nContent-Length: 3\r\n\r\nbad", "HTTP/1.1 +200 OK\r\nContent-Length: 3\r\n\r\nbad",
         "HTTP/3.0 200 OK\r\nContent-Length: 3\r\n\r\nbad", "HTTP/1.1 200 OK\r\nno colon\r\nContent-Length: 3\r\n\r\nbad",
+        "HTTP/1.1 200 \r\nno colon\r\nContent-Length: 3\r\n\r\nbad",
         "HTTP/1.1 200 OK\r\n\r\nended by close", "HTTP/1.1 200 OK\r\nContent-Length: -3\r\n\r\nbad",
         "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 30\r\n\r\nbad",
         "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nbad\r\n0\r\n\r\n",
@@ -71,6 +72,15 @@
         assertEquals(2, turn.get());
     }
 
+    /** Failed before: the space that ends a status line with no reason was unreadable, and the answer a reset. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 ", "HTTP/1.1 200", "HTTP/1.1 200 all is well "})
+    void aStatusLineNeedsNoReason(String line) throws IOException {
+        firstAnswer(line + "\r\nContent-Length: 4\r\n\r\ngood");
+        assertEquals("good", stage.call("order").text());
+        assertEquals(1, turn.get());
+    }
+
     @Test
     void anAnswerInChunksThatNeverEndIsGivenUp() throws IOException {
         firstAnswer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8000\r\n" + "x".repeat(0x8000)
--- a/src/test/java/gatefront/net/TallyTest.java
+++ b/src/test/java/gatefront/net/TallyTest.java
@@ -49,4 +49,18 @@
         assertEquals(1, lines.size());
         assertTrue(lines.get(0).endsWith("; given up by the guard 30"), lines.get(0));
     }
+
+    /** Failed before: spoilt answers passed for resets of the network, and nothing told what was wrong. */
+    @Test
+    void spoiltAnswersAreToldByReasonAndOnlySoMany() {
+        for (int i = 0; i < 10; i++) {
+            tally.ended(Outcome.RESET);
+            tally.spoilt("reason " + i / 2);
+        }
+        String line = tally.take(0, 0).get(0);
+        assertTrue(line.contains("reset 10 (of the resets on kept connections 0, at once 0, for spoilt answers 10 "
+            + "{other=2, reason 0=2, reason 1=2, reason 2=2, reason 3=2})"), line);
+        tally.ended(Outcome.RESET);
+        assertFalse(tally.take(0, 0).get(0).contains("spoilt"));
+    }
 }
