A 200 with no length ends with its connection and is served

Cause: Answers.begin refused a 200 with neither length nor chunks.

Change: such a body is read to the end of the connection. Only that ends it: a reset breaks the attempt before the decoder tells of an end, and what is too long or never ends is given up as before. Other statuses without a length are still done with at their head.

--- a/src/main/java/gatefront/net/Backends.java
+++ b/src/main/java/gatefront/net/Backends.java
@@ -468,9 +468,8 @@
             if (status < 200) {
                 return status != 101; // nobody asked for another protocol
             }
-            // Guards against a body cut short that nobody can tell from a whole one: only a length or chunks
-            // end what is served. One that is too long is not waited for.
-            return length == Decoders.CHUNKED || length == Decoders.NO_LENGTH && status != 200
+            // One that is too long is not waited for.
+            return length == Decoders.CHUNKED || length == Decoders.NO_LENGTH
                 || length >= 0 && length <= BODY_MAX;
         }
 
@@ -508,7 +507,12 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            ctx.close(); // reset; what that means for the attempt is told by channelInactive
+            // Guards against a body cut short that passes for a whole one: with no length given the end of
+            // its connection ends it, and a reset is no such end.
+            if (connection.attempt != null) {
+                connection.attempt.broken();
+            }
+            ctx.close();
         }
     }
 
--- a/src/main/java/gatefront/net/Decoders.java
+++ b/src/main/java/gatefront/net/Decoders.java
@@ -108,8 +108,8 @@
     /** What servers and discovery send. */
     static final class Responses extends HttpResponseDecoder {
         private boolean atStart = true;
-        /** Whether the status line has been read, and the message not to its end. */
-        private boolean lineRead;
+        /** Whether the status line has been read, and the rest is to be read as strictly as in requests. */
+        private boolean strict;
 
         Responses() {
             super(strict());
@@ -132,7 +132,7 @@
             }
             super.decode(ctx, in, out);
             atStart |= endsMessage(out);
-            lineRead &= !atStart;
+            strict &= !atStart;
         }
 
         @Override
@@ -141,7 +141,7 @@
                     || digits(line[1], 0) < 100) {
                 throw new IllegalArgumentException("status line"); // the library would take "+200" for 200
             }
-            lineRead = true;
+            strict = true;
             return super.createMessage(line);
         }
 
@@ -156,7 +156,15 @@
          */
         @Override
         protected boolean isDecodingRequest() {
-            return lineRead;
+            return strict;
+        }
+
+        /** Asked at the end of the headers. Without a length the body of a 200 ends with its connection. */
+        @Override
+        protected boolean isContentAlwaysEmpty(HttpMessage message) {
+            int status = ((HttpResponse) message).status().code();
+            strict &= status != 200 || framing(message.headers()) != NO_LENGTH;
+            return super.isContentAlwaysEmpty(message);
         }
 
         @Override
