--- /dev/null
+++ b/src/test/java/gatefront/scale/DiscoveryStandInTest.java
@@ -0,0 +1,135 @@
+package gatefront.scale;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import gatefront.scale.ServerEntry.Status;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class DiscoveryStandInTest {
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final LinkedBlockingQueue<Long> has = new LinkedBlockingQueue<>();
+    private final DiscoveryStandIn discovery = new DiscoveryStandIn(group, new InetSocketAddress("127.0.0.1", 0),
+        new DiscoveryStandIn.Options(7, 3, false, 0, 0, 0, 0, List.of(), (agent, version, at) -> has.add(version)));
+    private final HttpClient client = HttpClient.newHttpClient();
+
+    @AfterEach
+    void end() {
+        discovery.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private static ServerEntry entry(String name, Status status) {
+        return new ServerEntry(name, "127.0.0.1:" + (3000 + name.hashCode() % 1000), "a", "small", 0, status, 1, 0);
+    }
+
+    private CompletableFuture<JsonNode> ask(String query) {
+        var at = URI.create("http://127.0.0.1:" + discovery.address().getPort() + "/v1/servers" + query);
+        return client.sendAsync(HttpRequest.newBuilder(at).build(), BodyHandlers.ofString())
+            .thenApply(answer -> Json.read(answer.body()));
+    }
+
+    private static String told(JsonNode list) {
+        StringBuilder told = new StringBuilder(list.get("index").asText())
+            .append(list.get("snapshot").asBoolean() ? " whole" : " changes");
+        list.get("endpoints").forEach(each -> told.append(' ').append(each.get("name").asText())
+            .append('=').append(each.get("status").asText()));
+        return told.toString();
+    }
+
+    @Test
+    void tellsWhatChangedSinceAVersionOrTheWholeList() {
+        discovery.replace(List.of(entry("a", Status.READY), entry("b", Status.READY)));
+        discovery.change(List.of(entry("a", Status.TERMINATING)));
+        discovery.change(List.of(entry("a", Status.GONE), entry("c", Status.READY)));
+
+        assertEquals("10 whole b=Ready c=Ready", told(ask("").join()));
+        assertEquals("10 changes a=Gone c=Ready", told(ask("?since=8&timeout_ms=1000").join()));
+        assertEquals("10 whole b=Ready c=Ready", told(ask("?since=7&timeout_ms=1000").join()), "before the log");
+        assertEquals("10 whole b=Ready c=Ready", told(ask("?since=11&timeout_ms=1000").join()), "from the future");
+        assertEquals("10 changes", told(ask("?since=10&timeout_ms=1").join()));
+        discovery.change(List.of(entry("b", Status.GONE)));
+        assertEquals("11 whole c=Ready", told(ask("?since=8&timeout_ms=1000").join()), "out of the bounded log");
+        assertEquals("11 changes a=Gone c=Ready b=Gone", told(ask("?since=9&timeout_ms=1").join()));
+    }
+
+    @Test
+    void watchWaitsForNewsAndTheNextCallShowsThatTheAgentHasIt() throws Exception {
+        var watch = ask("?since=7&timeout_ms=60000");
+        assertEquals(7, has.take());
+        assertEquals(8, discovery.change(List.of(entry("a", Status.READY), entry("b", Status.READY))));
+        assertEquals("8 changes a=Ready b=Ready", told(watch.join()));
+        ask("?since=8&timeout_ms=1").join();
+        assertEquals(8, has.take());
+        var counts = discovery.counts();
+        assertEquals(List.of(2L, 0L, 0L, 1L, 1L, 0L), List.of(counts.calls(), counts.watching(), counts.wholes(),
+            counts.deltas(), counts.empties(), counts.refused()));
+        assertEquals(counts.bytesOut(), discovery.countsByAgent().values().stream()
+            .mapToLong(DiscoveryStandIn.Counts::bytesOut).sum());
+    }
+
+    @Test
+    void deathResetsWatchesAndALaterProcessGoesOnFromItsVersion() throws Exception {
+        var watch = ask("?since=7&timeout_ms=60000");
+        has.take();
+        discovery.down();
+        assertThrows(RuntimeException.class, watch::join);
+        var connect = assertThrows(RuntimeException.class, () -> ask("").join());
+        assertTrue(connect.getCause() instanceof IOException, () -> "refused: " + connect);
+        discovery.up();
+        discovery.restore(40, List.of(entry("a", Status.READY)));
+        assertEquals("40 whole a=Ready", told(ask("?since=7&timeout_ms=60000").join()));
+        assertEquals("40 changes", told(ask("?since=40&timeout_ms=1").join()));
+    }
+
+    @Test
+    void fixedCapacityAnswersInTurnAndRefusesWhoWaitsTooLong() {
+        long[] now = {0};
+        List<String> did = new ArrayList<>();
+        EmbeddedChannel host = new EmbeddedChannel();
+        host.freezeTime();
+        AnswerQueue queue = new AnswerQueue(host.eventLoop(), 3, 25, () -> now[0]);
+        for (String name : List.of("a", "b", "c", "d")) {
+            queue.add(new AnswerQueue.Call() {
+                @Override
+                public long costNanos() {
+                    return 20;
+                }
+
+                @Override
+                public void answer() {
+                    did.add(name + now[0]);
+                }
+
+                @Override
+                public void refuse() {
+                    did.add(name + " refused");
+                }
+            });
+        }
+        for (int i = 0; i < 6; i++) {
+            now[0] += 10;
+            host.advanceTimeBy(10, TimeUnit.NANOSECONDS);
+            host.runScheduledPendingTasks();
+        }
+        assertEquals(List.of("d refused", "a20", "b40", "c refused"), did);
+    }
+}
