--- a/src/scale/java/gatefront/scale/DiscoveryStandIn.java
+++ b/src/scale/java/gatefront/scale/DiscoveryStandIn.java
@@ -36,8 +36,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Discovery in the protocol's form: whole lists, and watches that wait for what is newer. All of it runs on one
- * event loop, as the one service that it stands for. Its methods wait for that loop, so they must not be
+ * Discovery in the protocol's form: whole lists, and watches that wait for what is newer. All of it runs on
+ * one event loop, as the one service that it stands for. Its methods wait for that loop, so they must not be
  * called on another handler's loop; on its own they run at once.
  */
 public final class DiscoveryStandIn implements AutoCloseable {
@@ -46,29 +46,37 @@
      *
      * @param firstVersion the version of the empty list that it starts with
      * @param logEntries how many changed entries are kept; an older version gets the whole list
-     * @param oneAtATime whether it has the fixed capacity below; else it answers as fast as it can
-     * @param callMicros what each answer takes then
-     * @param lineNanos what each entry in an answer takes besides
-     * @param queueLimit how many calls may wait for their turn; one more gets 503
-     * @param queueMillis how long a call may wait for its turn; then it gets 503
+     * @param capacity a fixed capacity; null where it answers as fast as it can
      * @param alsoAt further addresses to listen at: agents told different ones are told apart by them
+     * @param startsDown whether it listens only once {@link #up} is called, so that it has its list first
      * @param observer hears which version an agent has
      */
-    public record Options(long firstVersion, int logEntries, boolean oneAtATime, long callMicros, long lineNanos,
-                          int queueLimit, long queueMillis, List<InetSocketAddress> alsoAt, Observer observer) {
-        /** As fast as it can, with a log of 10,000 entries. */
+    public record Options(long firstVersion, int logEntries, Capacity capacity,
+                          List<InetSocketAddress> alsoAt, boolean startsDown, Observer observer) {
+        private static final int LOG_ENTRIES = 10_000;
+
+        /** Listens at once, answers as fast as it can and has a log of 10,000 entries. */
         public static Options fast(Observer observer) {
-            return new Options(0, 10_000, false, 0, 0, Integer.MAX_VALUE, Long.MAX_VALUE / 1_000_000, List.of(),
-                observer);
+            return new Options(0, LOG_ENTRIES, null, List.of(), false, observer);
         }
 
         /** The same with further addresses. */
         public Options alsoAt(List<InetSocketAddress> further) {
-            return new Options(firstVersion, logEntries, oneAtATime, callMicros, lineNanos, queueLimit, queueMillis,
-                List.copyOf(further), observer);
+            return new Options(firstVersion, logEntries, capacity, List.copyOf(further), startsDown,
+                observer);
         }
     }
 
+    /**
+     * Answers one after another.
+     *
+     * @param callMicros what each answer takes
+     * @param lineNanos what each entry in an answer takes besides
+     * @param queueLimit how many calls may wait for their turn; one more gets 503
+     * @param queueMillis how long a call may wait for its turn; then it gets 503
+     */
+    public record Capacity(long callMicros, long lineNanos, int queueLimit, long queueMillis) { }
+
     /** Hears, on the event loop, which version an agent has. */
     @FunctionalInterface
     public interface Observer {
@@ -84,8 +92,8 @@
 
     /**
      * What it has done, or done for one agent. An agent is named by its own host where that is not 127.0.0.1;
-     * else by the host that it called where that is a further address; else by its host and port, which change
-     * with each connection.
+     * else by the host that it called where that is a further address; else by its host and port, which
+     * change with each connection.
      *
      * @param connections accepted
      * @param calls that came
@@ -97,8 +105,8 @@
      * @param bytesIn bytes of calls, without those of TCP and IP
      * @param bytesOut bytes of answers handed to the sockets, likewise
      */
-    public record Counts(long connections, long calls, long watching, long wholes, long deltas, long empties,
-                         long refused, long bytesIn, long bytesOut) { }
+    public record Counts(long connections, long calls, long watching, long wholes, long deltas,
+                         long empties, long refused, long bytesIn, long bytesOut) { }
 
     /** The protocol's limit on a watch's wait. */
     private static final long WAIT_MOST_MS = 60_000;
@@ -131,12 +139,13 @@
         private long bytesOut;
 
         Counts counts() {
-            return new Counts(connections, calls, watching, wholes, deltas, empties, refused, bytesIn, bytesOut);
+            return new Counts(connections, calls, watching, wholes, deltas, empties, refused, bytesIn,
+                bytesOut);
         }
     }
 
     /**
-     * Listens when this returns, with an empty list.
+     * Listens when this returns, with an empty list, unless it starts down.
      *
      * @param group one of its event loops is used
      * @param bind where to listen, a loopback address; port 0 for any
@@ -148,8 +157,9 @@
         this.options = options;
         this.log = new ServerLog(options.logEntries());
         log.replace(options.firstVersion(), List.of());
-        this.queue = options.oneAtATime() ? new AnswerQueue(loop, options.queueLimit(),
-            TimeUnit.MILLISECONDS.toNanos(options.queueMillis()), System::nanoTime) : null;
+        Capacity capacity = options.capacity();
+        this.queue = capacity == null ? null : new AnswerQueue(loop, capacity.queueLimit(),
+            TimeUnit.MILLISECONDS.toNanos(capacity.queueMillis()), System::nanoTime);
         addresses.add(bind);
         addresses.addAll(options.alsoAt());
         for (InetSocketAddress each : addresses) {
@@ -157,7 +167,9 @@
                 throw new IllegalArgumentException("not a loopback address: " + each);
             }
         }
-        up();
+        if (!options.startsDown()) {
+            up();
+        }
     }
 
     /** Where it listens first; the port stays the same over {@link #down} and {@link #up}. */
@@ -179,7 +191,7 @@
         });
     }
 
-    /** The same as of the version given: a new process goes on where the last one ended, with an empty log. */
+    /** The same as of the version given: a new process goes on where the last ended, its log empty. */
     public long restore(long version, Collection<ServerEntry> entries) {
         return on(() -> {
             log.replace(version, entries);
@@ -232,7 +244,7 @@
         });
     }
 
-    /** Is cut off: connections stay open and silent, and what is asked on old or new ones is not answered. */
+    /** Is cut off: connections stay open and silent, and nothing asked on old or new ones is answered. */
     public void cutOff() {
         on(() -> {
             silent = true;
@@ -445,7 +457,8 @@
             queue.add(new AnswerQueue.Call() {
                 @Override
                 public long costNanos() {
-                    return 1000 * options.callMicros() + options.lineNanos() * owed(since).lines();
+                    Capacity capacity = options.capacity();
+                    return 1000 * capacity.callMicros() + capacity.lineNanos() * owed(since).lines();
                 }
 
                 @Override
--- a/src/test/java/gatefront/scale/DiscoveryStandInTest.java
+++ b/src/test/java/gatefront/scale/DiscoveryStandInTest.java
@@ -28,7 +28,7 @@
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final LinkedBlockingQueue<Long> has = new LinkedBlockingQueue<>();
     private final DiscoveryStandIn discovery = new DiscoveryStandIn(group, new InetSocketAddress("127.0.0.1", 0),
-        new DiscoveryStandIn.Options(7, 3, false, 0, 0, 0, 0, List.of(), (agent, version, at) -> has.add(version)));
+        new DiscoveryStandIn.Options(7, 3, null, List.of(), false, (agent, version, at) -> has.add(version)));
     private final HttpClient client = HttpClient.newHttpClient();
 
     @AfterEach
