--- a/src/main/java/gatefront/net/Config.java
+++ b/src/main/java/gatefront/net/Config.java
@@ -42,7 +42,8 @@
  * @param connectTimeoutMicros a connection not up by then has failed
  * @param idleCloseMicros a server closes a connection that has been idle for this long
  */
-public record Config(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets, JsonNode known,
+public record Config(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+              JsonNode known,
               Balancer.Settings settings, List<String> classes, List<String> tenants, List<String> zones,
               List<String> kinds, List<String> loadFields, boolean loadByProbe, long connectTimeoutMicros,
               long idleCloseMicros) {
