What all agents save up for a cold server stays within the rule's budget

Suspected: each agent may save up one request for a cold server and more, so that the sum grows with the number of agents and not with the budget. Seen in a new test with 20 and 30 instances on one clock that share a cold server: where the work is too long for it at first, nobody uses it for 10 s, and a burst then has all agents turn to it. At 30 agents 19 requests came within the window; its budget N was 9.3, and with 2 x root of N + 2 for chance 17.4. At 20 agents 16, within it.

Cause: coldBudget let each agent hold 1 + half a window's grants for as long as the server was cold.

Change: a grant that is not used is lost in time, so that all agents together hold at most what the rule leaves (its multiple less the one window that is being granted) and half of what it puts down to chance: root of N + 1. Both follow from the settings; no constant is new.

The price, in the test's steady traffic of 1 request in 1.5 s per agent and a rule of 3 times for 1 s: the cold server gets 9 to 15 requests in 15 s, 17 to 19 before.

Ruled out: bursts by themselves (2 to 14 s after the start) and steady traffic: within the budget at 20 and 30 agents before and after. Losing grants after half a window, or after multiple - 1 windows without the part for chance: both keep the budget, and starve the server (1 to 4 and 4 to 12 requests in those 15 s).

--- a/src/main/java/gatefront/Rules.java
+++ b/src/main/java/gatefront/Rules.java
@@ -226,7 +226,7 @@
         req.held = false;
         req.attempts.add(new Attempt(target, now));
         target.inFlight++;
-        target.coldTokens -= 1;
+        target.coldSpent++;
         actions.send(req.request.id(), target.id, req.state.type.streamed() ? 0 : req.endAt - now);
         return true;
     }
@@ -863,7 +863,8 @@
     private void chill(Target target, long now, long since, long until, String why) {
         target.coldSince = since;
         target.coldUntil = until;
-        target.coldTokens = random.nextDouble(); // a whole one each, and a thousand agents send a thousand
+        target.coldGranted = random.nextDouble(); // a whole one each, and a thousand agents send a thousand
+        target.coldSpent = 0;
         target.coldAt = now;
         log(target, "cold: " + why);
     }
@@ -887,14 +888,22 @@
 
     /**
      * Requests this agent may send to a cold server now. Danger: all agents together push it over. Each
-     * keeps to what it gets answered by a warm server, times the part that is surely warm.
+     * keeps to what it gets answered by a warm server, times the part that is surely warm. Danger: agents
+     * that could not use it for some seconds hold one each, however many they are, and all turn to it in the
+     * same moment. So what is not used is lost in time: all together hold no more than what the rule leaves
+     * beside the requests of one window, and half of what it puts down to chance.
      */
     private double coldBudget(Target target, long now) {
+        Obligations rule = settings.obligations();
         double perSecond = warmRate(target.listed.zone(), now) * warmth(target, now);
-        double most = 1 + perSecond * COLD_BURST * settings.obligations().overloadTime() / SECOND;
-        target.coldTokens = Math.min(most, target.coldTokens + perSecond * (now - target.coldAt) / SECOND);
+        double perWindow = perSecond * rule.overloadTime() / SECOND;
+        double budget = rule.overloadMultiple() * perWindow * settings.agents();
+        double held = (rule.overloadMultiple() - 1) * perWindow + (Math.sqrt(budget) + 1) / settings.agents();
+        target.coldGranted += perSecond * (now - target.coldAt) / SECOND;
         target.coldAt = now;
-        return target.coldTokens;
+        target.coldSpent = Math.max(target.coldSpent, Math.floor(target.coldGranted - held));
+        target.coldSpent = Math.max(target.coldSpent, target.coldGranted - 1 - COLD_BURST * perWindow);
+        return Math.floor(target.coldGranted - target.coldSpent);
     }
 
     /**
--- a/src/main/java/gatefront/Target.java
+++ b/src/main/java/gatefront/Target.java
@@ -43,8 +43,9 @@
     /** Start and end of the warm-up this agent believes in. */
     long coldSince;
     long coldUntil = Long.MIN_VALUE;
-    /** Requests that may be sent while cold, and when that was reckoned. */
-    double coldTokens;
+    /** Requests granted since it became cold, those sent or lost, and when that was reckoned. */
+    double coldGranted;
+    double coldSpent;
     long coldAt;
     /** A broken connection or a dead probe was seen and no answer since. */
     boolean broken;
