Scale run: hollow agents, thousands in one process, with the agent's own list code and module

A hollow agent follows the list with gatefront.net.Discovery on a connection of its own and decides with the real module; only clients and servers are made up, from a seed.

--- /dev/null
+++ b/src/scale/java/gatefront/scale/HollowFleet.java
@@ -0,0 +1,141 @@
+package gatefront.scale;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import gatefront.net.Config;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.Future;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.ToLongFunction;
+
+/**
+ * Hollow agents of one process, spread over its event loops. Its methods wait for those loops and are called
+ * from another thread, one at a time.
+ */
+final class HollowFleet implements AutoCloseable {
+    /**
+     * What fleet there is to be.
+     *
+     * @param agents how many
+     * @param first the number of the first of them in the whole fleet
+     * @param of how many agents the fleet has in all, real ones included
+     * @param config what all have in common, in the form of the agent's configuration file; discovery included
+     * @param load what each carries
+     * @param spreadMs over what time they begin, evenly, as separate starts would
+     * @param seed for everything random
+     */
+    record Plan(int agents, int first, int of, ObjectNode config, HollowLoad load, long spreadMs, long seed) {
+        /** The configuration of one of them, as the file of a real agent would have it. */
+        Config config(int agent) {
+            ObjectNode own = Json.MAPPER.createObjectNode();
+            own.setAll(config);
+            own.put("name", "h" + agent).put("seed", Long.toHexString(seedOf(agent)));
+            ObjectNode settings = own.putObject("settings");
+            settings.setAll((ObjectNode) config.get("settings"));
+            settings.put("me", agent).put("group-size", of).put("locality", agent % zones());
+            return Config.of(own);
+        }
+
+        private int zones() {
+            return Math.max(1, config.path("settings").path("zones").size());
+        }
+
+        private long seedOf(int agent) {
+            return new SplittableRandom(seed + agent).nextLong();
+        }
+    }
+
+    private static final long NANOS_PER_MICRO = 1000;
+
+    private final EventLoopGroup group;
+    private final ServerTruth truth = new ServerTruth();
+    private final Arrivals arrivals;
+    private final List<Member> members = new ArrayList<>();
+
+    /** An agent and its loop; the agent is made there. */
+    private static final class Member {
+        final EventLoop loop;
+        HollowAgent agent;
+
+        Member(EventLoop loop) {
+            this.loop = loop;
+        }
+    }
+
+    /** Starts the agents on so many event loops; they begin as the plan spreads them. */
+    HollowFleet(Plan plan, int loops) {
+        group = new MultiThreadIoEventLoopGroup(loops, NioIoHandler.newFactory());
+        arrivals = new Arrivals(plan.agents());
+        for (int i = 0; i < plan.agents(); i++) {
+            int number = i;
+            Member member = new Member(group.next());
+            members.add(member);
+            long delay = plan.spreadMs() * i / plan.agents();
+            member.loop.schedule(() -> {
+                member.agent = new HollowAgent(member.loop, plan.config(plan.first() + number), truth, plan.load(),
+                    () -> System.nanoTime() / NANOS_PER_MICRO,
+                    fingerprint -> arrivals.applied(number, fingerprint, System.nanoTime()));
+                member.agent.begin();
+            }, delay, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** What the servers are in truth. */
+    ServerTruth truth() {
+        return truth;
+    }
+
+    /** When each agent has each change. */
+    Arrivals arrivals() {
+        return arrivals;
+    }
+
+    /** What all have counted so far. */
+    HollowCounts counts() {
+        HollowCounts sum = new HollowCounts();
+        sum(agent -> {
+            synchronized (sum) {
+                sum.add(agent.counts());
+            }
+            return 0;
+        });
+        return sum;
+    }
+
+    /** Requests that are open now. */
+    long open() {
+        return sum(HollowAgent::open);
+    }
+
+    /** How many agents have the list with this fingerprint. */
+    long agree(long fingerprint) {
+        return sum(agent -> agent.fingerprint() == fingerprint ? 1 : 0);
+    }
+
+    /** The sum over all agents that have begun; each is asked on its loop. */
+    private long sum(ToLongFunction<HollowAgent> what) {
+        long sum = 0;
+        List<Future<Long>> asked = new ArrayList<>();
+        for (Member each : members) {
+            asked.add(each.loop.submit(() -> each.agent == null ? 0L : what.applyAsLong(each.agent)));
+        }
+        for (var each : asked) {
+            sum += each.syncUninterruptibly().getNow();
+        }
+        return sum;
+    }
+
+    @Override
+    public void close() {
+        sum(agent -> {
+            agent.close();
+            return 0;
+        });
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+}
--- a/src/scale/java/gatefront/scale/Main.java
+++ b/src/scale/java/gatefront/scale/Main.java
@@ -5,7 +5,8 @@
 
 /** The command line of the scale run: an emulator of the fleet on one machine. */
 @Command(name = "gatefront-scale", mixinStandardHelpOptions = true, version = "0.1.0",
-    description = "Plays experiments with hollow and real agents against stand-ins on the loopback interface.")
+    description = "Plays experiments with hollow and real agents against stand-ins on the loopback interface.",
+    subcommands = {HollowCommand.class})
 public final class Main implements Runnable {
     /** Runs the subcommand that the arguments name. */
     public static void main(String[] args) {
