--- a/src/scale/java/gatefront/scale/Arrivals.java
+++ b/src/scale/java/gatefront/scale/Arrivals.java
@@ -1,6 +1,7 @@
 package gatefront.scale;
 
 import java.util.Arrays;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import org.HdrHistogram.Histogram;
@@ -10,10 +11,16 @@
  * one, for it may be told several at once. Each agent is written by one thread at a time.
  */
 final class Arrivals {
-    /** What a change's arrival is told as, in microseconds from when it was made. */
-    record Spread(int agents, int of, long p50Micros, long p99Micros, long lastMicros) { }
+    /**
+     * How long changes took, in microseconds.
+     *
+     * @param had how often an agent had one of the changes
+     * @param of how often that would be if every agent had every change
+     */
+    record Spread(long had, long of, long p50Micros, long p99Micros, long lastMicros) { }
 
     private static final long LONGEST_MICROS = 600_000_000L;
+    private static final int DIGITS = 3;
 
     private final int agents;
     /** The numbers of the changes, which grow, by the fingerprint of the list that they lead to. */
@@ -46,15 +53,22 @@
         }
     }
 
-    /** How long a change took, from when it was made; one that was never announced has reached nobody. */
-    Spread spread(int change, long madeAtNanos) {
-        Histogram micros = new Histogram(LONGEST_MICROS, 3);
-        for (long at : times.getOrDefault(change, new long[0])) {
-            if (at != 0) {
-                micros.recordValue(Math.min(LONGEST_MICROS, Math.max(0, (at - madeAtNanos) / 1000)));
+    /**
+     * How long changes took from when each was made, all of them together.
+     *
+     * @param first the number of the first of them
+     * @param made when each was made, by {@link System#nanoTime}; one not announced has reached nobody
+     */
+    Spread spread(int first, List<Long> made) {
+        Histogram micros = new Histogram(LONGEST_MICROS, DIGITS);
+        for (int i = 0; i < made.size(); i++) {
+            for (long at : times.getOrDefault(first + i, new long[0])) {
+                if (at != 0) {
+                    micros.recordValue(Math.min(LONGEST_MICROS, Math.max(0, (at - made.get(i)) / 1000)));
+                }
             }
         }
-        return new Spread((int) micros.getTotalCount(), agents, micros.getValueAtPercentile(50),
+        return new Spread(micros.getTotalCount(), (long) agents * made.size(), micros.getValueAtPercentile(50),
             micros.getValueAtPercentile(99), micros.getMaxValue());
     }
 }
--- a/src/scale/java/gatefront/scale/HollowCommand.java
+++ b/src/scale/java/gatefront/scale/HollowCommand.java
@@ -10,6 +10,8 @@
 import java.io.PrintStream;
 import java.lang.management.ManagementFactory;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -69,8 +71,7 @@
             case "start" -> start(told, answer);
             case "expect" -> fleet.arrivals().expect(told.path("change").asInt(),
                 told.path("fingerprint").asLong());
-            case "when" -> answer.setAll((ObjectNode) Json.MAPPER.valueToTree(
-                fleet.arrivals().spread(told.path("change").asInt(), told.path("from_ns").asLong())));
+            case "when" -> answer.setAll((ObjectNode) Json.MAPPER.valueToTree(when(told)));
             case "truth" -> truth(told);
             case "agree" -> answer.put("agree", fleet.agree(told.path("fingerprint").asLong()));
             case "report" -> report(answer);
@@ -95,6 +96,12 @@
         answer.put("started", agents);
     }
 
+    private Arrivals.Spread when(JsonNode told) {
+        List<Long> made = new ArrayList<>();
+        told.path("made_ns").forEach(each -> made.add(each.asLong()));
+        return fleet.arrivals().spread(told.path("first").asInt(), made);
+    }
+
     private void truth(JsonNode told) {
         long at = told.path("at_ns").asLong() / NANOS_PER_MICRO;
         told.path("draining").forEach(each -> fleet.truth().leaves(Discovery.id(each.asText()), at, false));
--- a/src/test/java/gatefront/scale/ArrivalsTest.java
+++ b/src/test/java/gatefront/scale/ArrivalsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class ArrivalsTest {
@@ -15,8 +16,8 @@
         arrivals.applied(0, 101, 7_000);
         arrivals.applied(1, 101, 9_000);
         arrivals.applied(1, 555, 10_000); // a list that nobody announced
-        assertEquals(new Arrivals.Spread(2, 2, 4, 8, 8), arrivals.spread(0, 1_000));
-        assertEquals(new Arrivals.Spread(2, 2, 6, 8, 8), arrivals.spread(1, 1_000));
+        assertEquals(new Arrivals.Spread(2, 2, 4, 8, 8), arrivals.spread(0, List.of(1_000L)));
+        assertEquals(new Arrivals.Spread(4, 4, 5, 8, 8), arrivals.spread(0, List.of(1_000L, 2_000L)));
     }
 
     @Test
@@ -24,8 +25,7 @@
         Arrivals arrivals = new Arrivals(3);
         arrivals.expect(0, 100);
         arrivals.applied(2, 100, 5_000);
-        assertEquals(1, arrivals.spread(0, 1_000).agents());
-        assertEquals(0, arrivals.spread(1, 1_000).agents());
+        assertEquals(new Arrivals.Spread(1, 6, 4, 4, 4), arrivals.spread(0, List.of(1_000L, 1_000L)));
     }
 
     @Test
