--- a/src/scale/java/gatefront/scale/Fleet.java
+++ b/src/scale/java/gatefront/scale/FleetProcesses.java
@@ -13,7 +13,7 @@
  * The processes of one experiment: discovery, hollow agents, real agents. One thread uses it. It ends what it has
  * started, whatever happened.
  */
-final class Fleet implements AutoCloseable {
+final class FleetProcesses implements AutoCloseable {
     /** How long agents may take to come to the same list: a bound on the run, not a judgement. */
     private static final long SETTLE_MS = 60_000;
     private static final long SAMPLE_MS = 50;
@@ -63,7 +63,7 @@
      * @param out where a JSON line an interval goes
      * @throws IOException if a process does not come up or ends
      */
-    Fleet(FleetExperiment plan, PrintStream out) throws IOException {
+    FleetProcesses(FleetExperiment plan, PrintStream out) throws IOException {
         this.plan = plan;
         this.out = out;
         boolean started = false;
--- a/src/scale/java/gatefront/scale/FleetRun.java
+++ b/src/scale/java/gatefront/scale/FleetRun.java
@@ -44,7 +44,7 @@
         out.println("experiment " + plan.name() + ": " + plan.scale());
         out.println(Json.line(plan));
         out.println("load average at the start: " + ProcessFigures.loadAverage());
-        try (Fleet fleet = new Fleet(plan, out)) {
+        try (FleetProcesses fleet = new FleetProcesses(plan, out)) {
             part(fleet, "before", () -> fleet.pass(millis(plan.beforeSeconds()), true));
             event(fleet);
             part(fleet, "after", () -> {
@@ -60,7 +60,7 @@
         }
     }
 
-    private void event(Fleet fleet) throws IOException {
+    private void event(FleetProcesses fleet) throws IOException {
         long during = millis(plan.eventSeconds());
         String zone = FleetConfig.zone(LOST_ZONE);
         switch (plan.event()) {
@@ -101,13 +101,13 @@
         }
     }
 
-    private void part(Fleet fleet, String name, Part part) throws IOException {
+    private void part(FleetProcesses fleet, String name, Part part) throws IOException {
         fleet.mark();
         part.play();
         phases.add(fleet.phase(name));
     }
 
-    private void totals(Fleet fleet) throws IOException {
+    private void totals(FleetProcesses fleet) throws IOException {
         ObjectNode totals = fleet.totals();
         totals.properties().forEach(each -> out.println(String.format(Locale.ROOT, "%-42s %s", each.getKey(),
             each.getValue())));
