--- a/src/scale/java/gatefront/scale/FleetPhase.java
+++ b/src/scale/java/gatefront/scale/FleetPhase.java
@@ -1,7 +1,7 @@
 package gatefront.scale;
 
+import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -23,8 +23,6 @@
                   int agents, DiscoveryMeter.Sums discovery, double peakCalls, long failedCalls, double hollowCpu,
                   double realCpu) {
     private static final int DIGITS = 3;
-    private static final String ROW = "%-10s %6s %7s | %13s %8s %8s %8s | %9s %8s %8s %8s | %8s %8s %6s %8s %8s %6s"
-        + " | %6s %6s%n";
 
     /** The times of real agents, which are told in milliseconds one by one. */
     static ChangeTimes.Spread spread(List<Double> millis, long of) {
@@ -44,33 +42,39 @@
         return discovery.bytes() / seconds / agents;
     }
 
-    /** A table of parts: times in milliseconds, processor time in parts of a core. */
-    static String table(List<FleetPhase> phases) {
-        StringBuilder table = new StringBuilder();
-        table.append(row("part", "s", "changes", "hollow had", "half ms", "99% ms", "last ms", "real had", "half ms",
-            "99% ms", "last ms", "calls/s", "peak/s", "failed", "B/s each", "call/s e", "disc", "hollow", "real"));
+    /** Two tables of parts: when agents had changes, and what control cost. */
+    static void tell(Report report, String title, List<FleetPhase> phases) {
+        List<List<String>> times = new ArrayList<>();
+        List<List<String>> costs = new ArrayList<>();
         for (FleetPhase each : phases) {
-            table.append(row(each.name, each.seconds, each.changes, each.hollow.had() + "/" + each.hollow.of(),
-                millis(each.hollow.p50Micros()), millis(each.hollow.p99Micros()),
-                millis(each.hollow.lastMicros()), each.real.had() + "/" + each.real.of(),
-                millis(each.real.p50Micros()), millis(each.real.p99Micros()), millis(each.real.lastMicros()),
-                Math.round(each.discovery.calls() / each.seconds), Math.round(each.peakCalls), each.failedCalls,
-                Math.round(each.bytesPerAgent()), each.callsPerAgent(),
-                each.discovery.cpuSeconds() / each.seconds, each.hollowCpu, each.realCpu));
+            List<String> row = new ArrayList<>(List.of(each.name, Report.number(each.seconds, 1),
+                "" + each.changes));
+            row.addAll(cells(each.hollow));
+            row.addAll(cells(each.real));
+            times.add(row);
+            costs.add(List.of(each.name, Report.number(each.discovery.calls() / each.seconds, 0),
+                Report.number(each.peakCalls, 0), "" + each.failedCalls, "" + each.discovery.wholes(),
+                "" + each.discovery.refused(), Report.number(each.bytesPerAgent(), 1),
+                Report.number(2 * each.callsPerAgent(), 3), share(each.discovery.cpuSeconds() / each.seconds),
+                share(each.hollowCpu), share(each.realCpu)));
         }
-        return table.toString();
+        report.table(title + "; times from the change until agents have it, in ms", List.of("part", "s", "changes",
+            "hollow had", "half", "99%", "last", "real had", "half", "99%", "last"), times);
+        report.table("control: calls a second at discovery, and what each agent has of it; CPU in % of a core, all "
+            + "together", List.of("part", "calls/s", "most in 1 s", "failed", "whole lists", "503",
+            "B/s each", "messages/s each", "CPU discovery", "CPU hollow", "CPU real"), costs);
     }
 
-    private static double millis(long micros) {
-        return micros / 1_000.0;
+    private static List<String> cells(ChangeTimes.Spread spread) {
+        return List.of(spread.had() + "/" + spread.of(), millis(spread.p50Micros()), millis(spread.p99Micros()),
+            millis(spread.lastMicros()));
     }
 
-    private static String row(Object... cells) {
-        for (int i = 0; i < cells.length; i++) {
-            if (cells[i] instanceof Double number) {
-                cells[i] = String.format(Locale.ROOT, number < 10 ? "%.3f" : "%.1f", number);
-            }
-        }
-        return String.format(Locale.ROOT, ROW, cells);
+    private static String millis(long micros) {
+        return Report.number(micros / 1_000.0, 1);
+    }
+
+    private static String share(double cores) {
+        return Report.number(100 * cores, 1);
     }
 }
--- a/src/scale/java/gatefront/scale/FleetProcesses.java
+++ b/src/scale/java/gatefront/scale/FleetProcesses.java
@@ -3,9 +3,9 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
-import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -24,9 +24,9 @@
     private static final int HEAP_MB = 6_000;
     private static final int LOOPS = 3;
 
-    private final FleetExperiment plan;
-    private final PrintStream out;
-    private final Children children = new Children();
+    private final FleetPlan plan;
+    private final Report report;
+    private final Children children;
     private final FleetServers servers;
     private final DiscoveryMeter meter = new DiscoveryMeter();
     private final RealSide real;
@@ -46,7 +46,6 @@
     private long intervalAt;
     private DiscoveryMeter.Sums intervalSums;
     private double intervalHollowCpu;
-    private long startedAt;
     private int cutAt;
     private int markChange;
     private long markAt;
@@ -61,14 +60,14 @@
     /**
      * Starts all processes and waits until every agent has the list.
      *
-     * @param out where a JSON line an interval goes
+     * @param report gets a line for each interval
+     * @param children sees to their end, whatever happens
      * @throws IOException if a process does not come up or ends
      */
-    FleetProcesses(FleetExperiment plan, PrintStream out) throws IOException {
+    FleetProcesses(FleetPlan plan, Report report, Children children) throws IOException {
         this.plan = plan;
-        this.out = out;
-        boolean started = false;
-        try {
+        this.report = report;
+        this.children = children;
             real = new RealSide(children, plan, Path.of("").toAbsolutePath());
             servers = new FleetServers(real.servers());
             discovery = new DiscoveryProcess(children, real.discoveryArguments());
@@ -82,18 +81,11 @@
                 new HollowLoad(plan.perSecond(), plan.answerMicros(), plan.answerSigma()), plan.spreadMs(),
                 plan.seed()));
             real.start();
-            startedAt = System.nanoTime();
-            intervalAt = startedAt;
+            intervalAt = System.nanoTime();
             sample();
             intervalSums = meter.sums();
             settle();
             meter.takePeak();
-            started = true;
-        } finally {
-            if (!started) {
-                children.close();
-            }
-        }
     }
 
     /** Lets time pass, with the ordinary changes if wanted, and prints a line for each interval. */
@@ -262,20 +254,19 @@
         DiscoveryMeter.Sums since = sums.minus(intervalSums);
         double hollowCpu = ProcessFigures.cpuSeconds(hollow.pid());
         JsonNode counts = hollow.report();
-        ObjectNode line = Json.MAPPER.createObjectNode();
-        line.put("t", round((now - startedAt) / NANOS)).put("version", version)
-            .put("discovery_calls_per_s", round(since.calls() / seconds))
-            .put("discovery_bytes_per_s", round(since.bytes() / seconds))
-            .put("discovery_cpu", round(since.cpuSeconds() / seconds))
-            .put("hollow_cpu", round((hollowCpu - intervalHollowCpu) / seconds))
-            .put("hollow_failed_calls", counts.path("lists").path("failed").asLong());
+        Map<String, Object> line = new LinkedHashMap<>();
+        line.put("version", version);
+        line.put("discovery_calls_per_s", round(since.calls() / seconds));
+        line.put("discovery_bytes_per_s", round(since.bytes() / seconds));
+        line.put("discovery_cpu", round(since.cpuSeconds() / seconds));
+        line.put("hollow_cpu", round((hollowCpu - intervalHollowCpu) / seconds));
+        line.put("hollow_failed_calls", counts.path("lists").path("failed"));
         for (String each : List.of("requests", "served", "refused", "failed", "lost", "late_after_told",
                 "late_after_made", "emptied")) {
-            line.put("hollow_" + each, counts.path(each).asLong());
+            line.put("hollow_" + each, counts.path(each));
         }
-        real.interval(line);
-        line.put("load_average", ProcessFigures.loadAverage());
-        out.println(line);
+        real.counts().forEach((name, count) -> line.put("real_" + name, count));
+        report.line("interval", line);
         intervalAt = now;
         intervalSums = sums;
         intervalHollowCpu = hollowCpu;
@@ -324,10 +315,10 @@
 
     @Override
     public void close() throws IOException {
-        try {
-            real.close();
-        } finally {
-            children.close();
+        real.close();
+        hollow.close();
+        if (discovery != null) {
+            discovery.close();
         }
     }
 }
--- a/src/scale/java/gatefront/scale/FleetRun.java
+++ b/src/scale/java/gatefront/scale/FleetRun.java
@@ -1,11 +1,9 @@
 package gatefront.scale;
 
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
-import java.io.PrintStream;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /** Plays an experiment on a fleet: what comes before the event, the event, what comes after it. */
@@ -13,15 +11,17 @@
     /** The zone that is lost. */
     private static final int LOST_ZONE = 0;
 
-    private final FleetExperiment plan;
-    private final PrintStream out;
+    private final FleetPlan plan;
+    private final Report report;
+    private final Children children;
     private final List<FleetPhase> phases = new ArrayList<>();
     private int changesBeforeReturn;
     private boolean killed;
 
-    private FleetRun(FleetExperiment plan, PrintStream out) {
+    private FleetRun(FleetPlan plan, Report report, Children children) {
         this.plan = plan;
-        this.out = out;
+        this.report = report;
+        this.children = children;
     }
 
     /** What happens in a part of an experiment. */
@@ -36,15 +36,13 @@
      * @return what is judged of it
      * @throws IOException if a process does not come up or ends before its time
      */
-    static FleetOutcome play(FleetExperiment plan, PrintStream out) throws IOException {
-        return new FleetRun(plan, out).play();
+    static FleetOutcome play(FleetPlan plan, Report report, Children children) throws IOException {
+        return new FleetRun(plan, report, children).play();
     }
 
     private FleetOutcome play() throws IOException {
-        out.println("experiment " + plan.name() + ": " + plan.scale());
-        out.println(Json.line(plan));
-        out.println("load average at the start: " + ProcessFigures.loadAverage());
-        try (FleetProcesses fleet = new FleetProcesses(plan, out)) {
+        report.line("plan", Map.of("plan", plan));
+        try (FleetProcesses fleet = new FleetProcesses(plan, report, children)) {
             part(fleet, "before", () -> fleet.pass(millis(plan.beforeSeconds()), true));
             event(fleet);
             part(fleet, "after", () -> {
@@ -52,10 +50,9 @@
                 fleet.settle();
             });
             FleetOutcome outcome = fleet.outcome(phases, killed, fleet.changes() - changesBeforeReturn);
-            out.print(FleetPhase.table(phases));
+            FleetPhase.tell(report, plan.name() + ": " + plan.scale(), phases);
             totals(fleet);
-            out.println(Json.line(outcome));
-            out.println("load average at the end: " + ProcessFigures.loadAverage());
+            report.line("outcome", Map.of("outcome", outcome));
             return outcome;
         }
     }
@@ -76,7 +73,7 @@
                 });
             }
             case DOWN, SILENT -> {
-                String[] how = plan.event() == FleetExperiment.Event.DOWN ? new String[] {"down", "up"}
+                String[] how = plan.event() == FleetPlan.Event.DOWN ? new String[] {"down", "up"}
                     : new String[] {"cut-off", "reachable"};
                 part(fleet, "cut off", () -> {
                     fleet.cutOff(how[0]);
@@ -95,7 +92,7 @@
                 });
             }
             case SETTINGS -> part(fleet, "settings", () -> {
-                fleet.settingsBurst(plan.settings());
+                fleet.settingsBurst(plan.versions());
                 fleet.pass(during, true);
             });
         }
@@ -108,9 +105,9 @@
     }
 
     private void totals(FleetProcesses fleet) throws IOException {
-        ObjectNode totals = fleet.totals();
-        totals.properties().forEach(each -> out.println(String.format(Locale.ROOT, "%-42s %s", each.getKey(),
-            each.getValue())));
+        List<List<String>> rows = new ArrayList<>();
+        fleet.totals().properties().forEach(each -> rows.add(List.of(each.getKey(), each.getValue().toString())));
+        report.table(plan.name() + ": counts and costs in all", List.of("figure", "value"), rows);
     }
 
     private static long millis(int seconds) {
--- a/src/scale/java/gatefront/scale/RealSide.java
+++ b/src/scale/java/gatefront/scale/RealSide.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -41,7 +42,7 @@
         new ClientLoad.Kind("pay", ClientLoad.Semantics.KEYED, 1, FleetConfig.GIVE_UP_MS),
         new ClientLoad.Kind("order", ClientLoad.Semantics.UNSAFE, 1, FleetConfig.GIVE_UP_MS));
 
-    private final FleetExperiment plan;
+    private final FleetPlan plan;
     private final EventLoopGroup group;
     private final int port;
     private final RealAgents agents;
@@ -56,7 +57,7 @@
      * @param root the repository's folder, where the deploy file's build has been run
      * @throws IOException if that is not so
      */
-    RealSide(Children children, FleetExperiment plan, Path root) throws IOException {
+    RealSide(Children children, FleetPlan plan, Path root) throws IOException {
         this.plan = plan;
         port = freePort();
         if (plan.real() == 0) {
@@ -181,16 +182,18 @@
         return agents == null ? List.of() : agents.all();
     }
 
-    /** Adds what their clients have counted to a line. */
-    void interval(ObjectNode line) {
+    /** What their clients have counted, by how calls ended. */
+    Map<String, Long> counts() {
+        Map<String, Long> counts = new TreeMap<>();
         if (load != null) {
-            load.counts().forEach((outcome, count) -> line.put("real_" + outcome.name().toLowerCase(Locale.ROOT), count));
+            load.counts().forEach((outcome, count) -> counts.put(outcome.name().toLowerCase(Locale.ROOT), count));
         }
+        return counts;
     }
 
     /** Adds what they have counted and cost in all. */
     void totals(ObjectNode totals) {
-        interval(totals);
+        counts().forEach((name, count) -> totals.put("real_" + name, count));
         if (load != null) {
             totals.put("real_resident_mb_each", FleetProcesses.round(running().stream()
                 .mapToDouble(each -> ProcessFigures.residentMb(each.pid())).average().orElse(0)));
