--- a/src/scale/java/gatefront/scale/FleetConfig.java
+++ b/src/scale/java/gatefront/scale/FleetConfig.java
@@ -44,14 +44,13 @@
      *
      * @param discovery where the list comes from
      * @param zones how many there are
-     * @param asked whether the module decides when discovery is asked
      * @param agents how many share the servers
      */
-    static ObjectNode common(InetSocketAddress discovery, int zones, boolean asked, int agents) {
+    static ObjectNode common(InetSocketAddress discovery, int zones, int agents) {
         ObjectNode config = (ObjectNode) Json.read(COMMON);
         config.put("discovery", Addresses.text(discovery));
         ObjectNode settings = (ObjectNode) config.get("settings");
-        settings.put("discovery", asked ? "subscribe" : "automatic").put("group-size", agents);
+        settings.put("group-size", agents);
         settings.putArray("kinds").add(KIND);
         ArrayNode names = settings.putArray("zones");
         for (int i = 0; i < zones; i++) {
@@ -59,4 +58,14 @@
         }
         return config;
     }
+
+    /**
+     * What one agent has of its own.
+     *
+     * @param settings of its configuration
+     */
+    static void own(ObjectNode settings, int agent, FleetPlan.Mode mode) {
+        settings.put("me", agent).put("locality", agent % settings.get("zones").size())
+            .put("discovery", mode.of(agent));
+    }
 }
--- a/src/scale/java/gatefront/scale/FleetPlan.java
+++ b/src/scale/java/gatefront/scale/FleetPlan.java
@@ -1,34 +1,37 @@
 package gatefront.scale;
 
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Locale;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.stream.Collectors;
 
 /**
- * What an experiment on a fleet plays: something before an event, the event, something after it.
+ * What an experiment on a fleet plays: something before the events, the events, something after them.
  *
  * @param name for the output
  * @param scale which part of the real thing it stands for, in words
- * @param event what happens
+ * @param events what happens, one after the other
  * @param hollow how many hollow agents
  * @param real how many real agents
  * @param servers how many entries discovery lists
  * @param zones over how many zones they are spread
- * @param asked whether the module decides when discovery is asked; else agents follow it of themselves
+ * @param mode who decides when discovery is asked
  * @param perSecond requests of a hollow agent a second
  * @param realPerSecond requests of a real agent a second
  * @param answerMicros median time of a server's answer
  * @param answerSigma spread of its logarithm
  * @param spreadMs over what time hollow agents start
- * @param beforeSeconds from when all have the list until the event
- * @param eventSeconds how long the event lasts
- * @param afterSeconds what follows it
+ * @param beforeSeconds from when all have the list until the first event
+ * @param eventSeconds how long each event lasts
+ * @param afterSeconds what follows them
  * @param changeMs between two changes of single entries; 0 for none
  * @param versions how many versions of the settings the burst has
  * @param seed for everything random
  */
-record FleetPlan(String name, String scale, Event event, int hollow, int real, int servers, int zones, boolean asked,
+record FleetPlan(String name, String scale, List<Event> events, int hollow, int real, int servers, int zones, Mode mode,
                  double perSecond, double realPerSecond, int answerMicros, double answerSigma, int spreadMs,
                  int beforeSeconds, int eventSeconds, int afterSeconds, int changeMs, int versions, int seed) {
     /** What happens in the middle. */
@@ -47,8 +50,22 @@
         KILL
     }
 
-    private static final String AUTOMATIC = "automatic";
-    private static final String SUBSCRIBE = "subscribe";
+    /** Who decides when discovery is asked. */
+    enum Mode {
+        /** Agents follow it of themselves. */
+        AUTOMATIC,
+        /** The module says when. */
+        SUBSCRIBE,
+        /** The module says when at every other agent. */
+        ALTERNATING;
+
+        /** What the settings of one agent say. */
+        String of(int agent) {
+            Mode own = this != ALTERNATING ? this : agent % 2 == 0 ? AUTOMATIC : SUBSCRIBE;
+            return word(own);
+        }
+    }
+
     private static final int AGENTS_MOST = 8_000;
     private static final int REAL_MOST = 40;
     private static final int SERVERS_MOST = 20_000;
@@ -64,13 +81,11 @@
 
     /** Reads a plan; what its file leaves out has the values named here. */
     static FleetPlan of(Keys keys) {
-        Set<String> events = Arrays.stream(Event.values()).map(FleetPlan::word).collect(Collectors.toSet());
-        String event = keys.word("event", null, events);
         FleetPlan plan = new FleetPlan(keys.text("name", null), keys.text("scale", ""),
-            Event.valueOf(event.toUpperCase(Locale.ROOT)),
+            events(keys),
             keys.whole("hollow", 2_000, 0, AGENTS_MOST), keys.whole("real", 8, 0, REAL_MOST),
             keys.whole("servers", 160, 1, SERVERS_MOST), keys.whole("zones", 23, 1, ZONES_MOST),
-            keys.word("discovery", AUTOMATIC, Set.of(AUTOMATIC, SUBSCRIBE)).equals(SUBSCRIBE),
+            Mode.valueOf(upper(keys.word("discovery", word(Mode.AUTOMATIC), words(Mode.values())))),
             keys.number("per-s", 1, 0, RATE_MOST), keys.number("real-per-s", 49, 0, RATE_MOST),
             keys.whole("answer-us", 3_000, 1, MILLIS_MOST), keys.number("answer-sigma", 0.5, 0, 3),
             keys.whole("spread-ms", 5_000, 0, MILLIS_MOST), keys.whole("before-s", 5, 0, SECONDS_MOST),
@@ -86,7 +101,26 @@
         return plan;
     }
 
-    private static String word(Event event) {
-        return event.name().toLowerCase(Locale.ROOT);
+    private static List<Event> events(Keys keys) {
+        List<Event> events = new ArrayList<>();
+        for (String each : keys.text("events", null).split(" +")) {
+            if (!words(Event.values()).contains(each)) {
+                throw keys.bad("events", "knows " + words(Event.values()) + " only: " + each);
+            }
+            events.add(Event.valueOf(upper(each)));
+        }
+        return List.copyOf(events);
+    }
+
+    private static Set<String> words(Enum<?>[] values) {
+        return Arrays.stream(values).map(FleetPlan::word).collect(Collectors.toCollection(TreeSet::new));
+    }
+
+    private static String word(Enum<?> value) {
+        return value.name().toLowerCase(Locale.ROOT);
+    }
+
+    private static String upper(String word) {
+        return word.toUpperCase(Locale.ROOT);
     }
 }
--- a/src/scale/java/gatefront/scale/FleetProcesses.java
+++ b/src/scale/java/gatefront/scale/FleetProcesses.java
@@ -77,7 +77,7 @@
             emptyResidentMb = ProcessFigures.residentMb(hollow.pid());
             emptyHeapBytes = hollow.heapBytes();
             hollow.start(new HollowFleet.Plan(plan.hollow(), plan.real(), plan.agents(),
-                FleetConfig.common(discovery.address(), plan.zones(), plan.asked(), plan.agents()),
+                FleetConfig.common(discovery.address(), plan.zones(), plan.agents()), plan.mode(),
                 new HollowLoad(plan.perSecond(), plan.answerMicros(), plan.answerSigma()), plan.spreadMs(),
                 plan.seed()));
             real.start();
--- a/src/scale/java/gatefront/scale/FleetRun.java
+++ b/src/scale/java/gatefront/scale/FleetRun.java
@@ -44,7 +44,9 @@
         report.line("plan", Map.of("plan", plan));
         try (FleetProcesses fleet = new FleetProcesses(plan, report, children)) {
             part(fleet, "before", () -> fleet.pass(millis(plan.beforeSeconds()), true));
-            event(fleet);
+            for (FleetPlan.Event each : plan.events()) {
+                event(fleet, each);
+            }
             part(fleet, "after", () -> {
                 fleet.pass(millis(plan.afterSeconds()), true);
                 fleet.settle();
@@ -57,10 +59,10 @@
         }
     }
 
-    private void event(FleetProcesses fleet) throws IOException {
+    private void event(FleetProcesses fleet, FleetPlan.Event event) throws IOException {
         long during = millis(plan.eventSeconds());
         String zone = FleetConfig.zone(LOST_ZONE);
-        switch (plan.event()) {
+        switch (event) {
             case STEADY -> part(fleet, "steady", () -> fleet.pass(during, true));
             case ZONE -> {
                 part(fleet, "zone lost", () -> {
@@ -73,9 +75,9 @@
                 });
             }
             case DOWN, SILENT -> {
-                String[] how = plan.event() == FleetPlan.Event.DOWN ? new String[] {"down", "up"}
+                String[] how = event == FleetPlan.Event.DOWN ? new String[] {"down", "up"}
                     : new String[] {"cut-off", "reachable"};
-                part(fleet, "cut off", () -> {
+                part(fleet, event == FleetPlan.Event.DOWN ? "down" : "silent", () -> {
                     fleet.cutOff(how[0]);
                     fleet.pass(during, true);
                     fleet.reachable(how[1]);
--- a/src/scale/java/gatefront/scale/HollowCommand.java
+++ b/src/scale/java/gatefront/scale/HollowCommand.java
@@ -92,7 +92,7 @@
         int agents = told.path("agents").asInt();
         startedAt = System.nanoTime();
         fleet = new HollowFleet(new HollowFleet.Plan(agents, told.path("first").asInt(),
-            told.path("of").asInt(agents), (ObjectNode) told.get("config"),
+            told.path("of").asInt(agents), (ObjectNode) told.get("config"), mode(told),
             new HollowLoad(load.path("per_second").asDouble(), load.path("median_us").asLong(1),
                 load.path("sigma").asDouble()),
             told.path("spread_ms").asLong(), told.path("seed").asLong()), loops);
@@ -105,6 +105,10 @@
         return fleet.changeTimes().spread(told.path("first").asInt(), made);
     }
 
+    private static FleetPlan.Mode mode(JsonNode told) {
+        return FleetPlan.Mode.valueOf(told.path("mode").asText(FleetPlan.Mode.AUTOMATIC.name()));
+    }
+
     private void truth(JsonNode told) {
         long at = told.path("at_ns").asLong() / NANOS_PER_MICRO;
         told.path("draining").forEach(each -> fleet.truth().leaves(Discovery.id(each.asText()), at, false));
--- a/src/scale/java/gatefront/scale/HollowFleet.java
+++ b/src/scale/java/gatefront/scale/HollowFleet.java
@@ -25,11 +25,13 @@
      * @param first the number of the first of them in the whole fleet
      * @param of how many agents the fleet has in all, real ones included
      * @param config what all have in common, in the form of the agent's configuration file; discovery included
+     * @param mode who decides when discovery is asked
      * @param load what each carries
      * @param spreadMs over what time they begin, evenly, as separate starts would
      * @param seed for everything random
      */
-    record Plan(int agents, int first, int of, ObjectNode config, HollowLoad load, long spreadMs, long seed) {
+    record Plan(int agents, int first, int of, ObjectNode config, FleetPlan.Mode mode, HollowLoad load,
+                long spreadMs, long seed) {
         /** The configuration of one of them, as the file of a real agent would have it. */
         Config config(int agent) {
             ObjectNode own = Json.MAPPER.createObjectNode();
@@ -37,14 +39,11 @@
             own.put("name", "h" + agent).put("seed", Long.toHexString(seedOf(agent)));
             ObjectNode settings = own.putObject("settings");
             settings.setAll((ObjectNode) config.get("settings"));
-            settings.put("me", agent).put("group-size", of).put("locality", agent % zones());
+            settings.put("group-size", of);
+            FleetConfig.own(settings, agent, mode);
             return Config.of(own);
         }
 
-        private int zones() {
-            return Math.max(1, config.path("settings").path("zones").size());
-        }
-
         private long seedOf(int agent) {
             return new SplittableRandom(seed + agent).nextLong();
         }
--- a/src/scale/java/gatefront/scale/HollowProcess.java
+++ b/src/scale/java/gatefront/scale/HollowProcess.java
@@ -47,7 +47,8 @@
     /** Makes the agents; they begin over the plan's time. */
     void start(HollowFleet.Plan plan) throws IOException {
         ObjectNode line = line("start").put("agents", plan.agents()).put("first", plan.first())
-            .put("of", plan.of()).put("spread_ms", plan.spreadMs()).put("seed", plan.seed());
+            .put("of", plan.of()).put("spread_ms", plan.spreadMs()).put("seed", plan.seed())
+            .put("mode", plan.mode().name());
         line.set("config", plan.config());
         line.putObject("load").put("per_second", plan.load().perSecond())
             .put("median_us", plan.load().medianMicros()).put("sigma", plan.load().sigma());
--- a/src/scale/java/gatefront/scale/RealSide.java
+++ b/src/scale/java/gatefront/scale/RealSide.java
@@ -133,8 +133,8 @@
     }
 
     private Told told(int agent) {
-        ObjectNode template = FleetConfig.common(discovery(agent), plan.zones(), plan.asked(), plan.agents());
-        ((ObjectNode) template.get("settings")).put("locality", agent % plan.zones());
+        ObjectNode template = FleetConfig.common(discovery(agent), plan.zones(), plan.agents());
+        FleetConfig.own((ObjectNode) template.get("settings"), agent, plan.mode());
         return new Told(template, "127.0.0.1:0", discovery(agent), plan.agents(), agent);
     }
 
