Scale run: what the stand-in for discovery spends on its watchers

A tier that distributes lists answers watches from memory: its slope for each watcher, renewed watch, told change and whole list comes from a process of its own, with watchers that keep nothing but the version. The tables of slopes share one class; lines are wrapped.

--- a/src/scale/java/gatefront/scale/DiscoveryStandIn.java
+++ b/src/scale/java/gatefront/scale/DiscoveryStandIn.java
@@ -23,6 +23,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.util.concurrent.Future;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -514,6 +515,9 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (!(cause instanceof IOException)) {
+                System.err.println("discovery: " + cause); // a fault of its own must not look like the agent's
+            }
             ctx.close();
         }
     }
--- a/src/scale/java/gatefront/scale/RealAgents.java
+++ b/src/scale/java/gatefront/scale/RealAgents.java
@@ -55,7 +55,7 @@
         // An archive that does not belong to the jar is passed over, and starts would take twice as long.
         if (!Files.exists(root.resolve(ARCHIVE)) || Files.getLastModifiedTime(root.resolve(ARCHIVE))
             .compareTo(Files.getLastModifiedTime(root.resolve(JAR))) < 0) {
-            throw new IOException(ARCHIVE + " is missing or old: run the build of deploy/balancer.toml first");
+            throw new IOException(ARCHIVE + " is missing or old: run the build of deploy/balancer.toml");
         }
         Matcher line = RUN.matcher(Files.readString(root.resolve("deploy/balancer.toml")));
         if (!line.find()) {
--- a/src/scale/java/gatefront/scale/RunCommand.java
+++ b/src/scale/java/gatefront/scale/RunCommand.java
@@ -24,7 +24,8 @@
     description = "Plays the experiment that a JSON file describes; its key experiment says of which kind.")
 public class RunCommand implements Callable<Integer> {
     private static final Map<String, Function<Keys, Experiment>> KINDS = new TreeMap<>(Map.of(
-        "latency", LatencyExperiment::new, "slopes", SlopesExperiment::new));
+        "latency", LatencyExperiment::new, "slopes", SlopesExperiment::new,
+        "watchers", WatchersExperiment::new));
 
     @Parameters(paramLabel = "FILE", description = "the experiment")
     private Path file;
--- a/src/scale/java/gatefront/scale/SlopesExperiment.java
+++ b/src/scale/java/gatefront/scale/SlopesExperiment.java
@@ -38,7 +38,6 @@
     private static final int PORTS = 4;
     private static final int THREADS = 4;
     private static final int SPARE_SECONDS = 20;
-    private static final int THOUSAND = 1000;
 
     /** What is measured of an agent. */
     private enum Figure {
@@ -218,7 +217,8 @@
             }
             double heap = ProcessFigures.liveHeapMb(children, agent.pid());
             return new Sample(startCpu, 100 * share, resident, heap, first / 1e3,
-                (after.calls() - before.calls()) / seconds, (bytes(after) - bytes(before)) / seconds, answered);
+                (after.calls() - before.calls()) / seconds, (bytes(after) - bytes(before)) / seconds,
+                answered);
         } finally {
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
         }
@@ -263,79 +263,42 @@
         for (Figure figure : Figure.values()) {
             List<List<String>> rows = new ArrayList<>();
             for (Case in : cases) {
-                rows.add(row(figure, in));
+                rows.add(slope(figure, in).row(in.toString(), figure.places));
             }
-            List<String> header = new ArrayList<>(List.of("case"));
-            allSizes().forEach(size -> header.add(size + (size == heldOut ? " held out" : "")));
-            header.addAll(List.of("at 0", "per 1000", "error", "predicted", "miss %", "last exponent"));
-            report.table(figure.title + ": least to most of " + rounds + " rounds", header, rows);
+            report.table(figure.title + ": least to most of " + rounds + " rounds",
+                Slope.header("case", allSizes(), heldOut), rows);
             plot(figure);
         }
         report.line("plots", Map.of("in", plots.toString()));
     }
 
-    private List<Integer> allSizes() {
+    private Set<Integer> allSizes() {
         Set<Integer> all = new TreeSet<>(sizes);
         if (heldOut > 0) {
             all.add(heldOut);
         }
-        return List.copyOf(all);
+        return all;
     }
 
-    private double[] values(Figure figure, Case in, int size) {
-        return samples.get(new Point(in, size)).stream().mapToDouble(figure.of)
-            .filter(value -> !Double.isNaN(value)).toArray();
-    }
-
-    private List<String> row(Figure figure, Case in) {
-        List<String> row = new ArrayList<>(List.of(in.toString()));
-        DoubleStream.Builder fitSizes = DoubleStream.builder();
-        DoubleStream.Builder fitValues = DoubleStream.builder();
+    private Slope slope(Figure figure, Case in) {
+        Slope slope = new Slope(heldOut);
         for (int size : allSizes()) {
-            double[] values = values(figure, in, size);
-            double least = DoubleStream.of(values).min().orElse(Double.NaN);
-            double most = DoubleStream.of(values).max().orElse(Double.NaN);
-            row.add(Report.number(least, figure.places) + " to " + Report.number(most, figure.places));
-            if (size != heldOut) {
-                DoubleStream.of(values).forEach(value -> {
-                    fitSizes.add(size);
-                    fitValues.add(value);
-                });
-            }
+            slope.add(size, Double.NaN); // a size whose runs all failed keeps its column
+            samples.get(new Point(in, size)).forEach(each -> slope.add(size, figure.of.applyAsDouble(each)));
         }
-        LeastSquares line = LeastSquares.of(fitSizes.build().toArray(), fitValues.build().toArray());
-        double predicted = heldOut > 0 ? line.predict(heldOut) : Double.NaN;
-        double measured = heldOut > 0 ? mean(figure, in, heldOut) : Double.NaN;
-        row.addAll(List.of(Report.number(line.at(), figure.places),
-            Report.number(THOUSAND * line.slope(), figure.places + 1),
-            Report.number(line.error(), figure.places), Report.number(predicted, figure.places),
-            Report.number(100 * (predicted - measured) / measured, 0),
-            Report.number(exponent(figure, in), 2)));
-        return row;
-    }
-
-    private double mean(Figure figure, Case in, int size) {
-        return DoubleStream.of(values(figure, in, size)).average().orElse(Double.NaN);
-    }
-
-    /** The power of the size with which the figure grows at the large end: 1 for a line, 2 for a square. */
-    private double exponent(Figure figure, Case in) {
-        List<Integer> sorted = List.copyOf(new TreeSet<>(sizes));
-        int large = sorted.get(sorted.size() - 1);
-        int small = sorted.get(sorted.size() - 2);
-        return Math.log(mean(figure, in, large) / mean(figure, in, small)) / Math.log((double) large / small);
+        return slope;
     }
 
     private void plot(Figure figure) throws IOException {
         Plot plot = new Plot(figure.title);
         boolean any = false;
         for (Case in : cases) {
+            Slope slope = slope(figure, in);
             double[] x = allSizes().stream().mapToDouble(size -> size)
-                .filter(size -> mean(figure, in, (int) size) > 0).toArray();
+                .filter(size -> slope.mean((int) size) > 0).toArray();
             if (x.length > 0) {
                 any = true;
-                plot.add(in.toString(), x, DoubleStream.of(x).map(size -> mean(figure, in, (int) size))
-                    .toArray());
+                plot.add(in.toString(), x, DoubleStream.of(x).map(size -> slope.mean((int) size)).toArray());
             }
         }
         if (any) {
