--- a/src/scale/java/gatefront/scale/DiscoveryMeter.java
+++ b/src/scale/java/gatefront/scale/DiscoveryMeter.java
@@ -11,7 +11,13 @@
     /** Sums since the first sample. */
     record Sums(long calls, long wholes, long deltas, long empties, long refused, long bytesIn, long bytesOut,
                 double cpuSeconds) {
-        private static final Sums NONE = new Sums(0, 0, 0, 0, 0, 0, 0, 0);
+        static final Sums NONE = new Sums(0, 0, 0, 0, 0, 0, 0, 0);
+
+        /** Of what discovery's process says, and its processor time. */
+        static Sums of(DiscoveryStandIn.Counts counts, double cpuSeconds) {
+            return new Sums(counts.calls(), counts.wholes(), counts.deltas(), counts.empties(), counts.refused(),
+                counts.bytesIn(), counts.bytesOut(), cpuSeconds);
+        }
 
         Sums plus(Sums other) {
             return new Sums(calls + other.calls, wholes + other.wholes, deltas + other.deltas,
@@ -43,8 +49,7 @@
 
     /** What the process that runs now has counted since its start. */
     void sample(long at, DiscoveryStandIn.Counts counts, double cpuSeconds) {
-        running = new Sums(counts.calls(), counts.wholes(), counts.deltas(), counts.empties(), counts.refused(),
-            counts.bytesIn(), counts.bytesOut(), cpuSeconds);
+        running = Sums.of(counts, cpuSeconds);
         long calls = sums().calls();
         lastSecond.addLast(new Sample(at, calls));
         while (at - lastSecond.peekFirst().at > SECOND) {
--- a/src/scale/java/gatefront/scale/FleetExperiment.java
+++ b/src/scale/java/gatefront/scale/FleetExperiment.java
@@ -21,7 +21,7 @@
 
     @Override
     public void play(Report report, Children children) throws IOException {
-        List<String> wrong = FleetRun.play(plan, report, children).complaints();
+        List<String> wrong = FleetRun.play(plan, report, children).outcome().complaints();
         if (!wrong.isEmpty()) {
             throw new IOException(plan.name() + ": " + String.join("; ", wrong));
         }
--- a/src/scale/java/gatefront/scale/FleetOutcome.java
+++ b/src/scale/java/gatefront/scale/FleetOutcome.java
@@ -8,7 +8,7 @@
  *
  * @param hollow how many hollow agents there were
  * @param hollowAgree how many of them had discovery's list at the end
- * @param hollowRequests what came to them
+ * @param hollowRequests what came to them; negative if none had to
  * @param hollowLost requests without a final answer
  * @param lateSends hollow agents' sends later than the grace after the telling, as told or as made
  * @param emptied how often a hollow agent that had servers had none after a list
@@ -16,7 +16,7 @@
  * @param hollowOf how often that would be if each had each change
  * @param real how many real agents there were
  * @param realAgree how many of them had the last version at the end
- * @param realRequests what was sent to them
+ * @param realRequests what was sent to them; negative if nothing had to be
  * @param realLost requests that they had taken and ended without an answer
  * @param realDied how many of their processes had ended before they were told to
  * @param changes how many changes discovery told
@@ -34,8 +34,8 @@
     /** What is not as it has to be, a plain line each; empty if all is well. */
     List<String> complaints() {
         List<String> wrong = new ArrayList<>();
-        check(wrong, hollow == 0 || hollowRequests > 0, "no request came to the hollow agents: nothing was shown");
-        check(wrong, real == 0 || realRequests > 0, "no request came to the real agents: nothing was shown");
+        check(wrong, hollow == 0 || hollowRequests != 0, "no request came to the hollow agents: nothing was shown");
+        check(wrong, real == 0 || realRequests != 0, "no request came to the real agents: nothing was shown");
         check(wrong, changes > 0 || settingsSent > 0, "discovery told no change: nothing was shown");
         check(wrong, hollowAgree == hollow, "the last list is at " + hollowAgree + " of " + hollow
             + " hollow agents");
--- a/src/scale/java/gatefront/scale/FleetPhase.java
+++ b/src/scale/java/gatefront/scale/FleetPhase.java
@@ -14,14 +14,15 @@
  * @param real the same of real agents
  * @param agents how many of both there were
  * @param discovery what discovery did
+ * @param realDiscovery what it did of that for real agents
  * @param peakCalls the most calls that discovery got in one second of it
  * @param failedCalls of hollow agents, as they found
  * @param hollowCpu of a core, all hollow agents together
  * @param realCpu of a core, all real agents together
  */
 record FleetPhase(String name, double seconds, int changes, ChangeTimes.Spread hollow, ChangeTimes.Spread real,
-                  int agents, DiscoveryMeter.Sums discovery, double peakCalls, long failedCalls, double hollowCpu,
-                  double realCpu) {
+                  int agents, DiscoveryMeter.Sums discovery, DiscoveryMeter.Sums realDiscovery, double peakCalls, long failedCalls,
+                  double hollowCpu, double realCpu) {
     private static final int DIGITS = 3;
 
     /** The times of real agents, which are told in milliseconds one by one. */
--- a/src/scale/java/gatefront/scale/FleetPlan.java
+++ b/src/scale/java/gatefront/scale/FleetPlan.java
@@ -36,8 +36,12 @@
                  int beforeSeconds, int eventSeconds, int afterSeconds, int changeMs, int versions, int seed) {
     /** What happens in the middle. */
     enum Event {
+        /** Nothing: watches are renewed. */
+        IDLE,
         /** Nothing but changes of single entries. */
         STEADY,
+        /** Discovery has changes no more that lead from the versions that agents have: all get the whole list. */
+        WHOLE,
         /** A zone's servers are gone with one change, and come back as just started with another. */
         ZONE,
         /** A burst of versions of the settings. */
--- a/src/scale/java/gatefront/scale/FleetProcesses.java
+++ b/src/scale/java/gatefront/scale/FleetProcesses.java
@@ -50,6 +50,8 @@
     private int markChange;
     private long markAt;
     private DiscoveryMeter.Sums markSums;
+    private DiscoveryMeter.Sums realEnded = DiscoveryMeter.Sums.NONE;
+    private DiscoveryMeter.Sums markRealSums;
     private double markHollowCpu;
     private double markRealCpu;
     private long markFailed;
@@ -129,6 +131,18 @@
         return made.size();
     }
 
+    /** Makes one change and has discovery forget how it came to its list: every agent gets the whole of it. */
+    void forget() throws IOException {
+        List<ServerEntry> changed = List.of(servers.next(System.currentTimeMillis()));
+        servers.apply(changed);
+        hollow.expect(made.size(), servers.fingerprint());
+        made.add(System.nanoTime());
+        version = discovery.replace(servers.entries());
+        versions.add(version);
+        real.changed(changed);
+        hollow.truth(changed, made.get(made.size() - 1));
+    }
+
     /** Discovery cannot be reached from now on; {@code how} is its command for that. */
     void cutOff(String how) throws IOException {
         reachable = false;
@@ -153,6 +167,7 @@
         sample();
         takeRealMillis();
         meter.ended();
+        realEnded = realSums();
         discovery.kill();
         discovery = null;
     }
@@ -212,6 +227,7 @@
         markChange = made.size();
         markAt = System.nanoTime();
         markSums = meter.sums();
+        markRealSums = realSums();
         markHollowCpu = ProcessFigures.cpuSeconds(hollow.pid());
         markRealCpu = real.cpuSeconds();
         markFailed = failedCalls();
@@ -229,7 +245,21 @@
         List<Double> millis = realMillis.subList(markChange, made.size()).stream().flatMap(List::stream).toList();
         return new FleetPhase(name, seconds, times.size(), hollow.when(markChange, times),
             FleetPhase.spread(millis, (long) plan.real() * times.size()), plan.agents(),
-            meter.sums().minus(markSums), meter.takePeak(), failedCalls() - markFailed, hollowCpu, realCpu);
+            meter.sums().minus(markSums), realSums().minus(markRealSums), meter.takePeak(), failedCalls() - markFailed, hollowCpu, realCpu);
+    }
+
+    /** What discovery has done for real agents so far; those of its processes that have ended included. */
+    private DiscoveryMeter.Sums realSums() throws IOException {
+        DiscoveryMeter.Sums sums = realEnded;
+        if (discovery != null && plan.real() > 0) {
+            for (Map.Entry<String, JsonNode> each : discovery.ask("agents").properties()) {
+                if (each.getKey().startsWith(RealSide.PREFIX)) {
+                    sums = sums.plus(DiscoveryMeter.Sums.of(
+                        Json.MAPPER.convertValue(each.getValue(), DiscoveryStandIn.Counts.class), 0));
+                }
+            }
+        }
+        return sums;
     }
 
     private long failedCalls() throws IOException {
@@ -276,12 +306,13 @@
     FleetOutcome outcome(List<FleetPhase> phases, boolean killed, int changesAfter) throws IOException {
         JsonNode counts = hollow.report();
         return new FleetOutcome(plan.hollow(), hollow.agree(servers.fingerprint()),
-            counts.path("requests").asLong(), counts.path("lost").asLong(),
+            plan.perSecond() == 0 ? -1 : counts.path("requests").asLong(), counts.path("lost").asLong(),
             counts.path("late_after_told").asLong() + counts.path("late_after_made").asLong(),
             counts.path("emptied").asLong(),
             phases.stream().mapToLong(each -> each.hollow().had()).sum(),
             phases.stream().mapToLong(each -> each.hollow().of()).sum(),
-            plan.real(), realAgree(), real.requests(), real.lost(), real.died(), made.size(), killed,
+            plan.real(), realAgree(),
+            plan.realPerSecond() == 0 ? -1 : real.requests(), real.lost(), real.died(), made.size(), killed,
             killed ? changesAfter : 0, settingsSent, settingsAgree, settingsOf);
     }
 
--- a/src/scale/java/gatefront/scale/FleetRun.java
+++ b/src/scale/java/gatefront/scale/FleetRun.java
@@ -1,5 +1,6 @@
 package gatefront.scale;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -33,14 +34,14 @@
     /**
      * Plays an experiment and prints a JSON line an interval, then a table.
      *
-     * @return what is judged of it
+     * @return what came of it
      * @throws IOException if a process does not come up or ends before its time
      */
-    static FleetOutcome play(FleetPlan plan, Report report, Children children) throws IOException {
+    static FleetResult play(FleetPlan plan, Report report, Children children) throws IOException {
         return new FleetRun(plan, report, children).play();
     }
 
-    private FleetOutcome play() throws IOException {
+    private FleetResult play() throws IOException {
         report.line("plan", Map.of("plan", plan));
         try (FleetProcesses fleet = new FleetProcesses(plan, report, children)) {
             part(fleet, "before", () -> fleet.pass(millis(plan.beforeSeconds()), true));
@@ -53,9 +54,10 @@
             });
             FleetOutcome outcome = fleet.outcome(phases, killed, fleet.changes() - changesBeforeReturn);
             FleetPhase.tell(report, plan.name() + ": " + plan.scale(), phases);
-            totals(fleet);
+            JsonNode totals = fleet.totals();
+            tell(totals);
             report.line("outcome", Map.of("outcome", outcome));
-            return outcome;
+            return new FleetResult(outcome, List.copyOf(phases), totals);
         }
     }
 
@@ -63,6 +65,11 @@
         long during = millis(plan.eventSeconds());
         String zone = FleetConfig.zone(LOST_ZONE);
         switch (event) {
+            case IDLE -> part(fleet, "idle", () -> fleet.pass(during, false));
+            case WHOLE -> part(fleet, "whole", () -> {
+                fleet.forget();
+                fleet.settle();
+            });
             case STEADY -> part(fleet, "steady", () -> fleet.pass(during, true));
             case ZONE -> {
                 part(fleet, "zone lost", () -> {
@@ -106,9 +113,9 @@
         phases.add(fleet.phase(name));
     }
 
-    private void totals(FleetProcesses fleet) throws IOException {
+    private void tell(JsonNode totals) {
         List<List<String>> rows = new ArrayList<>();
-        fleet.totals().properties().forEach(each -> rows.add(List.of(each.getKey(), each.getValue().toString())));
+        totals.properties().forEach(each -> rows.add(List.of(each.getKey(), each.getValue().toString())));
         report.table(plan.name() + ": counts and costs in all", List.of("figure", "value"), rows);
     }
 
--- a/src/scale/java/gatefront/scale/RunCommand.java
+++ b/src/scale/java/gatefront/scale/RunCommand.java
@@ -24,7 +24,9 @@
     description = "Plays the experiment that a JSON file describes; its key experiment says of which kind.")
 public class RunCommand implements Callable<Integer> {
     private static final Map<String, Function<Keys, Experiment>> KINDS = new TreeMap<>(Map.of(
-        "latency", LatencyExperiment::new, "slopes", SlopesExperiment::new, "fleet", FleetExperiment::new));
+        "latency", LatencyExperiment::new, "slopes", SlopesExperiment::new,
+        "watchers", WatchersExperiment::new, "fleet", FleetExperiment::new,
+        "control", ControlExperiment::new, "likeness", LikenessExperiment::new));
 
     @Parameters(paramLabel = "FILE", description = "the experiment")
     private Path file;
