--- a/src/scale/java/gatefront/scale/RunCommand.java
+++ b/src/scale/java/gatefront/scale/RunCommand.java
@@ -24,7 +24,9 @@
     description = "Plays the experiment that a JSON file describes; its key experiment says of which kind.")
 public class RunCommand implements Callable<Integer> {
     private static final Map<String, Function<Keys, Experiment>> KINDS = new TreeMap<>(Map.of(
-        "latency", LatencyExperiment::new, "slopes", SlopesExperiment::new));
+        "latency", LatencyExperiment::new, "slopes", SlopesExperiment::new,
+        "watchers", WatchersExperiment::new, "fleet", FleetExperiment::new,
+        "control", ControlExperiment::new, "likeness", LikenessExperiment::new));
 
     @Parameters(paramLabel = "FILE", description = "the experiment")
     private Path file;
@@ -66,7 +68,7 @@
         return experiment;
     }
 
-    private static int play(Experiment experiment) {
+    static int play(Experiment experiment) {
         Report report = new Report(System.out);
         ExecutorService player = Executors.newSingleThreadExecutor(task -> {
             Thread thread = new Thread(task, "player");
