Only a server that was not reached is gone to again, not one that is full

LeavingTest.aRequestThatWaitsForItsRepeatIsNotSentOnceItsClientLeft failed on main: since the last change to the pick a request goes again to the one server that turned it away as full, at once and as often as attempts are permitted.

Cause: that change took any outcome that proves that nothing ran. A full server gets more work by that, and in an overload all of them are full.

Change: a failed dial alone, which costs no server anything, lets a request return; the module's tests hold both sides. LeavingTest is as it was and passes.

--- a/src/main/java/gatefront/Open.java
+++ b/src/main/java/gatefront/Open.java
@@ -58,10 +58,10 @@
         return attempts.stream().anyMatch(attempt -> attempt.target == target);
     }
 
-    /** Whether it is not to go there again: where it may return, one that it never ran at is open to it. */
+    /** Whether it is not to go there again: where it may return, one that was not reached is open to it. */
     boolean tried(Target target) {
         for (Attempt attempt : attempts) {
-            if (attempt.target == target && (!mayReturn || attempt.mayHaveRun())) {
+            if (attempt.target == target && (!mayReturn || attempt.outcome != Outcome.CONNECT_FAILED)) {
                 return true;
             }
         }
