A request and a probe look only at the servers they draw from

Cause: draw and watched go on over the whole list once they have the few that they draw from. Rules.apply looks for each entry through the list, the square of it for a whole list. And each server's Target holds 50 doubles for the first answers of a server that is never used.

Change: the loops end there; whether a server is listed is known from its target; the first values are kept from the first answer to the fiftieth.

--- a/src/main/java/gatefront/Quantile.java
+++ b/src/main/java/gatefront/Quantile.java
@@ -12,8 +12,11 @@
     private final double share;
     private double value;
     private double lowest = Double.MAX_VALUE;
-    /** The first values, in order of size: steps from a single one would be lost for long. */
-    private final double[] first = new double[ENOUGH];
+    /**
+     * The first values, in order of size: steps from a single one would be lost for long. Null before there
+     * are any and once they have served: an agent has one of these for each server listed, and uses few.
+     */
+    private double[] first;
     private int count;
 
     Quantile(double share) {
@@ -22,12 +25,14 @@
 
     void add(double x) {
         if (count < ENOUGH) {
+            first = count == 0 ? new double[ENOUGH] : first;
             int at = count++;
             for (; at > 0 && first[at - 1] > x; at--) {
                 first[at] = first[at - 1];
             }
             first[at] = x;
             value = first[(int) (share * count)];
+            first = known() ? null : first;
         } else {
             value += x > value ? value * STEP * share : value * STEP * (share - 1);
         }
--- a/src/main/java/gatefront/Rules.java
+++ b/src/main/java/gatefront/Rules.java
@@ -557,7 +557,10 @@
         int out = 0;
         int left = keyed(req) ? listed.size() : spread(where == 1 ? SUBSET_LEAST : SUBSET_FAR, now);
         for (Target target : listed) {
-            if (left > 0 && target.ready && (!healthy || available(target, now))
+            if (left == 0) {
+                break; // Danger: with a thousand listed, looking at each costs more than all else
+            }
+            if (target.ready && (!healthy || available(target, now))
                     && (where < 0 || (target.listed.zone() == settings.zone()) == (where == 1))) {
                 left--;
                 room += target.limit - target.inFlight;
@@ -774,7 +777,10 @@
         List<Target> watched = new ArrayList<>();
         int left = spread(SUBSET_LEAST, now);
         for (Target target : listed) {
-            if (left > 0 && target.ready && target.listed.zone() == settings.zone()) {
+            if (left == 0) {
+                break;
+            }
+            if (target.ready && target.listed.zone() == settings.zone()) {
                 watched.add(target);
                 left -= available(target, now) ? 1 : 0;
             }
@@ -976,10 +982,10 @@
         }
         Target target = targets.computeIfAbsent(entry.id(), id -> new Target(id));
         Server before = target.listed;
-        target.gone = false;
-        if (!listed.contains(target)) {
+        if (before == null || target.gone) {
             listed.add(target);
         }
+        target.gone = false;
         target.listed = entry;
         boolean ready = entry.phase() == Phase.READY;
         if (before != null && target.ready != ready) {
--- a/src/test/java/gatefront/MechanismTest.java
+++ b/src/test/java/gatefront/MechanismTest.java
@@ -512,6 +512,20 @@
         assertEquals(4, asked.size());
     }
 
+    @Test
+    void aServerThatLeftAndComesBackWithARequestOutIsListedOnceAndLeavesWhole() {
+        Hand hand = new Hand(Hand.safe()).full(Hand.server(1, 0));
+        long out = hand.request();
+        hand.full(Hand.server(2, 0));
+        hand.full(Hand.server(1, 0), Hand.server(2, 0)).full(Hand.server(1, 0), Hand.server(2, 0));
+        hand.full(Hand.server(2, 0));
+        hand.end(out, 0, Outcome.OK, 1000);
+        for (int i = 0; i < 5; i++) {
+            assertEquals(2, hand.target(hand.serve(1000)));
+        }
+        assertEquals(2, hand.lines.stream().filter(each -> each.contains("server 1 gone")).count());
+    }
+
     private static Hand oneOfMany(int agents, int servers) {
         Server[] list = new Server[servers];
         for (int i = 0; i < servers; i++) {
