No descriptor left for a dial ends the call or attempt and loses nothing

Change: both look at the future before they use its channel. The call has failed ("discovery: no socket") and is made again after the usual wait; the attempt was never sent, which says nothing of the server.

Also a test that readiness waits for neither discovery nor servers: none of them answers anything until the agent has said that it is ready. It passes as it is and fails where readiness waits for a list.

--- a/src/main/java/gatefront/net/Agent.java
+++ b/src/main/java/gatefront/net/Agent.java
@@ -280,6 +280,11 @@
         return loop.submit(() -> Math.max(names.size(), backends.size())).sync().getNow();
     }
 
+    /** How many connections it has to clients and servers. */
+    int connections() throws InterruptedException {
+        return loop.submit(() -> clients.size() + backends.connections()).sync().getNow();
+    }
+
     /** How many requests of its own it has answered before it said that it was ready. */
     int warmedBy() throws InterruptedException {
         return loop.submit(() -> warmedBy).sync().getNow();
--- a/src/main/java/gatefront/net/Backends.java
+++ b/src/main/java/gatefront/net/Backends.java
@@ -7,6 +7,8 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -109,12 +111,18 @@
     }
 
     Backends(EventLoop loop, Config config, int connectionsMost, Tally tally) {
+        this(loop, config, connectionsMost, tally, Inspectable::new);
+    }
+
+    /** With sockets that come from elsewhere than the usual ones. */
+    Backends(EventLoop loop, Config config, int connectionsMost, Tally tally,
+             ChannelFactory<Inspectable> sockets) {
         this.loop = loop;
         this.tally = tally;
         this.config = config;
         this.connectionsMost = connectionsMost;
         this.keptAge = new KeptAge((long) (1000 * IDLE_PART * config.idleCloseMicros()), System.nanoTime());
-        this.bootstrap = new Bootstrap().group(loop).channelFactory(Inspectable::new)
+        this.bootstrap = new Bootstrap().group(loop).channelFactory(sockets)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (config.connectTimeoutMicros() / 1000))
             .option(ChannelOption.TCP_NODELAY, true);
         loop.scheduleWithFixedDelay(this::closeOld, SWEEP_SECONDS, SWEEP_SECONDS, TimeUnit.SECONDS);
@@ -177,6 +185,14 @@
         }
     }
 
+    /**
+     * Whether no socket could be opened to connect with, for the process has no descriptor left. Guards
+     * against waiting for ever: there is no channel to close then, and listeners are called elsewhere.
+     */
+    static boolean noSocket(ChannelFuture connecting) {
+        return connecting.isDone() && !connecting.isSuccess() && !connecting.channel().isRegistered();
+    }
+
     /** Makes room under the limit on sockets by closing the connection that has been idle for longest. */
     private boolean roomForOne() {
         if (connections < connectionsMost) {
@@ -284,10 +300,14 @@
 
         private void connect() {
             Connection fresh = new Connection(pool);
+            ChannelFuture connecting = bootstrap.clone().handler(fresh).connect(pool.address);
+            if (noSocket(connecting)) {
+                end(Outcome.NEVER_SENT);
+                return;
+            }
             pool.connecting.add(this);
             connections++;
             tally.dialled();
-            var connecting = bootstrap.clone().handler(fresh).connect(pool.address);
             dialled = connecting.channel();
             dialled.closeFuture().addListener(closed -> connections--);
             connecting.addListener(done -> {
--- a/src/main/java/gatefront/net/Discovery.java
+++ b/src/main/java/gatefront/net/Discovery.java
@@ -7,6 +7,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufInputStream;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -85,11 +86,16 @@
     private long backoff = BACKOFF_LEAST_MS;
 
     Discovery(EventLoop loop, Config config, Listener listener) {
+        this(loop, config, listener, NioSocketChannel::new);
+    }
+
+    /** With sockets that come from elsewhere than the usual ones. */
+    Discovery(EventLoop loop, Config config, Listener listener, ChannelFactory<NioSocketChannel> sockets) {
         this.loop = loop;
         this.config = config;
         this.address = config.discovery();
         this.listener = listener;
-        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        this.bootstrap = new Bootstrap().group(loop).channelFactory(sockets)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) ANSWER_MS)
             .option(ChannelOption.TCP_NODELAY, true)
             .handler(new ChannelInitializer<Channel>() {
@@ -164,6 +170,11 @@
             return;
         }
         ChannelFuture connecting = bootstrap.connect(address);
+        if (Backends.noSocket(connecting)) {
+            channel = null;
+            failed(mine, "no socket");
+            return;
+        }
         channel = connecting.channel();
         connecting.addListener(done -> {
             if (mine == call && done.isSuccess()) {
--- a/src/test/java/gatefront/net/AgentTest.java
+++ b/src/test/java/gatefront/net/AgentTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import gatefront.Balancer;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -445,6 +446,44 @@
         assertEquals(200, stage.call("order").status());
     }
 
+    /**
+     * Discovery and the servers take connections and answer nothing until the agent has said that it is ready:
+     * were it to wait for any of them, it would wait for ever.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void readinessWaitsForNeitherDiscoveryNorServers(boolean asks) throws Exception {
+        CountDownLatch ready = new CountDownLatch(1);
+        stage.config.put("discovery", stage.peer((message, socket) -> {
+            ready.await();
+            Peer.answer(socket, 200, "", stage.config.get("known").toString());
+        }).address());
+        ((ObjectNode) stage.config.get("settings")).put("discovery", asks ? "subscribe" : "automatic");
+        for (int i = 0; i < 3; i++) {
+            silentUntil(ready);
+        }
+        stage.start();
+        ready.countDown();
+        assertEquals("served", stage.call("order").text());
+    }
+
+    /** A listed server that does not even answer for its health before that. */
+    private void silentUntil(CountDownLatch ready) throws IOException {
+        Peer behind = stage.server(SERVES);
+        ServerSocket silent = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        ArrayNode known = (ArrayNode) stage.config.get("known").get("endpoints");
+        ((ObjectNode) known.get(known.size() - 1)).put("address", "127.0.0.1:" + silent.getLocalPort());
+        Peer.daemon(() -> {
+            while (true) {
+                Socket accepted = silent.accept();
+                Peer.daemon(() -> {
+                    ready.await();
+                    behind.serve(accepted);
+                });
+            }
+        });
+    }
+
     @Test
     void theListGivesTimesAndNamesAsTheModuleNeedsThem() throws Exception {
         ObjectNode entry = Stage.endpoint(1, "127.0.0.1:9", "Ready");
--- a/src/test/java/gatefront/net/Peer.java
+++ b/src/test/java/gatefront/net/Peer.java
@@ -49,8 +49,13 @@
     private final Script script;
 
     Peer(Script script) throws IOException {
+        this(0, script);
+    }
+
+    /** One at this port, where another has been before. */
+    Peer(int port, Script script) throws IOException {
         this.script = script;
-        this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        this.listener = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
         daemon(() -> {
             while (true) {
                 Socket socket = listener.accept();
@@ -64,7 +69,8 @@
         return "127.0.0.1:" + listener.getLocalPort();
     }
 
-    private void serve(Socket socket) throws Exception {
+    /** Does what it does with each connection to it. */
+    void serve(Socket socket) throws Exception {
         try (socket) {
             while (true) {
                 Message message = read(socket.getInputStream());
--- a/src/test/java/gatefront/net/Stage.java
+++ b/src/test/java/gatefront/net/Stage.java
@@ -108,7 +108,7 @@
         };
     }
 
-    private void awaitReady() {
+    void awaitReady() {
         await(() -> {
             try (Socket socket = dial()) {
                 Peer.write(socket, "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n");
