The first call to a discovery that must be asked is a watch from the known list

Seen with the time of each call noted: every agent makes two calls at its start, the whole list and then a watch, each about 150 ms of discovery's time; the watches found its queue full with the lists. The configuration holds a list with its version, which is all that a watch needs, and on the wire the module's Follow means the same: it brings what has changed since the list that the instance has.

Change: where discovery is asked, the first call is a watch for what is newer than the known list (Agent, Discovery.holds); the whole list comes first where no server is known, after a move and after an unusable list as before. A version before the one held means that versions begin anew: the whole list is fetched.

Not covered: versions that begin anew and have come past the known one already. Lists that are pushed are fetched whole first, as before.

--- a/src/main/java/gatefront/net/Agent.java
+++ b/src/main/java/gatefront/net/Agent.java
@@ -69,6 +69,8 @@
     private final Map<String, Pending> byName = new HashMap<>();
     /** Of the servers listed. */
     private final Map<Long, String> names = new HashMap<>();
+    /** The list of the configuration: what is held until discovery answers. */
+    private final Discovery.Listing known;
     private final CountDownLatch ended = new CountDownLatch(1);
     /** The monotonic clock is anchored once to the time of day, in which the list tells starts. */
     private final long anchorMicros = 1000 * System.currentTimeMillis() - System.nanoTime() / 1000;
@@ -121,6 +123,10 @@
                 }
             }
         });
+        known = known(config);
+        if (config.settings().askDiscovery()) {
+            discovery.holds(known);
+        }
         // After discovery, which the module may ask at once; and on the loop, where a timer that it sets at
         // once would find no module otherwise.
         loop.submit(() -> balancer = module.apply(this)).syncUninterruptibly();
@@ -162,14 +168,16 @@
         return agent;
     }
 
-    private void begin() {
-        Discovery.Listing known;
+    private static Discovery.Listing known(Config config) {
         try {
-            known = Discovery.decode(config.known(), config);
+            return Discovery.decode(config.known(), config);
         } catch (IllegalArgumentException e) {
-            log("known list: " + e.getMessage());
-            known = new Discovery.Listing(0, true, List.of());
+            say("known list: " + e.getMessage());
+            return new Discovery.Listing(0, true, List.of());
         }
+    }
+
+    private void begin() {
         list(Balancer.ListKind.CACHED, known.endpoints());
         if (!config.settings().askDiscovery()) {
             discovery.watch();
--- a/src/main/java/gatefront/net/Discovery.java
+++ b/src/main/java/gatefront/net/Discovery.java
@@ -33,8 +33,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Follows the server list: the whole list once, then one watch after the other on one connection. All of it
- * runs on the agent's event loop.
+ * Follows the server list: the whole list once, unless one is known already, then one watch after the other
+ * on one connection. All of it runs on the agent's event loop.
  */
 final class Discovery {
     /** What the agent hears. */
@@ -101,6 +101,15 @@
             });
     }
 
+    /**
+     * Tells which list is held, so that the first call is a watch for what is newer. Guards against two calls
+     * of each agent where one will do: those of agents that start together fill discovery's queue, and most
+     * are turned away.
+     */
+    void holds(Listing known) {
+        index = known.endpoints().isEmpty() ? -1 : known.index();
+    }
+
     /** Begins to follow the list, or goes on after a failure where that is asked for. */
     void watch() {
         if (!watching) {
@@ -233,6 +242,13 @@
             failed(call, "unusable list: " + String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
             return;
         }
+        if (!listing.snapshot() && listing.index() < index) {
+            // Guards against changes that are missed for ever: the versions count anew, and what has changed
+            // since this one says nothing of the list that is held.
+            Agent.say("discovery: versions begin anew at " + listing.index() + ", the whole list is fetched");
+            fetch();
+            return;
+        }
         index = listing.index();
         moved = false;
         backoff = BACKOFF_LEAST_MS;
--- /dev/null
+++ b/src/test/java/gatefront/net/AskedDiscoveryTest.java
@@ -0,0 +1,146 @@
+package gatefront.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import gatefront.Balancer;
+import gatefront.Rules;
+import java.io.IOException;
+import java.lang.reflect.Proxy;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * A discovery that has to be asked, and what fails of its calls, over loopback sockets. The module's waits are
+ * noted and left out: the order of events alone decides.
+ */
+class AskedDiscoveryTest {
+    /** The module's token for the time of the next call. */
+    private static final long TIMER_ASK = -3;
+    /** So long after discovery had it and could be reached, a change counts as told. */
+    private static final long TOLD_MICROS = 6_000_000;
+    private static final Peer.Script REFUSES = (message, socket) -> Peer.answer(socket, 503, "", "");
+    private static final Peer.Script RESETS = (message, socket) -> Peer.reset(socket);
+
+    /** The module's waits before each call, microseconds. */
+    private final List<Long> waits = new CopyOnWriteArrayList<>();
+    private Stage stage;
+    private Peer drained;
+    private Peer other;
+
+    @BeforeEach
+    void set() throws IOException {
+        stage = new Stage();
+        ((ObjectNode) stage.config.get("settings")).put("discovery", "subscribe");
+        drained = stage.server((message, socket) -> Peer.answer(socket, 200, "", "drained"));
+        other = stage.server((message, socket) -> Peer.answer(socket, 200, "", "other"));
+    }
+
+    @AfterEach
+    void strike() throws IOException {
+        stage.close();
+    }
+
+    /** The usual module, whose waits before it asks discovery are noted and over at once. */
+    private Function<Agent, Balancer> hurried() {
+        return agent -> {
+            var actions = (Balancer.Actions) Proxy.newProxyInstance(Balancer.class.getClassLoader(),
+                new Class<?>[] {Balancer.Actions.class}, (proxy, method, details) -> {
+                    if (method.getName().equals("timer") && details[0].equals(TIMER_ASK)) {
+                        waits.add((Long) details[1]);
+                        agent.timer(TIMER_ASK, 0);
+                        return null;
+                    }
+                    return method.invoke(agent, details);
+                });
+            return new Rules(Config.of(stage.config).settings(), 1, 0, actions);
+        };
+    }
+
+    private List<String> asked(Peer discovery) {
+        return discovery.requests.stream().map(Peer.Message::target).toList();
+    }
+
+    private Peer.Script drain() {
+        return Stage.delta(5, Stage.endpoint(1, drained.address(), "Terminating"));
+    }
+
+    private void assertDrainKnown(Peer discovery) throws IOException {
+        Stage.await(() -> asked(discovery).stream().anyMatch(each -> each.contains("since=5&")));
+        int before = drained.requests.size();
+        for (int i = 0; i < 5; i++) {
+            assertEquals("other", stage.call("lookup").text());
+        }
+        assertEquals(before, drained.requests.size());
+    }
+
+    /** Any two waits in a row leave a second for the call's answer. */
+    private void assertWaitsInTime() {
+        for (int i = 1; i + 1 < waits.size(); i++) { // the first is before the first call of all
+            long both = waits.get(i) + waits.get(i + 1);
+            assertTrue(both <= TOLD_MICROS - TimeUnit.SECONDS.toMicros(1), waits.toString());
+        }
+    }
+
+    /** Failed before: a list and then a watch, two calls of each agent at a discovery that all call at once. */
+    @Test
+    void theFirstCallIsAWatchForWhatIsNewerThanTheKnownList() throws Exception {
+        ((ObjectNode) stage.config.get("known")).put("index", 3);
+        stage.start(hurried());
+        stage.news.add(drain());
+        assertDrainKnown(stage.discovery);
+        assertTrue(asked(stage.discovery).get(0).contains("since=3&"), asked(stage.discovery).toString());
+        assertTrue(asked(stage.discovery).stream().noneMatch(each -> each.equals("/v1/servers")));
+    }
+
+    @Test
+    void anAgentThatKnowsNoServersFetchesTheWholeListFirst() throws Exception {
+        ((ObjectNode) stage.config.get("known")).putArray("endpoints");
+        stage.start(hurried());
+        Stage.await(() -> asked(stage.discovery).stream().anyMatch(each -> each.contains("since")));
+        assertEquals("/v1/servers", asked(stage.discovery).get(0));
+    }
+
+    /** Guards against changes missed for ever where discovery's versions have begun anew. */
+    @Test
+    void aVersionBeforeTheOneHeldMakesItFetchTheWholeList() throws Exception {
+        ((ObjectNode) stage.config.get("known")).put("index", 7);
+        stage.news.add(Stage.delta(4));
+        stage.start(hurried());
+        Stage.await(() -> asked(stage.discovery).size() >= 3);
+        assertTrue(asked(stage.discovery).get(0).contains("since=7&"));
+        assertEquals("/v1/servers", asked(stage.discovery).get(1));
+    }
+
+    @Test
+    void aChangeIsKnownAfterARefusedFirstCallAndRefusedRepeats() throws Exception {
+        stage.news.addAll(List.of(REFUSES, REFUSES, RESETS, REFUSES, drain()));
+        stage.start(hurried());
+        assertDrainKnown(stage.discovery);
+        assertEquals(1 + 4, waits.size(), "one before the first call and one after each that failed");
+        assertWaitsInTime();
+    }
+
+    @Test
+    void aChangeIsKnownOnceDiscoveryIsBack() throws Exception {
+        int port = stage.discovery.listener.getLocalPort();
+        stage.discovery.close();
+        stage.start(hurried());
+        Stage.await(() -> waits.size() >= 8);
+        Peer back = new Peer(port, (message, socket) -> {
+            if (message.target().contains("since=0&")) {
+                drain().handle(message, socket);
+            }
+        });
+        stage.peers.add(back);
+        assertDrainKnown(back);
+        assertTrue(other.requests.size() >= 5);
+        assertWaitsInTime();
+    }
+}
--- a/src/test/java/gatefront/net/Peer.java
+++ b/src/test/java/gatefront/net/Peer.java
@@ -49,8 +49,13 @@
     private final Script script;
 
     Peer(Script script) throws IOException {
+        this(0, script);
+    }
+
+    /** One at a given port, where another was before. */
+    Peer(int port, Script script) throws IOException {
         this.script = script;
-        this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        this.listener = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
         daemon(() -> {
             while (true) {
                 Socket socket = listener.accept();
