A watch waits for 3 s, so that what a silent one misses is known in time

What it missed counts as told 6 s after it fell silent, and if the call that opens it anew is refused the module's wait comes on top: up to 2.5 s, at the 8th second. Line at fault: Discovery.WATCH_MS.

Change: 3 s, from the protocol's 6 s: 3 + 0.5 + 2.5. Price: a call without news every 3 s instead of every 5 s from each agent; a watch that is continued costs discovery no call of its own.

Test: aChangeIsKnownAfterACallThatHungAndARefusedOne, which fails with 5 s.

--- a/src/main/java/gatefront/net/Discovery.java
+++ b/src/main/java/gatefront/net/Discovery.java
@@ -52,15 +52,17 @@
     /** A decoded answer. */
     record Listing(long index, boolean snapshot, List<Endpoint> endpoints) { }
 
-    /** How long a watch waits for news. Short enough that a silent discovery is soon asked again. */
-    private static final long WATCH_MS = 5_000;
+    /**
+     * How long a watch waits for news. A change that a silent one misses counts as told 6 s after it: this,
+     * with the time to find out and the module's wait if the next call is refused, has to fit into that.
+     */
+    static final long WATCH_MS = 3_000;
     /** How long a call for the whole list may take. */
     private static final long ANSWER_MS = 2_000;
     /**
-     * How much longer than its wait a watch may take before it has fallen silent. What a silent one misses
-     * counts as told 2 s after its wait: the next has to bring it by then, or servers that drain are used.
+     * How much longer than its wait a watch may take before it has fallen silent.
      */
-    private static final long SILENT_MS = 500;
+    static final long SILENT_MS = 500;
     private static final long BACKOFF_LEAST_MS = 50;
     private static final long BACKOFF_MOST_MS = 1_000;
     /** Before the next watch when one brought nothing: discovery may answer at once, and would be flooded. */
--- a/src/test/java/gatefront/net/AskedDiscoveryTest.java
+++ b/src/test/java/gatefront/net/AskedDiscoveryTest.java
@@ -127,6 +127,17 @@
         assertWaitsInTime();
     }
 
+    /** The first wait after a call that hung, if the next one is refused, ends before the change counts as told. */
+    @Test
+    void aChangeIsKnownAfterACallThatHungAndARefusedOne() throws Exception {
+        stage.news.addAll(List.of((message, socket) -> { }, REFUSES, drain()));
+        stage.start(hurried());
+        assertDrainKnown(stage.discovery);
+        assertEquals(2, waits.size(), "the call that hung is made again with no wait of the module's");
+        long found = TimeUnit.MILLISECONDS.toMicros(Discovery.WATCH_MS + Discovery.SILENT_MS);
+        assertTrue(found + waits.get(1) <= TOLD_MICROS, found + " and " + waits);
+    }
+
     @Test
     void aChangeIsKnownOnceDiscoveryIsBack() throws Exception {
         int port = stage.discovery.listener.getLocalPort();
