Beside a connection that is late another one is dialled, and late ones kept

Cause: Backends.Attempt waits for its one dial as long as a dial may take (caps.dial-timeout-us, 200 ms), and closes what comes up after its end, so that the next request dials again.

Change: a dial not up after an eighth of that time (25 ms here; others are up in one round trip, below 1 ms by the site) has another beside it, once; the first that is up is used. The second has as much less time as it began later, so that a connection still comes up or fails in the time that the window of repeats is reckoned with. What comes up for an attempt that is over is kept for the next. The tally tells how many were late.

--- a/src/main/java/gatefront/net/Backends.java
+++ b/src/main/java/gatefront/net/Backends.java
@@ -76,6 +76,8 @@
     /** A connection that breaks so soon after a write was dead before it. */
     private static final long AT_ONCE_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
     private static final long PROBE_TIMEOUT_MICROS = 250_000;
+    /** After this part of the time that a connection may take it is late; another is dialled beside it. */
+    private static final double LATE_PART = 0.125;
     /** The names of the values as the answers' headers have them, where the settings say otherwise. */
     private static final Map<String, String> HEADER_NAMES = Map.of("concurrent", "inflight", "depth", "queue",
         "load_share", "util", "mean_ms", "latency_ms", "tps", "qps", "err_ps", "eps");
@@ -86,6 +88,7 @@
     private final Bootstrap bootstrap;
     private final KeptAge keptAge;
     private final int connectionsMost;
+    private final long connectMost;
     private final Map<Long, Pool> pools = new HashMap<>();
     private int connections;
 
@@ -121,9 +124,10 @@
         this.tally = tally;
         this.config = config;
         this.connectionsMost = connectionsMost;
+        this.connectMost = config.connectTimeoutMicros() / 1000;
         this.keptAge = new KeptAge((long) (1000 * IDLE_PART * config.idleCloseMicros()), System.nanoTime());
         this.bootstrap = new Bootstrap().group(loop).channelFactory(sockets)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (config.connectTimeoutMicros() / 1000))
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectMost)
             .option(ChannelOption.TCP_NODELAY, true);
         loop.scheduleWithFixedDelay(this::closeOld, SWEEP_SECONDS, SWEEP_SECONDS, TimeUnit.SECONDS);
     }
@@ -251,7 +255,9 @@
         private final Future<?> timer;
         private Pool pool;
         private Connection connection;
-        private Channel dialled;
+        /** How many connections were dialled for it, and those of them that are not up yet. */
+        private int dials;
+        private final Set<Channel> dialling = new HashSet<>();
         private boolean written;
         /** How long its connection had idled before; negative for a new one. */
         private long idledNanos = -1;
@@ -277,7 +283,8 @@
         /** What became of it, in words for the log. */
         String told() {
             long nanos = (ended ? endedAt : System.nanoTime()) - startedAt;
-            return (outcome == null ? "out" : Tally.word(outcome)) + (dialled == null ? "" : " dialled")
+            String dialled = dials == 0 ? "" : dials == 1 ? " dialled" : " dialled twice";
+            return (outcome == null ? "out" : Tally.word(outcome)) + dialled
                 + (written ? "" : " unwritten") + " after " + TimeUnit.NANOSECONDS.toMillis(nanos) + " ms";
         }
 
@@ -299,29 +306,66 @@
         }
 
         private void connect() {
+            pool.connecting.add(this);
+            dial(connectMost);
+            long late = (long) (LATE_PART * connectMost);
+            if (!ended && late > 0) {
+                loop.schedule(() -> dialAgain(connectMost - late), late, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        /**
+         * Guards against a network that brings some connections up late or never: each would cost its
+         * request most of its time. Both dials together take no longer than one may, for a repeat's window
+         * depends on that.
+         */
+        private void dialAgain(long mostMs) {
+            if (!ended && connection == null && roomForOne()) {
+                tally.dialledAgain();
+                dial(mostMs);
+            }
+        }
+
+        private void dial(long mostMs) {
             Connection fresh = new Connection(pool);
-            ChannelFuture connecting = bootstrap.clone().handler(fresh).connect(pool.address);
+            ChannelFuture connecting = bootstrap.clone().handler(fresh)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) mostMs).connect(pool.address);
             if (noSocket(connecting)) {
-                end(Outcome.NEVER_SENT);
+                endIfNoneComesUp(Outcome.NEVER_SENT);
                 return;
             }
-            pool.connecting.add(this);
             connections++;
+            dials++;
             tally.dialled();
-            dialled = connecting.channel();
+            Channel dialled = connecting.channel();
+            dialling.add(dialled);
             dialled.closeFuture().addListener(closed -> connections--);
             connecting.addListener(done -> {
-                pool.connecting.remove(this);
-                if (ended) {
+                dialling.remove(dialled);
+                if (!done.isSuccess()) {
+                    endIfNoneComesUp(Outcome.CONNECT_FAILED);
+                } else if (pool.retired) {
                     dialled.close();
-                } else if (done.isSuccess()) {
-                    write(fresh);
+                } else if (ended || connection != null) {
+                    keep(fresh); // it has its price paid, and serves the next
                 } else {
-                    end(Outcome.CONNECT_FAILED);
+                    pool.connecting.remove(this);
+                    write(fresh);
                 }
             });
         }
 
+        private void endIfNoneComesUp(Outcome outcome) {
+            if (connection == null && dialling.isEmpty()) {
+                end(outcome);
+            }
+        }
+
+        private void keep(Connection unused) {
+            unused.idleSince = System.nanoTime();
+            pool.idle.addFirst(unused);
+        }
+
         private void write(Connection to) {
             connection = to;
             to.attempt = this;
@@ -382,20 +426,17 @@
             if (connection != null) {
                 connection.attempt = null;
                 if (reusable && written && !pool.retired) {
-                    connection.idleSince = System.nanoTime();
-                    pool.idle.addFirst(connection);
+                    keep(connection);
                 } else {
                     connection.channel.close(); // what may still come on it belongs to nobody
                 }
-            } else if (dialled != null) {
-                dialled.close();
             }
             loop.execute(() -> then.accept(result));
         }
     }
 
     /** A socket that can be asked whether its peer has been silent. */
-    static final class Inspectable extends NioSocketChannel {
+    static class Inspectable extends NioSocketChannel {
         /**
          * Whether it is open with nothing unread. Guards against what has arrived since the loop last looked:
          * a close, or bytes that would be taken for the next answer.
--- a/src/main/java/gatefront/net/Tally.java
+++ b/src/main/java/gatefront/net/Tally.java
@@ -27,6 +27,7 @@
     private int unsent;
     private int givenUp;
     private int dialled;
+    private int dialledAgain;
     private int brokeAtOnce;
     private int brokeKept;
     private int spoilt;
@@ -88,6 +89,11 @@
         dialled++;
     }
 
+    /** One that is late has another dialled beside it. */
+    void dialledAgain() {
+        dialledAgain++;
+    }
+
     /** The lines of the period that ends now; the next begins. */
     List<String> take(int open, int toServers) {
         int total = 0;
@@ -114,8 +120,11 @@
             line.append(')');
         }
         line.append("; waited ").append(waitedMicros / 1000 / Math.max(1, total)).append(" ms, most ")
-            .append(waitedMostMicros / 1000).append("; dialled ").append(dialled).append(", connections ")
-            .append(toServers);
+            .append(waitedMostMicros / 1000).append("; dialled ").append(dialled);
+        if (dialledAgain > 0) {
+            line.append(" (late ").append(dialledAgain).append(')');
+        }
+        line.append(", connections ").append(toServers);
         if (givenUp > 0) {
             line.append("; given up by the guard ").append(givenUp);
         }
@@ -126,6 +135,7 @@
         unsent = 0;
         givenUp = 0;
         dialled = 0;
+        dialledAgain = 0;
         brokeKept = 0;
         brokeAtOnce = 0;
         spoilt = 0;
