The module takes other settings while it runs

Cause: a change of classes, limits or prices needs a restart of every agent. The module is told its settings once, so nothing can be taken over under way.

Change: a new event, Balancer.settings, with the settings and the new position of each class, zone and kind (Takeover; the host maps them by name). Servers, health, limits, learnt times, the retry bank, timers, deadlines and what a cold server may be sent stay. Limits stay as learnt also when group-size changes: they are measured, and only the floors and the size of the subset are reckoned from it. An open request goes on as it was taken and is sent again only where every class it has been under permits it; one held that may not go again any more is answered at once. Zones of servers that only an attempt still knows move too, or a keyed repeat would go to the wrong group. Where probes are no longer permitted no server stays shut for failed ones. CheckedBalancer checks the event.

--- a/src/main/java/gatefront/Balancer.java
+++ b/src/main/java/gatefront/Balancer.java
@@ -85,7 +85,7 @@
     /** How the result is weighed: all of it, its worst stretch of time, worst class and worst tenant. */
     record Goal(double whole, double worstWindow, double worstClass, double worstTenant) { }
 
-    /** What an instance is told once, at its start. */
+    /** What an instance is told at its start, and again with {@link Balancer#settings}. */
     record Settings(int agent, int agents, int zone, int zones, long tick, boolean askDiscovery,
                     boolean warmKeys, boolean listedWeights, boolean worthByWork, double overQuotaWorth,
                     Permits permits, Obligations obligations, Prices prices, Goal goal,
@@ -177,6 +177,17 @@
         void log(String line);
     }
 
+    /**
+     * Other settings are in force from now on. What has been learnt of servers and classes stays with them,
+     * and so do deadlines, timers and what is saved up for retries and cold servers; an open request goes on
+     * as it was taken, but is sent again only where the old and the new settings both permit it. For all else
+     * the new settings hold for what comes after.
+     *
+     * @param now the time
+     * @param next settings of the same agent in the same zone
+     */
+    void settings(long now, Takeover next);
+
     /**
      * The list of servers has changed, or could not be had.
      *
--- a/src/main/java/gatefront/CheckedBalancer.java
+++ b/src/main/java/gatefront/CheckedBalancer.java
@@ -85,7 +85,7 @@
         }
     }
 
-    private final Settings settings;
+    private Settings settings;
     private final Balancer balancer;
     private final Map<Long, Seen> requests = new HashMap<>();
     private long latest;
@@ -94,7 +94,7 @@
     /**
      * A checked {@link Rules}.
      *
-     * @param settings what it is told once
+     * @param settings what it is told at its start
      * @param seed for its random choices
      * @param now the time
      * @param actions the host
@@ -106,6 +106,26 @@
         this.balancer = new Rules(settings, seed, now, counted);
     }
 
+    @Override
+    public void settings(long now, Takeover next) {
+        Objects.requireNonNull(next, "next");
+        Settings after = next.settings();
+        same("classes", settings.classes().size(), next.classes().size());
+        same("zones", settings.zones(), next.zones().size());
+        same("agent", settings.agent(), after.agent());
+        same("own zone", next.zones().get(settings.zone()), after.zone());
+        event(now, () -> {
+            settings = after;
+            balancer.settings(now, next);
+        });
+    }
+
+    private static void same(String what, int expected, int found) {
+        if (found != expected) {
+            throw new IllegalArgumentException(what + ": " + found + " instead of " + expected);
+        }
+    }
+
     @Override
     public void servers(long now, ListKind kind, List<Server> entries) {
         Objects.requireNonNull(kind, "kind");
--- a/src/main/java/gatefront/ClassState.java
+++ b/src/main/java/gatefront/ClassState.java
@@ -6,7 +6,8 @@
 
 /** What one agent knows of one class of requests. State only: {@link Rules} decides. */
 final class ClassState {
-    final RequestClass type;
+    /** As the settings in force have it; requests that are open go by {@link Open#type}. */
+    RequestClass type;
     /** Its requests that wait in this agent for want of room. */
     final Deque<Open> held = new ArrayDeque<>();
     /** Requests come and requests served, as counts that fade. */
--- a/src/main/java/gatefront/Open.java
+++ b/src/main/java/gatefront/Open.java
@@ -4,11 +4,14 @@
 import java.util.List;
 import gatefront.Balancer.Outcome;
 import gatefront.Balancer.Request;
+import gatefront.Balancer.RequestClass;
 
 /** One request that an agent has taken. State only: {@link Rules} decides. */
 final class Open {
     final Request request;
     final ClassState state;
+    /** Its class as it was taken, and no laxer on repeats than any settings since. */
+    RequestClass type;
     /** Names its timer. */
     final long token;
     final long cameAt;
@@ -22,6 +25,7 @@
     Open(Request request, ClassState state, long token, long cameAt, long endAt) {
         this.request = request;
         this.state = state;
+        this.type = state.type;
         this.token = token;
         this.cameAt = cameAt;
         this.endAt = endAt;
--- a/src/main/java/gatefront/Rules.java
+++ b/src/main/java/gatefront/Rules.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -15,10 +16,10 @@
 import gatefront.Target.Health;
 
 /**
- * Every decision of one agent's balancer. The ordinary path of a request: of two random available servers
- * of the own zone, the one with fewer of this agent's requests in flight; then other zones; then all.
- * Order of this file: settings of the mechanism, life of a request, what a request's history permits,
- * pick, limits, health, cold start, server list.
+ * Every decision of one agent's balancer. The ordinary path of a request: of two random available servers of
+ * the own zone, the one with fewer of this agent's requests in flight; then other zones; then all. Order of
+ * this file: settings of the mechanism, life of a request, other settings under way, what a request's history
+ * permits, pick, limits, health, cold start, server list.
  */
 public final class Rules implements Balancer {
     private static final long SECOND = 1_000_000;
@@ -115,7 +116,7 @@
     private static final long TIMER_SWEEP = -2;
     private static final long TIMER_ASK = -3;
 
-    private final Settings settings;
+    private Settings settings;
     private final Actions actions;
     private final SplittableRandom random;
     private final Map<Long, Target> targets = new HashMap<>();
@@ -125,7 +126,7 @@
     private final Map<Long, Open> open = new HashMap<>();
     private final Map<Long, Open> byToken = new HashMap<>();
     private final List<ClassState> classes = new ArrayList<>();
-    /** The same, the most valuable first. */
+    /** The same, and those removed with requests still held; the most valuable first. */
     private final List<ClassState> order;
     private double retries = RETRY_BANK;
     /** The share of keys that cross zones at once. */
@@ -135,8 +136,8 @@
     /** The unhurried time of the requests that came, as a sum that fades. */
     private double busy;
     private long busyAt;
-    private final double[] warmRate;
-    private final long[] warmRateAt;
+    private double[] warmRate;
+    private long[] warmRateAt;
     private long rankedAt;
     private long nextToken;
     private int probeTurn;
@@ -211,7 +212,7 @@
 
     /** Whether requests are held for want of room. */
     private boolean waiting() {
-        return classes.stream().anyMatch(state -> !state.held.isEmpty());
+        return order.stream().anyMatch(state -> !state.held.isEmpty());
     }
 
     /** Sends a request if its history permits and a server has room. */
@@ -227,7 +228,7 @@
         req.attempts.add(new Attempt(target, now));
         target.inFlight++;
         target.coldTokens -= 1;
-        actions.send(req.request.id(), target.id, req.state.type.streamed() ? 0 : req.endAt - now);
+        actions.send(req.request.id(), target.id, req.type.streamed() ? 0 : req.endAt - now);
         return true;
     }
 
@@ -307,6 +308,7 @@
     private void rank(long now) {
         double fade = Math.exp(-(double) (now - rankedAt) / RANK_PERIOD);
         rankedAt = now;
+        order.removeIf(state -> state.held.isEmpty() && !classes.contains(state));
         double all = 0;
         ClassState worst = order.get(0);
         for (ClassState state : order) {
@@ -397,9 +399,9 @@
      */
     private long comeBack(Open req, long now) {
         long permitted = settings.permits().maxRetryAfter();
-        long most = permitted > 0 ? permitted : req.state.type.giveUp();
+        long most = permitted > 0 ? permitted : req.type.giveUp();
         double perSecond = listed.stream().mapToDouble(each -> rate(each, now)).sum();
-        long ahead = 1 + classes.stream().mapToLong(each -> each.held.size()).sum();
+        long ahead = 1 + order.stream().mapToLong(each -> each.held.size()).sum();
         double wait = perSecond == 0 ? most : ahead / perSecond * SECOND;
         return (long) Math.min(most, Math.max(settings.tick(), Math.max(wait, req.state.typical)));
     }
@@ -467,6 +469,86 @@
     @Override
     public void message(long now, int agent, byte[] message) { } // no message has earned its price yet
 
+    // ---- Other settings under way ----
+
+    @Override
+    public void settings(long now, Takeover next) {
+        for (Open req : open.values()) {
+            int at = classes.indexOf(req.state);
+            int to = at < 0 ? Takeover.REMOVED : next.classes().get(at);
+            req.type = Takeover.strictest(req.type, to < 0 ? null : next.settings().classes().get(to));
+        }
+        if (next.settings().askDiscovery() && !settings.askDiscovery()) {
+            actions.watchServers();
+        }
+        settings = next.settings();
+        takeClasses(next);
+        if (next.movesServers() || warmRate.length != settings.zones()) {
+            moveServers(next);
+        }
+        for (Target target : listed) {
+            if (cold(target, now) && target.coldSince == target.listed.startedAt()) { // as the list has it
+                // What it may be sent stays: a change of settings earns it nothing.
+                target.coldUntil = Math.max(target.coldUntil,
+                    target.coldSince + settings.obligations().coldTime());
+            }
+            if (!settings.permits().probes() && target.active == Health.UNHEALTHY) {
+                target.active = Health.UNKNOWN; // Danger: without probes nothing would ever make it available
+                target.probeFailures = 0;
+            }
+        }
+        // Danger: one that may not go again would stand before others in its queue until its time is up.
+        for (ClassState state : order) {
+            List.copyOf(state.held).stream().filter(req -> req.held && !(maySend(req, now)
+                && req.attempts.size() < settings.permits().maxAttempts())).forEach(req -> finish(req, now));
+        }
+        if (!probing) {
+            probe(now, 0);
+        }
+        release(now);
+    }
+
+    /** What is known of a class goes with its name; one that is removed ends with its last request held. */
+    private void takeClasses(Takeover next) {
+        ClassState[] after = new ClassState[settings.classes().size()];
+        for (int i = 0; i < classes.size(); i++) {
+            int to = next.classes().get(i);
+            if (to >= 0) {
+                after[to] = classes.get(i);
+                after[to].type = settings.classes().get(to);
+            }
+        }
+        classes.clear();
+        for (int i = 0; i < after.length; i++) {
+            classes.add(after[i] == null ? new ClassState(settings.classes().get(i), QUANTILE) : after[i]);
+        }
+        order.removeIf(state -> state.held.isEmpty() || classes.contains(state));
+        order.addAll(0, classes);
+    }
+
+    /** Zones and kinds go by their new positions, also of servers that only an attempt still knows. */
+    private void moveServers(Takeover next) {
+        Set<Target> known = new HashSet<>(targets.values());
+        open.values().forEach(req -> req.attempts.forEach(attempt -> known.add(attempt.target)));
+        known.forEach(target -> target.listed = next.moved(target.listed));
+        Map<Integer, Double> stretches = Map.copyOf(kindStretch);
+        kindStretch.keySet().removeIf(kind -> kind >= 0);
+        stretches.forEach((kind, stretch) -> {
+            if (next.kind(kind) >= 0) {
+                kindStretch.put(next.kind(kind), stretch);
+            }
+        });
+        double[] rates = new double[settings.zones()];
+        Arrays.fill(rates, COLD_RATE_BLIND / settings.agents());
+        for (int zone = 0; zone < warmRate.length; zone++) {
+            if (next.zones().get(zone) >= 0) {
+                rates[next.zones().get(zone)] = warmRate[zone];
+            }
+        }
+        warmRate = rates;
+        warmRateAt = new long[rates.length];
+    }
+
     // ---- What a request's history permits ----
 
     /**
@@ -475,21 +557,21 @@
      * have run. {@link #inGroups} says where to.
      */
     private boolean maySend(Open req, long now) {
-        Semantics semantics = req.state.type.semantics();
+        Semantics semantics = req.type.semantics();
         boolean sending = req.out() > 0 && !(settings.permits().duplicates() && semantics == Semantics.SAFE);
         if (req.closed || req.streaming || sending) {
             return false;
         }
         // Danger: a repeat that arrives after the window runs again; leave time for the way.
-        long window = (long) (WINDOW_SURE * req.state.type.window());
+        long window = (long) (WINDOW_SURE * req.type.window());
         return semantics == Semantics.SAFE || req.attempts.stream().allMatch(attempt -> !attempt.mayHaveRun()
             || semantics == Semantics.KEYED && now < attempt.sentAt + window);
     }
 
     /** Whether a server is in the group of every earlier attempt that may have run. */
     private boolean inGroups(Open req, Target target) {
-        Scope scope = req.state.type.scope();
-        if (req.state.type.semantics() != Semantics.KEYED || scope == Scope.ALL) {
+        Scope scope = req.type.scope();
+        if (req.type.semantics() != Semantics.KEYED || scope == Scope.ALL) {
             return true;
         }
         return req.attempts.stream().allMatch(attempt -> !attempt.mayHaveRun() || (scope == Scope.ZONE
@@ -499,9 +581,9 @@
 
     /** A refusal says that trying again is harmless: danger of an effect twice if it is not. */
     private boolean mayRefuse(Open req) {
-        Semantics semantics = req.state.type.semantics();
+        Semantics semantics = req.type.semantics();
         return semantics == Semantics.SAFE || req.attempts.stream().noneMatch(Attempt::mayHaveRun)
-            || semantics == Semantics.KEYED && req.state.type.scope() == Scope.ALL;
+            || semantics == Semantics.KEYED && req.type.scope() == Scope.ALL;
     }
 
     // ---- Pick ----
--- a/src/main/java/gatefront/net/Config.java
+++ b/src/main/java/gatefront/net/Config.java
@@ -42,10 +42,10 @@
  * @param connectTimeoutMicros a connection not up by then has failed
  * @param idleCloseMicros a server closes a connection that has been idle for this long
  */
-public record Config(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets, JsonNode known,
-              Balancer.Settings settings, List<String> classes, List<String> tenants, List<String> zones,
-              List<String> kinds, List<String> loadFields, boolean loadByProbe, long connectTimeoutMicros,
-              long idleCloseMicros) {
+public record Config(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+                     JsonNode known, Balancer.Settings settings, List<String> classes, List<String> tenants,
+                     List<String> zones, List<String> kinds, List<String> loadFields, boolean loadByProbe,
+                     long connectTimeoutMicros, long idleCloseMicros) {
 
     private static final int NESTING_MAX = 100;
     private static final JsonFactory JSON = JsonFactory.builder().streamReadConstraints(
