Settings with a version, taken over while the agent runs

And the file was read on the event loop, with its known list.

Change: off unless the file of the start has `live_settings`. Then the file is read again on SIGHUP, in the signal's own thread, and once it has changed, by a thread that is made only to look (ConfigFile: one read at a time, what is asked for meanwhile is one more). The known list is skipped as it is parsed. What was read goes to the loop as one task: LiveSettings refuses lower versions, the same version with another content, names met twice, values out of range and keys that cannot change under way, with one plain line that begins with the key; otherwise the host and the module go by the new settings between two events. `discovery` moves also where the settings are refused. A request whose head was read under other settings is resolved again when its turn comes. `GET /healthz` and the tally name the version in force. Without `live_settings` SIGHUP does what it did, but reads in its own thread.

--- a/src/main/java/gatefront/Main.java
+++ b/src/main/java/gatefront/Main.java
@@ -62,7 +62,8 @@
             SignalHandler before = Signal.handle(new Signal("HUP"),
                 signal -> started.thenAccept(running -> running.reload(file)));
             if (before == SignalHandler.SIG_IGN) { // the JVM leaves it so, and nothing else would tell
-                err.println("SIGHUP is ignored where this was started: a new configuration needs a restart");
+                err.println("SIGHUP is ignored where this was started: a new configuration needs a restart, "
+                    + "or live_settings.check_ms");
             }
             agent = Agent.start(file);
             started.complete(agent);
--- a/src/main/java/gatefront/net/Agent.java
+++ b/src/main/java/gatefront/net/Agent.java
@@ -2,6 +2,7 @@
 
 import gatefront.Balancer;
 import gatefront.Rules;
+import gatefront.Takeover;
 import gatefront.net.ClientServer.Exchange;
 import gatefront.net.ClientServer.Incoming;
 import io.netty.channel.EventLoop;
@@ -55,7 +56,7 @@
     private static final long FIRST_LIST_MS = 1_000;
     private static final Pattern SERVER = Pattern.compile("^server (-?\\d+)");
 
-    private final Config config;
+    private Config config;
     private final EventLoopGroup group;
     private final EventLoop loop;
     private final Balancer balancer;
@@ -67,8 +68,10 @@
     private final Map<Exchange, Pending> byExchange = new HashMap<>();
     /** The same by the ids that clients gave. */
     private final Map<String, Pending> byName = new HashMap<>();
-    /** Of the servers listed. */
-    private final Map<Long, String> names = new HashMap<>();
+    /** The lines of the servers listed. */
+    private final Map<Long, Discovery.Endpoint> servers = new HashMap<>();
+    private final LiveSettings live = new LiveSettings();
+    private final ConfigFile file;
     private final CountDownLatch ended = new CountDownLatch(1);
     /** The monotonic clock is anchored once to the time of day, in which the list tells starts. */
     private final long anchorMicros = 1000 * System.currentTimeMillis() - System.nanoTime() / 1000;
@@ -84,7 +87,8 @@
     /** A request taken and not yet done with. */
     private static final class Pending {
         final long id;
-        final Incoming request;
+        /** As the settings in force had it when the module was told. */
+        Incoming request;
         final Exchange exchange;
         final long cameAt;
         final List<Backends.Attempt> attempts = new ArrayList<>(1);
@@ -100,12 +104,12 @@
         }
     }
 
-    private Agent(Config config, Function<Agent, Balancer> module) throws IOException {
+    private Agent(Path path, Config config, Function<Agent, Balancer> module) throws IOException {
         this.config = config;
+        this.file = new ConfigFile(path, config.live() != null, this::found);
         group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         loop = group.next();
-        int each = (config.sockets() - SOCKETS_RESERVED) / 2;
-        backends = new Backends(loop, config, each, tally);
+        backends = new Backends(loop, config, connectionsMost(config), tally);
         discovery = new Discovery(loop, config, new Discovery.Listener() {
             @Override
             public void list(Balancer.ListKind kind, List<Discovery.Endpoint> endpoints) {
@@ -116,14 +120,14 @@
             @Override
             public void failed(String why) {
                 log("discovery: " + why);
-                if (config.settings().askDiscovery()) {
+                if (Agent.this.config.settings().askDiscovery()) {
                     event(() -> Agent.this.balancer.servers(now(), Balancer.ListKind.FAILED, List.of()));
                 }
             }
         });
         // After discovery: the module may ask for the list at once, on the loop, and would find none to ask.
         balancer = module.apply(this);
-        clients = new ClientServer(loop, config, each, () -> listed && warm, new ClientServer.Listener() {
+        var listener = new ClientServer.Listener() {
             @Override
             public void request(Incoming request, Exchange exchange) {
                 Agent.this.request(request, exchange);
@@ -133,7 +137,14 @@
             public void clientLeft(Exchange exchange) {
                 Agent.this.clientLeft(exchange);
             }
-        }, System::nanoTime);
+        };
+        clients = new ClientServer(loop, config, connectionsMost(config), () -> listed && warm, listener,
+            System::nanoTime);
+    }
+
+    /** Connections on either side. */
+    private static int connectionsMost(Config config) {
+        return (config.sockets() - SOCKETS_RESERVED) / 2;
     }
 
     /**
@@ -145,16 +156,26 @@
      * @throws IOException if the address cannot be listened on
      */
     public static Agent start(Path config) throws IOException {
-        return start(Config.read(config));
+        return start(config, Config.read(config));
     }
 
     static Agent start(Config config) throws IOException {
-        return start(config, agent -> new Rules(config.settings(), config.seed(), agent.now(), agent));
+        return start((Path) null, config);
+    }
+
+    private static Agent start(Path file, Config config) throws IOException {
+        return start(file, config,
+            agent -> new Rules(config.settings(), config.seed(), agent.now(), agent));
     }
 
     /** With another module than the usual one. */
     static Agent start(Config config, Function<Agent, Balancer> module) throws IOException {
-        Agent agent = new Agent(config, module);
+        return start(null, config, module);
+    }
+
+    private static Agent start(Path file, Config config, Function<Agent, Balancer> module)
+            throws IOException {
+        Agent agent = new Agent(file, config, module);
         agent.loop.execute(agent::begin);
         InetSocketAddress at = agent.address();
         say("listening on " + at.getAddress().getHostAddress() + ":" + at.getPort());
@@ -180,6 +201,11 @@
                 TimeUnit.SECONDS);
             warm = true;
             warmedBy = answered;
+            if (config.live() != null) {
+                say(LiveSettings.started(config));
+                tally.settings(live.told(config));
+                file.lookEvery(config.live().checkMs());
+            }
         });
     }
 
@@ -193,23 +219,84 @@
     }
 
     /**
-     * Takes over from the file what may change under way: where discovery is. The rest needs a restart.
-     * Requests go on undisturbed, and a file that cannot be used changes nothing.
+     * Takes over from the file what may change under way: where discovery is, and where settings have
+     * versions also those. Requests go on undisturbed, and a file that cannot be used changes nothing. The
+     * file is read on the calling thread, or once more by the thread that reads it now.
      *
-     * @param file the configuration file
+     * @param from the configuration file
      */
-    public void reload(Path file) {
+    public void reload(Path from) {
+        file.read(from);
+    }
+
+    /** The file has been read, on the thread that did so. */
+    private void found(ConfigFile.Found found) {
         try {
-            loop.execute(() -> {
-                try {
-                    discovery.moveTo(Config.read(file).discovery());
-                } catch (IllegalArgumentException e) {
-                    say("reload: the old settings stay: " + e.getMessage());
-                }
-            });
+            loop.execute(() -> takeOver(found));
         } catch (RejectedExecutionException e) {
-            say("reload: not taken, the agent has ended"); // a signal may come at any time of the end
+            if (found.asked()) {
+                say("reload: not taken, the agent has ended"); // a signal may come at any time of the end
+            }
+        }
+    }
+
+    /**
+     * Discovery moves whatever the settings beside it are worth: an agent that loses discovery loses its
+     * list, which is worse than late settings. These are taken whole or not at all.
+     */
+    private void takeOver(ConfigFile.Found found) {
+        if (found.discovery() != null) {
+            discovery.moveTo(found.discovery());
+        }
+        if (config.live() == null) {
+            if (found.unusable() != null) {
+                say("reload: the old settings stay: " + found.unusable());
+            }
+            return;
+        }
+        event(() -> {
+            if (live.wants(config, found)) {
+                takeSettings(found);
+            }
+            tally.settings(live.told(config));
+        });
+    }
+
+    /** Everything here and the module go by the new settings from the same moment, between two events. */
+    private void takeSettings(ConfigFile.Found found) {
+        long from = System.nanoTime();
+        Config before = config;
+        Config next = found.config();
+        Takeover takeover;
+        try {
+            if (stopping.get()) {
+                throw new IllegalArgumentException("the agent ends");
+            }
+            takeover = LiveSettings.takeover(before, next, zone -> servers.values().stream()
+                .anyMatch(each -> each.server().zone() == before.zones().indexOf(zone)));
+            apply(next);
+            balancer.settings(now(), takeover);
+        } catch (RuntimeException e) {
+            apply(before);
+            live.refuse(before, found, e instanceof IllegalArgumentException ? e.getMessage() : e.toString());
+            return;
+        }
+        if (takeover.movesServers()) {
+            servers.replaceAll((id, each) ->
+                new Discovery.Endpoint(takeover.moved(each.server()), each.name(), each.address()));
+        }
+        if (!next.settings().askDiscovery()) {
+            discovery.watch(); // the module does not ask for it any more
         }
+        file.lookEvery(next.live().checkMs());
+        live.took(before, found, (System.nanoTime() - from) / 1000);
+    }
+
+    private void apply(Config next) {
+        config = next;
+        backends.apply(next, connectionsMost(next));
+        clients.apply(next, connectionsMost(next));
+        discovery.apply(next);
     }
 
     /**
@@ -223,10 +310,10 @@
             awaitEnd();
             return;
         }
-        long longest = config.settings().classes().stream().mapToLong(Balancer.RequestClass::giveUp).max()
-            .orElse(0) / 1000;
-        long last = Math.min(longest, KILL_DEADLINE_MS) + KILL_AFTER_MS - LAST_MS;
         loop.execute(() -> {
+            long longest = config.settings().classes().stream().mapToLong(Balancer.RequestClass::giveUp).max()
+                .orElse(0) / 1000;
+            long last = Math.min(longest, KILL_DEADLINE_MS) + KILL_AFTER_MS - LAST_MS;
             say("ending: " + open.size() + " requests open, the last answers come after " + last + " ms");
             clients.leave();
             loop.schedule(this::endIfUnused, LINGER_MS, TimeUnit.MILLISECONDS);
@@ -260,6 +347,7 @@
         if (clients.isEmpty()) {
             clients.stopListening();
             discovery.close();
+            file.close();
             group.shutdownGracefully(50, 500, TimeUnit.MILLISECONDS).addListener(done -> ended.countDown());
         } else {
             loop.schedule(this::draining, 10, TimeUnit.MILLISECONDS);
@@ -277,7 +365,7 @@
 
     /** How many servers something is kept for: what leaves the list must leave nothing behind. */
     int kept() throws InterruptedException {
-        return loop.submit(() -> Math.max(names.size(), backends.size())).sync().getNow();
+        return loop.submit(() -> Math.max(servers.size(), backends.size())).sync().getNow();
     }
 
     /** How many requests of its own it has answered before it said that it was ready. */
@@ -327,11 +415,11 @@
     }
 
     private void list(Balancer.ListKind kind, List<Discovery.Endpoint> endpoints) {
-        Set<Long> gone = new HashSet<>(kind == Balancer.ListKind.DELTA ? Set.of() : names.keySet());
+        Set<Long> gone = new HashSet<>(kind == Balancer.ListKind.DELTA ? Set.of() : servers.keySet());
         for (Discovery.Endpoint endpoint : endpoints) {
             long id = endpoint.server().id();
             gone.remove(id);
-            names.put(id, endpoint.name());
+            servers.put(id, endpoint);
             backends.listed(endpoint);
         }
         gone.forEach(backends::gone);
@@ -339,7 +427,7 @@
         event(() -> balancer.servers(now(), kind, entries));
         endpoints.stream().map(Discovery.Endpoint::server).filter(each -> each.phase() == Balancer.Phase.GONE)
             .forEach(each -> gone.add(each.id()));
-        names.keySet().removeAll(gone);
+        servers.keySet().removeAll(gone);
     }
 
     private void request(Incoming incoming, Exchange exchange) {
@@ -358,9 +446,16 @@
         pending.guard = loop.schedule(() -> giveUp(pending, HttpResponseStatus.GATEWAY_TIMEOUT),
             left + GUARD_MICROS, TimeUnit.MICROSECONDS);
         long deadline = now() + left;
-        Balancer.Request request = new Balancer.Request(id, incoming.requestClass(), incoming.tenant(),
-            incoming.key(), incoming.hint(), deadline, incoming.repeated(), false);
-        event(pending, () -> balancer.request(now(), request));
+        event(pending, () -> {
+            Incoming current = clients.current(incoming);
+            if (current == null) {
+                answer(pending, HttpResponseStatus.BAD_REQUEST, 0);
+                return;
+            }
+            pending.request = current;
+            balancer.request(now(), new Balancer.Request(id, current.requestClass(), current.tenant(),
+                current.key(), current.hint(), deadline, current.repeated(), false));
+        });
     }
 
     private void clientLeft(Exchange exchange) {
@@ -408,9 +503,9 @@
         pending.answered = true;
         tally.answered(how, pending.attempts.size());
         if (how != Tally.Answer.SERVED && how != Tally.Answer.LEFT && tally.wantsUnserved()) {
-            tally.unserved(pending.request.id(), config.classes().get(pending.request.requestClass()),
+            tally.unserved(pending.request.id(), pending.request.type(),
                 Tally.word(how), now() - pending.cameAt, pending.request.timeoutMs(),
-                pending.attempts.stream().map(each -> names.get(each.server()) + " " + each.told()).toList());
+                pending.attempts.stream().map(each -> name(each.server()) + " " + each.told()).toList());
         }
         pending.guard.cancel(false);
         byExchange.remove(pending.exchange);
@@ -501,7 +596,12 @@
     @Override
     public void log(String line) {
         say(SERVER.matcher(line).replaceFirst(match ->
-            Matcher.quoteReplacement("server " + names.get(Long.valueOf(match.group(1))))));
+            Matcher.quoteReplacement("server " + name(Long.parseLong(match.group(1))))));
+    }
+
+    private String name(long server) {
+        Discovery.Endpoint listed = servers.get(server);
+        return listed == null ? null : listed.name();
     }
 
     /** One plain line to standard error, which is the agent's log. */
--- a/src/main/java/gatefront/net/Backends.java
+++ b/src/main/java/gatefront/net/Backends.java
@@ -79,11 +79,11 @@
         "load_share", "util", "mean_ms", "latency_ms", "tps", "qps", "err_ps", "eps");
 
     private final EventLoop loop;
-    private final Config config;
+    private Config config;
     private final Tally tally;
     private final Bootstrap bootstrap;
     private final KeptAge keptAge;
-    private final int connectionsMost;
+    private int connectionsMost;
     private final Map<Long, Pool> pools = new HashMap<>();
     private int connections;
 
@@ -113,13 +113,29 @@
         this.tally = tally;
         this.config = config;
         this.connectionsMost = connectionsMost;
-        this.keptAge = new KeptAge((long) (1000 * IDLE_PART * config.idleCloseMicros()), System.nanoTime());
+        this.keptAge = new KeptAge(idleNanos(config), System.nanoTime());
         this.bootstrap = new Bootstrap().group(loop).channelFactory(Inspectable::new)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (config.connectTimeoutMicros() / 1000))
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMs(config))
             .option(ChannelOption.TCP_NODELAY, true);
         loop.scheduleWithFixedDelay(this::closeOld, SWEEP_SECONDS, SWEEP_SECONDS, TimeUnit.SECONDS);
     }
 
+    private static long idleNanos(Config config) {
+        return (long) (1000 * IDLE_PART * config.idleCloseMicros());
+    }
+
+    private static int connectMs(Config config) {
+        return (int) (config.connectTimeoutMicros() / 1000);
+    }
+
+    /** Goes by another configuration from now on; what is out goes on as it began. */
+    void apply(Config next, int connections) {
+        config = next;
+        connectionsMost = connections;
+        keptAge.limitTo(idleNanos(next));
+        bootstrap.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMs(next));
+    }
+
     /** Applies a line of the server list. */
     void listed(Discovery.Endpoint endpoint) {
         long id = endpoint.server().id();
@@ -370,7 +386,9 @@
             } else if (dialled != null) {
                 dialled.close();
             }
-            loop.execute(() -> then.accept(result));
+            Config under = config;
+            loop.execute(() -> then.accept(under == config ? result // else the report's fields may be others
+                : new Result(outcome, NO_LOAD, result.served(), result.bad())));
         }
     }
 
--- a/src/main/java/gatefront/net/ClientServer.java
+++ b/src/main/java/gatefront/net/ClientServer.java
@@ -19,6 +19,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -32,6 +33,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.LinkedHashSet;
@@ -57,13 +59,21 @@
         void clientLeft(Exchange exchange);
     }
 
-    /** A client's request, its names resolved to the settings' indexes. Key and hint are 0 if not given. */
-    record Incoming(String id, int requestClass, int tenant, long key, long hint, long timeoutMs,
-                    boolean repeated, Outgoing forward) {
+    /**
+     * A client's request, its names resolved to the indexes of a configuration's settings. Key and hint are 0
+     * if not given.
+     */
+    record Incoming(Config under, String id, int requestClass, int tenant, long key, long hint,
+                    long timeoutMs, boolean repeated, Outgoing forward) {
         Incoming with(byte[] body) {
-            return new Incoming(id, requestClass, tenant, key, hint, timeoutMs, repeated,
+            return new Incoming(under, id, requestClass, tenant, key, hint, timeoutMs, repeated,
                 new Outgoing(forward.method(), forward.uri(), forward.headers(), body));
         }
+
+        /** The name of its class. */
+        String type() {
+            return under.classes().get(requestClass);
+        }
     }
 
     /** What a connection has asked: a request, the agent's health (neither), or what earned it an error. */
@@ -77,6 +87,7 @@
     private static final List<String> ONCE = List.of("Host", "Request-Id", "Request-Class", "Tenant",
         "Affinity-Key", Backends.REQUEST_TIMEOUT, "Client-Retry", "Work-Hint", "Request-Info",
         "Idempotency-Key");
+    private static final String SETTINGS_VERSION = "Settings-Version";
     private static final long TIMEOUT_MS_MAX = 3_600_000;
     /** Requests read ahead on one connection before it is left alone. */
     private static final int AHEAD_MOST = 4;
@@ -97,11 +108,11 @@
     /** The part of the heap that bodies of requests may take. */
     private static final int BODIES_PART = 6;
 
-    private final Config config;
+    private Config config;
     private final Listener listener;
     private final BooleanSupplier ready;
     private final LongSupplier nanoClock;
-    private final int connectionsMost;
+    private int connectionsMost;
     private final Channel server;
     private final Set<Connection> connections = new LinkedHashSet<>();
     /** Of these, the longest there first: nothing said yet. */
@@ -147,6 +158,30 @@
         return server;
     }
 
+    /** Goes by another configuration from now on. */
+    void apply(Config next, int most) {
+        config = next;
+        connectionsMost = most;
+        makeRoom();
+    }
+
+    /**
+     * A request as the configuration in force takes it. Guards against the class or tenant of one
+     * configuration being taken for what has its place in another, where that came between the request's head
+     * and its turn.
+     *
+     * @return null if it is no request any more, as with a class that has been removed
+     */
+    Incoming current(Incoming request) {
+        if (request.under() == config) {
+            return request;
+        }
+        Outgoing forward = request.forward();
+        Incoming again = parse(new DefaultHttpRequest(HttpVersion.HTTP_1_1, forward.method(), forward.uri(),
+            forward.headers()));
+        return again == null ? null : again.with(forward.body());
+    }
+
     /** From now on it says that it is not ready; all else goes on. */
     void leave() {
         leaving = true;
@@ -247,6 +282,21 @@
 
         /** Gives the final answer; a second one, or one to a client that has left, is dropped. */
         void answer(HttpResponseStatus status, Served served, long retryAfterMicros) {
+            answer(status, served, retryAfterMicros, null);
+        }
+
+        /** Answers whether the agent is ready, and where settings have versions which is in force. */
+        private void health(HttpResponseStatus status) {
+            if (config.live() == null) {
+                answer(status);
+            } else {
+                String version = String.valueOf(config.live().version());
+                byte[] line = ("settings: version " + version + "\n").getBytes(StandardCharsets.US_ASCII);
+                answer(status, new Served(line, "text/plain", null), 0, version);
+            }
+        }
+
+        private void answer(HttpResponseStatus status, Served served, long retryAfterMicros, String version) {
             if (answered || connection.current != this) {
                 return;
             }
@@ -264,6 +314,9 @@
             if (retryAfterMicros > 0) {
                 headers.set(HttpHeaderNames.RETRY_AFTER, String.valueOf(retryAfterMicros / 1e6));
             }
+            if (version != null) {
+                headers.set(SETTINGS_VERSION, version);
+            }
             boolean last = !keepAlive || draining || pressed();
             if (last) {
                 headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -449,7 +502,7 @@
                     boolean refused = asked.error.equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
                     exchange.answer(asked.error, null, refused ? Agent.RETRY_AFTER_MICROS : 0);
                 } else if (request == null) {
-                    exchange.answer(ready.getAsBoolean() && !leaving
+                    exchange.health(ready.getAsBoolean() && !leaving
                         ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE);
                 } else {
                     listener.request(request, exchange);
@@ -571,8 +624,8 @@
         }
         NOT_FORWARDED.forEach(forwarded::remove);
         String key = headers.get("Affinity-Key", "");
-        return new Incoming(id, requestClass, Math.max(0, tenant), key.isEmpty() ? 0 : Discovery.id(key),
-            hint, timeout, "1".equals(headers.get("Client-Retry")),
+        return new Incoming(config, id, requestClass, Math.max(0, tenant),
+            key.isEmpty() ? 0 : Discovery.id(key), hint, timeout, "1".equals(headers.get("Client-Retry")),
             new Outgoing(request.method(), request.uri(), forwarded, Backends.NO_BODY));
     }
 
--- a/src/main/java/gatefront/net/Config.java
+++ b/src/main/java/gatefront/net/Config.java
@@ -41,12 +41,25 @@
  * @param loadByProbe whether only probes bring load reports
  * @param connectTimeoutMicros a connection not up by then has failed
  * @param idleCloseMicros a server closes a connection that has been idle for this long
+ * @param live the version of the settings, or null where those of the start stay
  */
 public record Config(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
                      JsonNode known, Balancer.Settings settings, List<String> classes, List<String> tenants,
                      List<String> zones, List<String> kinds, List<String> loadFields, boolean loadByProbe,
-                     long connectTimeoutMicros, long idleCloseMicros) {
+                     long connectTimeoutMicros, long idleCloseMicros, Live live) {
 
+    /**
+     * Settings that may be replaced while the agent runs.
+     *
+     * @param version grows with each change
+     * @param checkMs how often the file is looked at without a signal; 0 for never
+     */
+    public record Live(long version, long checkMs) { }
+
+    private static final String LIVE = "live_settings";
+    private static final String KNOWN = "known";
+    /** The file is looked at no more often than this: a look costs a call of the system, a change a read. */
+    private static final long CHECK_MS_LEAST = 10;
     private static final int NESTING_MAX = 100;
     private static final JsonFactory JSON = JsonFactory.builder().streamReadConstraints(
         StreamReadConstraints.builder().maxNestingDepth(NESTING_MAX).build()).build();
@@ -57,8 +70,7 @@
         try {
             root = json(new ByteArrayInputStream(Files.readAllBytes(file)));
         } catch (IOException e) {
-            String why = String.valueOf(e.getMessage()).lines().findFirst().orElse("");
-            throw new IllegalArgumentException("cannot read " + file + ": " + why, e);
+            throw unreadable(file, e);
         }
         return of(root);
     }
@@ -68,13 +80,96 @@
         Map<String, String> pairs = new HashMap<>();
         flatten("", settings, pairs);
         return new Config(address(text(root, "listen")), address(text(root, "discovery")),
-            seed(text(root, "seed")), (int) atLeast(64, need(root, "limits"), "sockets"), root.path("known"),
+            seed(text(root, "seed")), (int) atLeast(64, need(root, "limits"), "sockets"), root.path(KNOWN),
             SettingsParser.parse(pairs), names(settings.path("classes")), names(settings.path("realms")),
             names(settings.path("zones")), names(settings.path("kinds")),
             names(settings.path("load-info").path("fields")),
             settings.path("load-info").path("via").asText().equals("probe"),
             atLeast(1000, need(settings, "caps"), "dial-timeout-us"),
-            atLeast(1000, need(settings, "caps"), "idle-close-us"));
+            atLeast(1000, need(settings, "caps"), "idle-close-us"), live(root));
+    }
+
+    private static Live live(JsonNode root) {
+        long version = version(root);
+        if (version < 0) {
+            return null;
+        }
+        long every = root.get(LIVE).has("check_ms") ? live(root, "check_ms") : 0;
+        if (every != 0 && every < CHECK_MS_LEAST) {
+            throw badLive("check_ms", root.get(LIVE).get("check_ms"));
+        }
+        return new Live(version, every);
+    }
+
+    /** The version of the settings in a file, or -1 where they have none. */
+    static long version(JsonNode root) {
+        return root.path(LIVE).isMissingNode() ? -1 : live(root, "version");
+    }
+
+    private static long live(JsonNode root, String name) {
+        JsonNode value = root.get(LIVE).path(name);
+        if (!value.isIntegralNumber() || !value.canConvertToLong() || value.asLong() < 0) {
+            throw badLive(name, value);
+        }
+        return value.asLong();
+    }
+
+    private static IllegalArgumentException badLive(String name, JsonNode value) {
+        return new IllegalArgumentException(
+            "config: " + LIVE + "." + name + " has an unusable value: " + value);
+    }
+
+    /** Where discovery is, or null if a file does not tell. */
+    static InetSocketAddress discovery(JsonNode root) {
+        try {
+            return address(text(root, "discovery"));
+        } catch (IllegalArgumentException e) {
+            return null;
+        }
+    }
+
+    /** Whether the two say the same but for what matters at the start alone, and where discovery is. */
+    boolean sameSettings(Config other) {
+        return settled().equals(other.settled());
+    }
+
+    private Config settled() {
+        return new Config(listen, null, 0, sockets, null, settings, classes, tenants, zones, kinds,
+            loadFields, loadByProbe, connectTimeoutMicros, idleCloseMicros, live);
+    }
+
+    /**
+     * Reads the file of an agent that runs, but for the known list: it matters at the start alone, and may be
+     * by far the largest part. What is not whole is unusable, also where something follows its end: a shorter
+     * file may have been written over a longer one.
+     */
+    static JsonNode readAgain(Path file) {
+        try (InputStream from = Files.newInputStream(file); JsonParser parser = JSON.createParser(from)) {
+            if (parser.nextToken() != JsonToken.START_OBJECT) {
+                throw new IllegalArgumentException("cannot read " + file + ": no JSON object");
+            }
+            ObjectNode root = JsonNodeFactory.instance.objectNode();
+            while (parser.nextToken() != JsonToken.END_OBJECT) {
+                String name = parser.currentName();
+                JsonToken value = parser.nextToken();
+                if (name.equals(KNOWN)) {
+                    parser.skipChildren();
+                } else {
+                    root.set(name, json(parser, value));
+                }
+            }
+            if (parser.nextToken() != null) {
+                throw new IllegalArgumentException("cannot read " + file + ": something follows its end");
+            }
+            return root;
+        } catch (IOException e) {
+            throw unreadable(file, e);
+        }
+    }
+
+    private static IllegalArgumentException unreadable(Path file, IOException e) {
+        String why = String.valueOf(e.getMessage()).lines().findFirst().orElse("");
+        return new IllegalArgumentException("cannot read " + file + ": " + why, e);
     }
 
     /**
--- a/src/main/java/gatefront/net/Discovery.java
+++ b/src/main/java/gatefront/net/Discovery.java
@@ -68,7 +68,7 @@
     private static final int LIST_BYTES_MAX = 4 << 20;
 
     private final EventLoop loop;
-    private final Config config;
+    private Config config;
     private final Listener listener;
     private final Bootstrap bootstrap;
     private InetSocketAddress address;
@@ -101,6 +101,11 @@
             });
     }
 
+    /** Reads lists by another configuration from now on; {@link #moveTo} says where they come from. */
+    public void apply(Config next) {
+        config = next;
+    }
+
     /** Begins to follow the list, or goes on after a failure where that is asked for. */
     public void watch() {
         if (!watching) {
--- a/src/main/java/gatefront/net/KeptAge.java
+++ b/src/main/java/gatefront/net/KeptAge.java
@@ -17,7 +17,7 @@
     /** Half of what was seen counts after this time: a class given up is tried again after some of it. */
     private static final double HALF_LIFE_NANOS = TimeUnit.SECONDS.toNanos(5);
 
-    private final long mostNanos;
+    private long mostNanos;
     private final double[] uses = new double[CLASSES];
     private final double[] breaks = new double[CLASSES];
     private long fadedAt;
@@ -30,6 +30,12 @@
         this.fadedAt = now;
     }
 
+    /** With another age that is never exceeded; what was learnt stays. */
+    void limitTo(long most) {
+        mostNanos = most;
+        judge();
+    }
+
     /** A connection that had idled for so long was used, and broke at once or did not. */
     void used(long idleNanos, boolean broke, long now) {
         fade(now);
--- a/src/main/java/gatefront/net/Tally.java
+++ b/src/main/java/gatefront/net/Tally.java
@@ -29,6 +29,14 @@
     /** The first request of the period that was refused or failed, with all that was tried. */
     private String unserved;
 
+    /** Where settings have versions, the one in force and what became of others. */
+    private String settings = "";
+
+    /** The settings in force are to be told with each line. */
+    void settings(String told) {
+        settings = "; " + told;
+    }
+
     /** A request has its final answer, after so many attempts. */
     void answered(Answer answer, int attempts) {
         answers[answer.ordinal()]++;
@@ -100,6 +108,7 @@
         if (givenUp > 0) {
             line.append("; given up by the guard ").append(givenUp);
         }
+        line.append(settings);
         List<String> lines = total + attempts + dialled == 0 ? List.of()
             : unserved == null ? List.of(line.toString()) : List.of(line.toString(), unserved);
         Arrays.fill(answers, 0);
--- a/src/test/java/gatefront/net/Stage.java
+++ b/src/test/java/gatefront/net/Stage.java
@@ -14,6 +14,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -175,6 +176,11 @@
         return written;
     }
 
+    /** Whether a thread is within a method of this name. */
+    static boolean inside(Thread thread, String method) {
+        return Arrays.stream(thread.getStackTrace()).anyMatch(each -> each.getMethodName().equals(method));
+    }
+
     static void await(BooleanSupplier condition) {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(GENEROUS_MS);
         while (!condition.getAsBoolean()) {
