--- a/src/main/java/gatefront/net/Backends.java
+++ b/src/main/java/gatefront/net/Backends.java
@@ -83,12 +83,13 @@
         "load_share", "util", "mean_ms", "latency_ms", "tps", "qps", "err_ps", "eps");
 
     private final EventLoop loop;
-    private final Config config;
+    private Config config;
     private final Tally tally;
     private final Bootstrap bootstrap;
     private final KeptAge keptAge;
-    private final int connectionsMost;
-    private final long connectMost;
+    private int connectionsMost;
+    /** How long a connection may take, ms. */
+    private int connectMost;
     private final Map<Long, Pool> pools = new HashMap<>();
     private int connections;
 
@@ -124,14 +125,29 @@
         this.tally = tally;
         this.config = config;
         this.connectionsMost = connectionsMost;
-        this.connectMost = config.connectTimeoutMicros() / 1000;
-        this.keptAge = new KeptAge((long) (1000 * IDLE_PART * config.idleCloseMicros()), System.nanoTime());
+        this.connectMost = connectMs(config);
+        this.keptAge = new KeptAge(idleNanos(config), System.nanoTime());
         this.bootstrap = new Bootstrap().group(loop).channelFactory(sockets)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectMost)
             .option(ChannelOption.TCP_NODELAY, true);
         loop.scheduleWithFixedDelay(this::closeOld, SWEEP_SECONDS, SWEEP_SECONDS, TimeUnit.SECONDS);
     }
 
+    private static long idleNanos(Config config) {
+        return (long) (1000 * IDLE_PART * config.idleCloseMicros());
+    }
+
+    private static int connectMs(Config config) {
+        return (int) (config.connectTimeoutMicros() / 1000);
+    }
+
+    /** Goes by another configuration from now on; what is out goes on as it began. */
+    void apply(Config next, int connections) {
+        config = next;
+        connectionsMost = connections;
+        keptAge.limitTo(idleNanos(next));
+        connectMost = connectMs(next);
+    }
+
     /** Applies a line of the server list. */
     void listed(Discovery.Endpoint endpoint) {
         long id = endpoint.server().id();
@@ -307,10 +323,11 @@
 
         private void connect() {
             pool.connecting.add(this);
-            dial(connectMost);
-            long late = (long) (LATE_PART * connectMost);
+            int most = connectMost;
+            dial(most);
+            int late = (int) (LATE_PART * most);
             if (!ended && late > 0) {
-                loop.schedule(() -> dialAgain(connectMost - late), late, TimeUnit.MILLISECONDS);
+                loop.schedule(() -> dialAgain(most - late), late, TimeUnit.MILLISECONDS);
             }
         }
 
@@ -319,17 +336,17 @@
          * request most of its time. Both dials together take no longer than one may, for a repeat's window
          * depends on that.
          */
-        private void dialAgain(long mostMs) {
+        private void dialAgain(int mostMs) {
             if (!ended && connection == null && roomForOne()) {
                 tally.dialledAgain();
                 dial(mostMs);
             }
         }
 
-        private void dial(long mostMs) {
+        private void dial(int mostMs) {
             Connection fresh = new Connection(pool);
             ChannelFuture connecting = bootstrap.clone().handler(fresh)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) mostMs).connect(pool.address);
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, mostMs).connect(pool.address);
             if (noSocket(connecting)) {
                 endIfNoneComesUp(Outcome.NEVER_SENT);
                 return;
@@ -431,7 +448,9 @@
                     connection.channel.close(); // what may still come on it belongs to nobody
                 }
             }
-            loop.execute(() -> then.accept(result));
+            Config under = config;
+            loop.execute(() -> then.accept(under == config ? result // else the report's fields may be others
+                : new Result(outcome, NO_LOAD, result.served(), result.bad())));
         }
     }
 
