A request whose client's close has come with it is not sent on

Read, then forced by a test: a request and the close behind it lay unread together, because the loop was held or the connection waited to be accepted. The first read took the request, it was sent at once, and the close was seen by the next turn of the loop, however long before it had come. Lines at fault: Connection.ask() took a request while it was read, and the channel read once where a read did not fill its buffer.

Change: a connection is read until nothing is left, and what was asked is taken after that; until it is taken its connection counts as in use, so that the end or want of room does not close it. Price: one more read of the socket for each request.

Test: aRequestIsNotSentWhoseClientLeftBeforeItWasRead, on a kept and on a new connection; both fail before. However a client ends its connection it has gone: aClientHasGoneHoweverItEndsItsConnection, right before as well.

--- a/src/main/java/gatefront/net/ClientServer.java
+++ b/src/main/java/gatefront/net/ClientServer.java
@@ -7,6 +7,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -80,6 +81,8 @@
     private static final long TIMEOUT_MS_MAX = 3_600_000;
     /** Requests read ahead on one connection before it is left alone. */
     private static final int AHEAD_MOST = 4;
+    /** Reads of one connection in a row. */
+    private static final int READS_MOST = 16;
     /** How long a connection may take until its first request is whole, or over sending a later one. */
     private static final long PATIENCE_NANOS = TimeUnit.SECONDS.toNanos(2);
     /** How long one that has had an answer is kept while there is room, and while there is little. */
@@ -129,6 +132,9 @@
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            // Reads until nothing is left: a close that has come is seen with what came before it.
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR,
+                new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(READS_MOST))
             .childHandler(new ChannelInitializer<SocketChannel>() {
                 @Override
                 protected void initChannel(SocketChannel ch) {
@@ -294,6 +300,8 @@
         private int held;
         /** Nothing more is taken from it: what came was wrong, or it ends. */
         private boolean deaf;
+        /** It is about to be looked at whether something is to be taken. */
+        private boolean due;
 
         Connection(SocketChannel channel, Decoders.Requests decoder) {
             this.channel = channel;
@@ -425,17 +433,39 @@
 
         private void ask(Asked asked) {
             ahead.add(asked);
-            next();
+            if (current == null) {
+                move(null); // Guards against the end, or want of room, closing it before that is taken.
+            }
+            limitReading();
+            nextLater();
         }
 
-        /** What was asked is taken in its turn, and not while answers are still to be read. */
-        private void next() {
+        /**
+         * Looks for what is to be taken once all is read that has come. Guards against working for a client
+         * whose close came with its request.
+         */
+        private void nextLater() {
+            if (!due) {
+                due = true;
+                channel.eventLoop().execute(() -> {
+                    due = false;
+                    next();
+                });
+            }
+        }
+
+        private void limitReading() {
             if (!deaf) {
                 channel.config().setAutoRead(ahead.size() < AHEAD_MOST);
             }
+        }
+
+        /** What was asked is taken in its turn, and not while answers are still to be read. */
+        private void next() {
             if (current == null && !ahead.isEmpty() && channel.isWritable()) {
                 take(ahead.poll());
             }
+            limitReading();
         }
 
         private void take(Asked asked) {
@@ -478,7 +508,7 @@
                 boolean more = !ahead.isEmpty() && channel.isWritable();
                 move(more ? null : decoder.begun() ? begun : kept);
                 if (more) {
-                    channel.eventLoop().execute(this::next);
+                    nextLater();
                 }
             }
         }
--- a/src/test/java/gatefront/net/LeavingTest.java
+++ b/src/test/java/gatefront/net/LeavingTest.java
@@ -1,6 +1,7 @@
 package gatefront.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import gatefront.Balancer;
@@ -16,6 +17,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** A client that leaves while its request waits: nobody is to work for it, whatever it waits for. */
 class LeavingTest {
@@ -116,4 +119,72 @@
             }
         }
     }
+
+    /** However it ends its side: a client that still waits keeps its connection whole. */
+    @ParameterizedTest
+    @ValueSource(strings = {"close", "reset", "end of its sending"})
+    void aClientHasGoneHoweverItEndsItsConnection(String how) throws Exception {
+        start();
+        Socket client = stage.dial();
+        Peer.write(client, stage.request("lookup", 8000, ""));
+        came.await(Stage.GENEROUS_MS, TimeUnit.MILLISECONDS);
+        switch (how) {
+            case "close" -> client.close();
+            case "reset" -> Peer.reset(client);
+            default -> client.shutdownOutput();
+        }
+        assertTrue(left.await(Stage.GENEROUS_MS, TimeUnit.MILLISECONDS));
+        assertOnlyTheNextIsSent("127.0.0.1:9");
+    }
+
+    /** Holds the loop in the event of the first request until this is counted down. */
+    private CountDownLatch holdTheLoop() throws IOException {
+        CountDownLatch go = new CountDownLatch(1);
+        stage.start(stage.overheard((event, details) -> {
+            if (event.equals("request")) {
+                came.countDown();
+                hold(go);
+            }
+        }));
+        return go;
+    }
+
+    private static void hold(CountDownLatch until) {
+        try {
+            until.await(Stage.GENEROUS_MS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private List<String> arrived() {
+        return stage.servers.get(0).requests.stream().map(each -> each.header("Request-Id")).toList();
+    }
+
+    /**
+     * Failed before: a request and the close behind it, read in one go, were taken in turn, and the request was
+     * sent on; it may have waited long for the loop, or for its connection to be accepted.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aRequestIsNotSentWhoseClientLeftBeforeItWasRead(boolean onANewConnection) throws Exception {
+        stage.server((message, socket) -> Peer.answer(socket, 200, "", message.header("Request-Id")));
+        CountDownLatch go = holdTheLoop();
+        Socket client = onANewConnection ? null : stage.dial();
+        if (client != null) {
+            assertEquals(200, Stage.exchange(client, "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n").status());
+        }
+        Socket first = stage.dial();
+        Peer.write(first, stage.request("lookup", 8000, ""));
+        assertTrue(came.await(Stage.GENEROUS_MS, TimeUnit.MILLISECONDS));
+        client = client == null ? stage.dial() : client;
+        Peer.write(client, stage.request("lookup", 8000, ""));
+        client.close();
+        go.countDown();
+        assertEquals("id1", Peer.read(first.getInputStream()).text());
+        passTheLoop();
+        passTheLoop();
+        assertEquals("id3", Stage.exchange(stage.dial(), stage.request("lookup", 8000, "")).text());
+        assertEquals(List.of("id1", "id3"), arrived());
+    }
 }
