A close behind many requests asked at once is seen

Read, then forced by a test: of a connection that asked for more than four requests in advance nothing more was read until their turn came. A client that sent much at once and went was worked for, one request after the other, since its close lay behind what was not read. Line at fault: ClientServer.AHEAD_MOST.

Change: up to 64 are read ahead on a connection, as long as all connections together have read 512 ahead, then four as before: a head has 8 KiB at most, so they take 4 MiB of the heap and what four on each took before; bodies are counted on their own.

Test: ofManyRequestsAskedAtOnceNoneIsSentOnceTheirClientLeft, with 1, 3, 5, 20 and 60 requests ahead; 5, 20 and 60 fail before. Left: a client that asks for more than 64 in advance and goes.

--- a/src/main/java/gatefront/net/ClientServer.java
+++ b/src/main/java/gatefront/net/ClientServer.java
@@ -79,8 +79,14 @@
         "Affinity-Key", Backends.REQUEST_TIMEOUT, "Client-Retry", "Work-Hint", "Request-Info",
         "Idempotency-Key");
     private static final long TIMEOUT_MS_MAX = 3_600_000;
-    /** Requests read ahead on one connection before it is left alone. */
-    private static final int AHEAD_MOST = 4;
+    /**
+     * Requests read ahead on a connection before it is left alone: by any; on all together; and by one while
+     * those are fewer. Guards against working for a client that asked much at once and went, for its close
+     * lies behind what it asked; and against heads by the thousand that take the memory.
+     */
+    private static final int AHEAD_LEAST = 4;
+    private static final int AHEAD_ALL = 512;
+    private static final int AHEAD_MOST = 64;
     /** Reads of one connection in a row. */
     private static final int READS_MOST = 16;
     /** How long a connection may take until its first request is whole, or over sending a later one. */
@@ -118,6 +124,8 @@
     /** Its last answer is being read. */
     private final Set<Connection> ending = new LinkedHashSet<>();
     private long bodies;
+    /** Requests read ahead on all connections. */
+    private int readAhead;
     private boolean leaving;
     private boolean draining;
 
@@ -331,7 +339,7 @@
             connections.remove(this);
             move(null);
             deaf = true;
-            ahead.clear();
+            forgetAhead();
             body = Unpooled.EMPTY_BUFFER;
             bodies -= held;
             held = 0;
@@ -433,6 +441,7 @@
 
         private void ask(Asked asked) {
             ahead.add(asked);
+            readAhead++;
             if (current == null) {
                 move(null); // Guards against the end, or want of room, closing it before that is taken.
             }
@@ -456,13 +465,20 @@
 
         private void limitReading() {
             if (!deaf) {
-                channel.config().setAutoRead(ahead.size() < AHEAD_MOST);
+                int most = readAhead < AHEAD_ALL ? AHEAD_MOST : AHEAD_LEAST;
+                channel.config().setAutoRead(ahead.size() < most);
             }
         }
 
+        private void forgetAhead() {
+            readAhead -= ahead.size();
+            ahead.clear();
+        }
+
         /** What was asked is taken in its turn, and not while answers are still to be read. */
         private void next() {
             if (current == null && !ahead.isEmpty() && channel.isWritable()) {
+                readAhead--;
                 take(ahead.poll());
             }
             limitReading();
@@ -499,7 +515,7 @@
             if (last) {
                 boolean unread = deaf && decoder.begun();
                 deaf = true;
-                ahead.clear();
+                forgetAhead();
                 move(finishing);
                 // Guards against a reset for what was not read, which would overtake the answer.
                 written.addListener(unread ? done -> linger() : ChannelFutureListener.CLOSE);
--- a/src/test/java/gatefront/net/LeavingTest.java
+++ b/src/test/java/gatefront/net/LeavingTest.java
@@ -187,4 +187,31 @@
         assertEquals("id3", Stage.exchange(stage.dial(), stage.request("lookup", 8000, "")).text());
         assertEquals(List.of("id1", "id3"), arrived());
     }
+
+    /** Failed before: with four requests read ahead nothing more was read, and a close not seen. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 3, 5, 20, 60})
+    void ofManyRequestsAskedAtOnceNoneIsSentOnceTheirClientLeft(int ahead) throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        Peer server = stage.server((message, socket) -> {
+            if (message.header("Request-Id").equals("id1")) {
+                hold(go);
+            }
+            Peer.answer(socket, 200, "", message.header("Request-Id"));
+        });
+        start();
+        Socket client = stage.dial();
+        StringBuilder all = new StringBuilder(stage.request("lookup", 8000, ""));
+        for (int i = 0; i < ahead; i++) {
+            all.append(stage.request("lookup", 8000, ""));
+        }
+        Peer.write(client, all.toString());
+        Stage.await(() -> server.requests.size() == 1);
+        client.close();
+        assertTrue(left.await(Stage.GENEROUS_MS, TimeUnit.MILLISECONDS), "the close is seen behind what was asked");
+        go.countDown();
+        String next = "id" + (ahead + 2);
+        assertEquals(next, Stage.exchange(stage.dial(), stage.request("lookup", 8000, "")).text());
+        assertEquals(List.of("id1", next), arrived());
+    }
 }
