A close behind what is no request is seen while an answer is owed before it

Read, then forced by a test: behind a message that was no request nothing more was read, also while the request before it was still out or waited to be repeated. Its client's close was not seen, and the request was sent again. Line at fault: Connection.wrong(), which stopped reading.

Change: while an answer is owed for what came before, what comes is read and passed over, sixteen rows of reads at the most so that a flood is not read for nothing; then, and where nothing is owed, reading stops as before.

Test: aCloseBehindWhatIsNoRequestIsSeen, behind noise and behind a body that is too long; both fail before.

--- a/src/main/java/gatefront/net/ClientServer.java
+++ b/src/main/java/gatefront/net/ClientServer.java
@@ -89,6 +89,11 @@
     private static final int AHEAD_MOST = 64;
     /** Reads of one connection in a row. */
     private static final int READS_MOST = 16;
+    /**
+     * Such rows passed over behind what was no request, while an answer is owed for what came before. Guards
+     * against a flood that is read for nothing.
+     */
+    private static final int PASSED_OVER_MOST = 16;
     /** How long a connection may take until its first request is whole, or over sending a later one. */
     private static final long PATIENCE_NANOS = TimeUnit.SECONDS.toNanos(2);
     /** How long one that has had an answer is kept while there is room, and while there is little. */
@@ -308,6 +313,7 @@
         private int held;
         /** Nothing more is taken from it: what came was wrong, or it ends. */
         private boolean deaf;
+        private int passedOver;
         /** It is about to be looked at whether something is to be taken. */
         private boolean due;
 
@@ -380,6 +386,9 @@
 
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (deaf && ++passedOver >= PASSED_OVER_MOST) {
+                channel.config().setAutoRead(false);
+            }
             if ((at == silent || at == kept) && decoder.begun()) {
                 // Guards against waiting twice for an unknown peer that says nothing and then half a request.
                 long from = at == silent ? since : nanoClock.getAsLong();
@@ -435,7 +444,7 @@
         private void wrong(HttpResponseStatus error) {
             deaf = true;
             body = Unpooled.EMPTY_BUFFER;
-            channel.config().setAutoRead(false);
+            channel.config().setAutoRead(current != null || !ahead.isEmpty()); // to see a close behind it
             ask(new Asked(null, error, false));
         }
 
--- a/src/test/java/gatefront/net/LeavingTest.java
+++ b/src/test/java/gatefront/net/LeavingTest.java
@@ -214,4 +214,21 @@
         assertEquals(next, Stage.exchange(stage.dial(), stage.request("lookup", 8000, "")).text());
         assertEquals(List.of("id1", next), arrived());
     }
+
+    /** Failed before: behind what was no request nothing more was read, and the close not seen. */
+    @ParameterizedTest
+    @ValueSource(strings = {"noise \u0001\r\n\r\n", "POST /order HTTP/1.1\r\nHost: a\r\nRequest-Class: order\r\n"
+        + "Request-Id: x\r\nRequest-Timeout-Ms: 500\r\nContent-Length: 60000000\r\n\r\nand a part of it"})
+    void aCloseBehindWhatIsNoRequestIsSeen(String noise) throws Exception {
+        Peer full = stage.server((message, socket) -> Peer.answer(socket, 503, "Not-Started: 1\r\n", ""));
+        start();
+        Socket client = stage.dial();
+        Peer.write(client, stage.request("lookup", 8000, "") + noise);
+        assertEquals(Balancer.Outcome.FULL, outcome.get(Stage.GENEROUS_MS, TimeUnit.MILLISECONDS));
+        passTheLoop();
+        client.close();
+        assertTrue(left.await(Stage.GENEROUS_MS, TimeUnit.MILLISECONDS), "the close is seen");
+        assertOnlyTheNextIsSent(full.address());
+        assertEquals(1, full.requests.size());
+    }
 }
