--- a/src/main/java/gatefront/net/ClientServer.java
+++ b/src/main/java/gatefront/net/ClientServer.java
@@ -7,6 +7,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -89,8 +90,21 @@
         "Idempotency-Key");
     private static final String SETTINGS_VERSION = "Settings-Version";
     private static final long TIMEOUT_MS_MAX = 3_600_000;
-    /** Requests read ahead on one connection before it is left alone. */
-    private static final int AHEAD_MOST = 4;
+    /**
+     * Requests read ahead on a connection before it is left alone: by any; on all together; and by one while
+     * those are fewer. Guards against working for a client that asked much at once and went, for its close
+     * lies behind what it asked; and against heads by the thousand that take the memory.
+     */
+    private static final int AHEAD_LEAST = 4;
+    private static final int AHEAD_ALL = 512;
+    private static final int AHEAD_MOST = 64;
+    /** Reads of one connection in a row. */
+    private static final int READS_MOST = 16;
+    /**
+     * Such rows passed over behind what was no request, while an answer is owed for what came before. Guards
+     * against a flood that is read for nothing.
+     */
+    private static final int PASSED_OVER_MOST = 16;
     /** How long a connection may take until its first request is whole, or over sending a later one. */
     private static final long PATIENCE_NANOS = TimeUnit.SECONDS.toNanos(2);
     /** How long one that has had an answer is kept while there is room, and while there is little. */
@@ -126,6 +140,8 @@
     /** Its last answer is being read. */
     private final Set<Connection> ending = new LinkedHashSet<>();
     private long bodies;
+    /** Requests read ahead on all connections. */
+    private int readAhead;
     private boolean leaving;
     private boolean draining;
 
@@ -140,6 +156,9 @@
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            // Reads until nothing is left: a close that has come is seen with what came before it.
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR,
+                new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(READS_MOST))
             .childHandler(new ChannelInitializer<SocketChannel>() {
                 @Override
                 protected void initChannel(SocketChannel ch) {
@@ -347,6 +366,9 @@
         private int held;
         /** Nothing more is taken from it: what came was wrong, or it ends. */
         private boolean deaf;
+        private int passedOver;
+        /** It is about to be looked at whether something is to be taken. */
+        private boolean due;
 
         Connection(SocketChannel channel, Decoders.Requests decoder) {
             this.channel = channel;
@@ -376,7 +398,7 @@
             connections.remove(this);
             move(null);
             deaf = true;
-            ahead.clear();
+            forgetAhead();
             body = Unpooled.EMPTY_BUFFER;
             bodies -= held;
             held = 0;
@@ -417,6 +439,9 @@
 
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (deaf && ++passedOver >= PASSED_OVER_MOST) {
+                channel.config().setAutoRead(false);
+            }
             if ((at == silent || at == kept) && decoder.begun()) {
                 // Guards against waiting twice for an unknown peer that says nothing and then half a request.
                 long from = at == silent ? since : nanoClock.getAsLong();
@@ -472,23 +497,53 @@
         private void wrong(HttpResponseStatus error) {
             deaf = true;
             body = Unpooled.EMPTY_BUFFER;
-            channel.config().setAutoRead(false);
+            channel.config().setAutoRead(current != null || !ahead.isEmpty()); // to see a close behind it
             ask(new Asked(null, error, false));
         }
 
         private void ask(Asked asked) {
             ahead.add(asked);
-            next();
+            readAhead++;
+            if (current == null) {
+                move(null); // Guards against the end, or want of room, closing it before that is taken.
+            }
+            limitReading();
+            nextLater();
         }
 
-        /** What was asked is taken in its turn, and not while answers are still to be read. */
-        private void next() {
+        /**
+         * Looks for what is to be taken once all is read that has come. Guards against working for a client
+         * whose close came with its request.
+         */
+        private void nextLater() {
+            if (!due) {
+                due = true;
+                channel.eventLoop().execute(() -> {
+                    due = false;
+                    next();
+                });
+            }
+        }
+
+        private void limitReading() {
             if (!deaf) {
-                channel.config().setAutoRead(ahead.size() < AHEAD_MOST);
+                int most = readAhead < AHEAD_ALL ? AHEAD_MOST : AHEAD_LEAST;
+                channel.config().setAutoRead(ahead.size() < most);
             }
+        }
+
+        private void forgetAhead() {
+            readAhead -= ahead.size();
+            ahead.clear();
+        }
+
+        /** What was asked is taken in its turn, and not while answers are still to be read. */
+        private void next() {
             if (current == null && !ahead.isEmpty() && channel.isWritable()) {
+                readAhead--;
                 take(ahead.poll());
             }
+            limitReading();
         }
 
         private void take(Asked asked) {
@@ -522,7 +577,7 @@
             if (last) {
                 boolean unread = deaf && decoder.begun();
                 deaf = true;
-                ahead.clear();
+                forgetAhead();
                 move(finishing);
                 // Guards against a reset for what was not read, which would overtake the answer.
                 written.addListener(unread ? done -> linger() : ChannelFutureListener.CLOSE);
@@ -531,7 +586,7 @@
                 boolean more = !ahead.isEmpty() && channel.isWritable();
                 move(more ? null : decoder.begun() ? begun : kept);
                 if (more) {
-                    channel.eventLoop().execute(this::next);
+                    nextLater();
                 }
             }
         }
--- a/src/test/java/gatefront/net/LeavingTest.java
+++ b/src/test/java/gatefront/net/LeavingTest.java
@@ -1,6 +1,7 @@
 package gatefront.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import gatefront.Balancer;
@@ -16,6 +17,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** A client that leaves while its request waits: nobody is to work for it, whatever it waits for. */
 class LeavingTest {
@@ -116,4 +119,116 @@
             }
         }
     }
+
+    /** However it ends its side: a client that still waits keeps its connection whole. */
+    @ParameterizedTest
+    @ValueSource(strings = {"close", "reset", "end of its sending"})
+    void aClientHasGoneHoweverItEndsItsConnection(String how) throws Exception {
+        start();
+        Socket client = stage.dial();
+        Peer.write(client, stage.request("lookup", 8000, ""));
+        came.await(Stage.GENEROUS_MS, TimeUnit.MILLISECONDS);
+        switch (how) {
+            case "close" -> client.close();
+            case "reset" -> Peer.reset(client);
+            default -> client.shutdownOutput();
+        }
+        assertTrue(left.await(Stage.GENEROUS_MS, TimeUnit.MILLISECONDS));
+        assertOnlyTheNextIsSent("127.0.0.1:9");
+    }
+
+    /** Holds the loop in the event of the first request until this is counted down. */
+    private CountDownLatch holdTheLoop() throws IOException {
+        CountDownLatch go = new CountDownLatch(1);
+        stage.start(stage.overheard((event, details) -> {
+            if (event.equals("request")) {
+                came.countDown();
+                hold(go);
+            }
+        }));
+        return go;
+    }
+
+    private static void hold(CountDownLatch until) {
+        try {
+            until.await(Stage.GENEROUS_MS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private List<String> arrived() {
+        return stage.servers.get(0).requests.stream().map(each -> each.header("Request-Id")).toList();
+    }
+
+    /**
+     * Failed before: a request and the close behind it, read in one go, were taken in turn, and the request was
+     * sent on; it may have waited long for the loop, or for its connection to be accepted.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aRequestIsNotSentWhoseClientLeftBeforeItWasRead(boolean onANewConnection) throws Exception {
+        stage.server((message, socket) -> Peer.answer(socket, 200, "", message.header("Request-Id")));
+        CountDownLatch go = holdTheLoop();
+        Socket client = onANewConnection ? null : stage.dial();
+        if (client != null) {
+            assertEquals(200, Stage.exchange(client, "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n").status());
+        }
+        Socket first = stage.dial();
+        Peer.write(first, stage.request("lookup", 8000, ""));
+        assertTrue(came.await(Stage.GENEROUS_MS, TimeUnit.MILLISECONDS));
+        client = client == null ? stage.dial() : client;
+        Peer.write(client, stage.request("lookup", 8000, ""));
+        client.close();
+        go.countDown();
+        assertEquals("id1", Peer.read(first.getInputStream()).text());
+        passTheLoop();
+        passTheLoop();
+        assertEquals("id3", Stage.exchange(stage.dial(), stage.request("lookup", 8000, "")).text());
+        assertEquals(List.of("id1", "id3"), arrived());
+    }
+
+    /** Failed before: with four requests read ahead nothing more was read, and a close not seen. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 3, 5, 20, 60})
+    void ofManyRequestsAskedAtOnceNoneIsSentOnceTheirClientLeft(int ahead) throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        Peer server = stage.server((message, socket) -> {
+            if (message.header("Request-Id").equals("id1")) {
+                hold(go);
+            }
+            Peer.answer(socket, 200, "", message.header("Request-Id"));
+        });
+        start();
+        Socket client = stage.dial();
+        StringBuilder all = new StringBuilder(stage.request("lookup", 8000, ""));
+        for (int i = 0; i < ahead; i++) {
+            all.append(stage.request("lookup", 8000, ""));
+        }
+        Peer.write(client, all.toString());
+        Stage.await(() -> server.requests.size() == 1);
+        client.close();
+        assertTrue(left.await(Stage.GENEROUS_MS, TimeUnit.MILLISECONDS), "the close is seen behind what was asked");
+        go.countDown();
+        String next = "id" + (ahead + 2);
+        assertEquals(next, Stage.exchange(stage.dial(), stage.request("lookup", 8000, "")).text());
+        assertEquals(List.of("id1", next), arrived());
+    }
+
+    /** Failed before: behind what was no request nothing more was read, and the close not seen. */
+    @ParameterizedTest
+    @ValueSource(strings = {"noise \u0001\r\n\r\n", "POST /order HTTP/1.1\r\nHost: a\r\nRequest-Class: order\r\n"
+        + "Request-Id: x\r\nRequest-Timeout-Ms: 500\r\nContent-Length: 60000000\r\n\r\nand a part of it"})
+    void aCloseBehindWhatIsNoRequestIsSeen(String noise) throws Exception {
+        Peer full = stage.server((message, socket) -> Peer.answer(socket, 503, "Not-Started: 1\r\n", ""));
+        start();
+        Socket client = stage.dial();
+        Peer.write(client, stage.request("lookup", 8000, "") + noise);
+        assertEquals(Balancer.Outcome.FULL, outcome.get(Stage.GENEROUS_MS, TimeUnit.MILLISECONDS));
+        passTheLoop();
+        client.close();
+        assertTrue(left.await(Stage.GENEROUS_MS, TimeUnit.MILLISECONDS), "the close is seen");
+        assertOnlyTheNextIsSent(full.address());
+        assertEquals(1, full.requests.size());
+    }
 }
