--- a/src/scale/java/gatefront/scale/FleetConfig.java
+++ b/src/scale/java/gatefront/scale/FleetConfig.java
@@ -12,6 +12,9 @@
     /** How long clients wait, as the classes below say. */
     static final long GIVE_UP_MS = 8_000;
 
+    /** After this, a server that was told to drain gets nothing more. */
+    static final long GRACE_MS = 500;
+
     private static final String COMMON = """
         {"name": "agent", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1",
          "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
--- a/src/scale/java/gatefront/scale/FleetProcesses.java
+++ b/src/scale/java/gatefront/scale/FleetProcesses.java
@@ -100,11 +100,20 @@
                 nextChange += TimeUnit.MILLISECONDS.toNanos(plan.changeMs());
             }
             sample();
+            followDrains();
             interval();
             sleep(SAMPLE_MS);
         }
     }
 
+    private void followDrains() throws IOException {
+        long waiting = real.drains().waitsFor();
+        if (waiting > 0 && discovery != null && realMillis(waiting, 0).size() == plan.real()) {
+            real.drains().told(waiting, System.nanoTime());
+        }
+        real.drains().pass(System.nanoTime());
+    }
+
     /** Tells a change as one version. */
     void change(List<ServerEntry> changed) throws IOException {
         servers.apply(changed);
@@ -113,7 +122,7 @@
         version = told.path("version").asLong();
         versions.add(version);
         made.add(told.path("told").asLong());
-        real.changed(changed);
+        real.changed(changed, version);
         if (reachable) {
             hollow.truth(changed, made.get(made.size() - 1));
         } else {
@@ -126,6 +135,11 @@
         return servers;
     }
 
+    /** The real agents. */
+    RealSide real() {
+        return real;
+    }
+
     /** How many changes were told so far. */
     int changes() {
         return made.size();
@@ -139,7 +153,7 @@
         made.add(System.nanoTime());
         version = discovery.replace(servers.entries());
         versions.add(version);
-        real.changed(changed);
+        real.changed(changed, version);
         hollow.truth(changed, made.get(made.size() - 1));
     }
 
@@ -312,7 +326,7 @@
             phases.stream().mapToLong(each -> each.hollow().had()).sum(),
             phases.stream().mapToLong(each -> each.hollow().of()).sum(),
             plan.real(), realAgree(),
-            plan.realPerSecond() == 0 ? -1 : real.requests(), real.lost(), real.died(), made.size(), killed,
+            plan.realPerSecond() == 0 ? -1 : real.requests(), real.lost(), real.drains().late(), real.died(), made.size(), killed,
             killed ? changesAfter : 0, settingsSent, settingsAgree, settingsOf);
     }
 
--- a/src/scale/java/gatefront/scale/FleetRun.java
+++ b/src/scale/java/gatefront/scale/FleetRun.java
@@ -56,6 +56,7 @@
             FleetPhase.tell(report, plan.name() + ": " + plan.scale(), phases);
             JsonNode totals = fleet.totals();
             tell(totals);
+            report.line("logs", Map.of("logs", fleet.real().logs()));
             report.line("outcome", Map.of("outcome", outcome));
             return new FleetResult(outcome, List.copyOf(phases), totals);
         }
--- a/src/scale/java/gatefront/scale/RealSide.java
+++ b/src/scale/java/gatefront/scale/RealSide.java
@@ -33,6 +33,9 @@
 
     private static final int BLOCK = 3;
     private static final int THREADS = 2;
+    /** Of the settings, and what every time limit of the protocol is extended by. */
+    private static final long GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(FleetConfig.GRACE_MS + 50);
+    private static final int LOGS_MOST = 3;
     private static final int CONCURRENT = 16;
     private static final int QUEUE = 64;
     private static final double COLD_FACTOR = 3;
@@ -49,6 +52,7 @@
     private final BackendStandIns backends;
     private final List<ServerEntry> servers;
     private final Map<String, Backend> backendOf = new HashMap<>();
+    private final DrainWatch drains = new DrainWatch(GRACE_NANOS, this::sends);
     private ClientLoad load;
 
     /**
@@ -139,7 +143,7 @@
     }
 
     /** The backends do as discovery says of them. */
-    void changed(List<ServerEntry> changed) {
+    void changed(List<ServerEntry> changed, long version) {
         if (plan.real() == 0) {
             return;
         }
@@ -148,12 +152,24 @@
             if (each.status() == ServerEntry.Status.READY) {
                 backend.coldStart();
                 backend.set(Mode.SERVES);
+                drains.returns(each.name());
             } else {
                 backend.set(Mode.DRAINS);
+                drains.leaves(each.name(), version);
             }
         }
     }
 
+    private long sends(String server) {
+        BackendStandIns.Counts counts = backendOf.get(server).counts();
+        return counts.calls() + counts.turnedAway();
+    }
+
+    /** What has come to backends that have left. */
+    DrainWatch drains() {
+        return drains;
+    }
+
     /** Processor time of all agents so far, in seconds. */
     double cpuSeconds() {
         return running().stream().mapToDouble(each -> ProcessFigures.cpuSeconds(each.pid())).sum();
@@ -191,6 +207,19 @@
         return counts;
     }
 
+    /** The last log lines of the agents that refused or failed calls; of some, if there are many. */
+    Map<String, List<String>> logs() {
+        Map<String, List<String>> logs = new TreeMap<>();
+        for (int i = 0; load != null && i < running().size() && logs.size() < LOGS_MOST; i++) {
+            Map<Outcome, Long> counts = load.counts(i);
+            if (counts.entrySet().stream().anyMatch(each -> each.getKey() != Outcome.SERVED && each.getValue() > 0)) {
+                RealAgent agent = running().get(i);
+                logs.put(agent.name() + " " + counts, agent.log());
+            }
+        }
+        return logs;
+    }
+
     /** Adds what they have counted and cost in all. */
     void totals(ObjectNode totals) {
         counts().forEach((name, count) -> totals.put("real_" + name, count));
@@ -198,6 +227,7 @@
             totals.put("real_resident_mb_each", FleetProcesses.round(running().stream()
                 .mapToDouble(each -> ProcessFigures.residentMb(each.pid())).average().orElse(0)));
             BackendStandIns.Counts counts = backends.counts();
+            totals.put("real_late_sends", drains.late()).put("real_leaves_judged", drains.judged());
             totals.put("backends_calls", counts.calls()).put("backends_turned_away", counts.turnedAway())
                 .put("backends_probes", counts.probes());
         }
--- a/src/test/java/gatefront/scale/FleetOutcomeTest.java
+++ b/src/test/java/gatefront/scale/FleetOutcomeTest.java
@@ -12,7 +12,7 @@
 /** A check that cannot fail is a defect: each verdict is shown a result on which it has to. */
 class FleetOutcomeTest {
     private static final FleetOutcome GOOD =
-        new FleetOutcome(40, 40, 1_000, 0, 0, 0, 400, 400, 2, 2, 1_000, 0, 0, 10, true, 5, 100, 42, 42);
+        new FleetOutcome(40, 40, 1_000, 0, 0, 0, 400, 400, 2, 2, 1_000, 0, 0, 0, 10, true, 5, 100, 42, 42);
 
     /** A value that is wrong, and the words that have to be said of it. */
     private static final Map<String, Map.Entry<Integer, String>> BAD = Map.ofEntries(
@@ -25,6 +25,7 @@
         Map.entry("realAgree", Map.entry(1, "the last version is at 1 of 2 real agents")),
         Map.entry("realRequests", Map.entry(0, "no request came to the real agents")),
         Map.entry("realLost", Map.entry(2, "2 requests were lost by real agents")),
+        Map.entry("realLate", Map.entry(4, "4 requests came from real agents to servers that have left")),
         Map.entry("realDied", Map.entry(1, "1 real agents ended")),
         Map.entry("changesAfter", Map.entry(0, "no change after its return")),
         Map.entry("settingsAgree", Map.entry(41, "settings is at 41 of 42 agents")));
