--- a/src/scale/java/gatefront/scale/FleetConfig.java
+++ b/src/scale/java/gatefront/scale/FleetConfig.java
@@ -15,6 +15,10 @@
     /** After this, a server that was told to drain gets nothing more. */
     static final long GRACE_MS = 500;
 
+    /** How often a real agent looks at its file without a signal, in case one was lost. */
+    private static final int CHECK_MS = 500;
+    private static final double WORTH_STEPS = 1_000;
+
     private static final String COMMON = """
         {"name": "agent", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1",
          "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
@@ -59,9 +63,20 @@
         for (int i = 0; i < zones; i++) {
             names.add(zone(i));
         }
+        version(config, 0);
         return config;
     }
 
+    /**
+     * Gives a configuration another version of its settings, which differ from the others in what a class is worth.
+     *
+     * @param version grows with each
+     */
+    static void version(ObjectNode config, long version) {
+        config.putObject("live_settings").put("version", version).put("check_ms", CHECK_MS);
+        ((ObjectNode) config.at("/settings/classes/0")).put("worth", 1 + version / WORTH_STEPS);
+    }
+
     /**
      * What one agent has of its own.
      *
--- a/src/scale/java/gatefront/scale/FleetPhase.java
+++ b/src/scale/java/gatefront/scale/FleetPhase.java
@@ -66,7 +66,8 @@
             "B/s each", "messages/s each", "CPU discovery", "CPU hollow", "CPU real"), costs);
     }
 
-    private static List<String> cells(ChangeTimes.Spread spread) {
+    /** How many had it, and when half, 99 in 100 and the last had, in milliseconds. */
+    static List<String> cells(ChangeTimes.Spread spread) {
         return List.of(spread.had() + "/" + spread.of(), millis(spread.p50Micros()), millis(spread.p99Micros()),
             millis(spread.lastMicros()));
     }
--- a/src/scale/java/gatefront/scale/FleetProcesses.java
+++ b/src/scale/java/gatefront/scale/FleetProcesses.java
@@ -56,8 +56,7 @@
     private double markRealCpu;
     private long markFailed;
     private int settingsSent;
-    private long settingsAgree;
-    private long settingsOf;
+    private final List<Long> settingsMade = new ArrayList<>();
 
     /**
      * Starts all processes and waits until every agent has the list.
@@ -196,8 +195,36 @@
     }
 
     /** Puts so many versions of the settings in force, one right after the other. */
-    void settingsBurst(int versions) throws IOException {
-        throw new IllegalArgumentException("event: the settings need agents that take them over");
+    void settingsBurst(int count) throws IOException {
+        ObjectNode common = FleetConfig.common(discovery.address(), plan.zones(), plan.agents());
+        for (int i = 0; i < count; i++) {
+            long next = ++settingsSent;
+            FleetConfig.version(common, next);
+            settingsMade.add(System.nanoTime());
+            hollow.settings(settingsMade.size() - 1, next, common);
+            real.settings(settingsMade.size() - 1, next);
+        }
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(SETTLE_MS);
+        while (settingsAgree() < plan.agents() && System.nanoTime() < end) {
+            pass(SAMPLE_MS, false);
+        }
+    }
+
+    /** How many agents have the last version of the settings. */
+    private long settingsAgree() throws IOException {
+        int last = settingsMade.size() - 1;
+        return last < 0 ? 0 : hollow.whenSettings(last, settingsMade.subList(last, last + 1)).had()
+            + real.whenSettings(last, settingsMade.subList(last, last + 1)).had();
+    }
+
+    /** When agents had the versions of the settings: hollow ones, then real ones. */
+    List<ChangeTimes.Spread> settingsTimes() throws IOException {
+        return List.of(hollow.whenSettings(0, settingsMade), real.whenSettings(0, settingsMade));
+    }
+
+    /** From the first version of the settings to the last, in seconds. */
+    double settingsSeconds() {
+        return (settingsMade.get(settingsMade.size() - 1) - settingsMade.get(0)) / NANOS;
     }
 
     /** Waits until every agent has the list as it stands, or it has taken too long; prints on. */
@@ -327,7 +354,8 @@
             phases.stream().mapToLong(each -> each.hollow().of()).sum(),
             plan.real(), realAgree(),
             plan.realPerSecond() == 0 ? -1 : real.requests(), real.lost(), real.drains().late(), real.died(), made.size(), killed,
-            killed ? changesAfter : 0, settingsSent, settingsAgree, settingsOf);
+            killed ? changesAfter : 0, settingsSent, settingsAgree(),
+            settingsSent > 0 ? plan.agents() : 0);
     }
 
     /** What the agents have counted and cost in all, by names that tell the unit. */
--- a/src/scale/java/gatefront/scale/FleetRun.java
+++ b/src/scale/java/gatefront/scale/FleetRun.java
@@ -101,10 +101,22 @@
                     changesBeforeReturn = fleet.changes();
                 });
             }
-            case SETTINGS -> part(fleet, "settings", () -> {
-                fleet.settingsBurst(plan.versions());
-                fleet.pass(during, true);
-            });
+            case SETTINGS -> {
+                part(fleet, "settings", () -> {
+                    fleet.settingsBurst(plan.versions());
+                    fleet.pass(during, true);
+                });
+                List<List<String>> rows = new ArrayList<>();
+                List<ChangeTimes.Spread> times = fleet.settingsTimes();
+                for (int i = 0; i < times.size(); i++) {
+                    List<String> row = new ArrayList<>(List.of(i == 0 ? "hollow" : "real"));
+                    row.addAll(FleetPhase.cells(times.get(i)));
+                    rows.add(row);
+                }
+                report.table(plan.versions() + " versions of the settings in "
+                    + Report.number(fleet.settingsSeconds(), 2) + " s; ms until each is in force",
+                    List.of("agents", "had", "half", "99%", "last"), rows);
+            }
         }
     }
 
--- a/src/scale/java/gatefront/scale/HollowAgent.java
+++ b/src/scale/java/gatefront/scale/HollowAgent.java
@@ -6,6 +6,7 @@
 import gatefront.Balancer.Phase;
 import gatefront.Balancer.Server;
 import gatefront.Rules;
+import gatefront.Takeover;
 import gatefront.net.Config;
 import gatefront.net.Discovery;
 import io.netty.channel.EventLoop;
@@ -37,7 +38,9 @@
     private static final double[] NO_LOAD = new double[0];
 
     private final EventLoop loop;
-    private final Config config;
+    /** What is in force, and its version. */
+    private Config config;
+    private long settingsVersion;
     private final ServerTruth truth;
     private final HollowLoad load;
     private final LongSupplier micros;
@@ -131,7 +134,7 @@
             @Override
             public void failed(String why) {
                 counts.lists[ListKind.FAILED.ordinal()]++;
-                if (config.settings().askDiscovery()) {
+                if (HollowAgent.this.config.settings().askDiscovery()) {
                     event(() -> balancer().servers(now(), ListKind.FAILED, List.of()));
                 }
             }
@@ -155,6 +158,25 @@
         }
     }
 
+    /**
+     * Takes other settings over, as a real agent does once it has read its file; not those of an older version.
+     * On the loop.
+     *
+     * @return whether they are in force now
+     */
+    boolean settings(long version, Config next) {
+        if (version <= settingsVersion) {
+            return false;
+        }
+        Config before = config;
+        balancer.settings(now(), new Takeover(next.settings(),
+            Takeover.positions(before.classes(), next.classes()),
+            Takeover.positions(before.zones(), next.zones()), Takeover.positions(before.kinds(), next.kinds())));
+        config = next;
+        settingsVersion = version;
+        return true;
+    }
+
     /** Takes no more requests and closes its connection. On the loop. */
     void close() {
         closed = true;
--- a/src/scale/java/gatefront/scale/HollowCommand.java
+++ b/src/scale/java/gatefront/scale/HollowCommand.java
@@ -74,6 +74,8 @@
             case "expect" -> fleet.changeTimes().expect(told.path("change").asInt(),
                 told.path("fingerprint").asLong());
             case "when" -> answer.setAll((ObjectNode) Json.MAPPER.valueToTree(when(told)));
+            case "settings" -> fleet.settings(told.path("number").asInt(), told.path("version").asLong(),
+                (ObjectNode) told.get("config"));
             case "truth" -> truth(told);
             case "agree" -> answer.put("agree", fleet.agree(told.path("fingerprint").asLong()));
             case "report" -> report(answer);
@@ -102,7 +104,8 @@
     private ChangeTimes.Spread when(JsonNode told) {
         List<Long> made = new ArrayList<>();
         told.path("made_ns").forEach(each -> made.add(each.asLong()));
-        return fleet.changeTimes().spread(told.path("first").asInt(), made);
+        ChangeTimes times = told.path("settings").asBoolean() ? fleet.settingsTimes() : fleet.changeTimes();
+        return times.spread(told.path("first").asInt(), made);
     }
 
     private static FleetPlan.Mode mode(JsonNode told) {
--- a/src/scale/java/gatefront/scale/HollowFleet.java
+++ b/src/scale/java/gatefront/scale/HollowFleet.java
@@ -34,6 +34,11 @@
                 long spreadMs, long seed) {
         /** The configuration of one of them, as the file of a real agent would have it. */
         Config config(int agent) {
+            return config(agent, config);
+        }
+
+        /** The same with other common settings. */
+        Config config(int agent, ObjectNode config) {
             ObjectNode own = Json.MAPPER.createObjectNode();
             own.setAll(config);
             own.put("name", "h" + agent).put("seed", Long.toHexString(seedOf(agent)));
@@ -54,6 +59,8 @@
     private final EventLoopGroup group;
     private final ServerTruth truth = new ServerTruth();
     private final ChangeTimes changeTimes;
+    private final ChangeTimes settingsTimes;
+    private final Plan plan;
     private final List<Member> members = new ArrayList<>();
 
     /** An agent and its loop; the agent is made there. */
@@ -69,7 +76,9 @@
     /** Starts the agents on so many event loops; they begin as the plan spreads them. */
     HollowFleet(Plan plan, int loops) {
         group = new MultiThreadIoEventLoopGroup(loops, NioIoHandler.newFactory());
+        this.plan = plan;
         changeTimes = new ChangeTimes(plan.agents());
+        settingsTimes = new ChangeTimes(plan.agents());
         for (int i = 0; i < plan.agents(); i++) {
             int number = i;
             Member member = new Member(group.next());
@@ -94,6 +103,30 @@
         return changeTimes;
     }
 
+    /** When each agent has each version of the settings. */
+    ChangeTimes settingsTimes() {
+        return settingsTimes;
+    }
+
+    /**
+     * Gives every agent other settings, at once; each reads and takes them over on its loop.
+     *
+     * @param number of the version in {@link #settingsTimes}
+     */
+    void settings(int number, long version, ObjectNode common) {
+        settingsTimes.expect(number, version);
+        for (int i = 0; i < members.size(); i++) {
+            int agent = i;
+            Member member = members.get(i);
+            member.loop.execute(() -> {
+                if (member.agent != null
+                        && member.agent.settings(version, plan.config(plan.first() + agent, common))) {
+                    settingsTimes.applied(agent, version, System.nanoTime());
+                }
+            });
+        }
+    }
+
     /** What all have counted so far. */
     HollowCounts counts() {
         HollowCounts sum = new HollowCounts();
--- a/src/scale/java/gatefront/scale/HollowProcess.java
+++ b/src/scale/java/gatefront/scale/HollowProcess.java
@@ -62,12 +62,27 @@
 
     /** When the agents had the changes, see {@link ChangeTimes#spread}. */
     ChangeTimes.Spread when(int first, List<Long> made) throws IOException {
-        ObjectNode line = line("when").put("first", first);
+        return when(line("when").put("first", first), made);
+    }
+
+    /** The same of versions of the settings. */
+    ChangeTimes.Spread whenSettings(int first, List<Long> made) throws IOException {
+        return when(line("when").put("first", first).put("settings", true), made);
+    }
+
+    private ChangeTimes.Spread when(ObjectNode line, List<Long> made) throws IOException {
         ArrayNode times = line.putArray("made_ns");
         made.forEach(times::add);
         return Json.MAPPER.convertValue(ask(line), ChangeTimes.Spread.class);
     }
 
+    /** Gives all agents another version of the settings; answers before they have it. */
+    void settings(int number, long version, ObjectNode common) throws IOException {
+        ObjectNode line = line("settings").put("number", number).put("version", version);
+        line.set("config", common);
+        ask(line);
+    }
+
     /** Tells which servers leave or return, as of when discovery has it and can be reached. */
     void truth(List<ServerEntry> changed, long atNanos) throws IOException {
         ObjectNode line = line("truth").put("at_ns", atNanos);
--- a/src/scale/java/gatefront/scale/RealAgents.java
+++ b/src/scale/java/gatefront/scale/RealAgents.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.BiConsumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -42,6 +43,7 @@
     private final String run;
     private final Path folder;
     private final List<RealAgent> agents = new ArrayList<>();
+    private final BiConsumer<String, String> hears;
 
     /**
      * None yet.
@@ -50,6 +52,16 @@
      * @throws IOException if the deploy file cannot be read or its build has not been run
      */
     public RealAgents(Children children, Path root) throws IOException {
+        this(children, root, (name, line) -> { });
+    }
+
+    /**
+     * The same.
+     *
+     * @param hears an agent's name and a line of its log, at once and on a thread of that log
+     */
+    RealAgents(Children children, Path root, BiConsumer<String, String> hears) throws IOException {
+        this.hears = hears;
         this.children = children;
         this.root = root;
         // An archive that does not belong to the jar is passed over, and starts would take twice as long.
@@ -152,6 +164,7 @@
                         listening.complete(Addresses.of(at.group(1)));
                     }
                     keep(line);
+                    hears.accept(name, line);
                 }
             } catch (IOException e) {
                 keep("the log broke off: " + e.getMessage());
--- a/src/scale/java/gatefront/scale/RealSide.java
+++ b/src/scale/java/gatefront/scale/RealSide.java
@@ -22,6 +22,8 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * The real agents of an experiment with what they need and hollow ones do not: clients, and backends that
@@ -31,6 +33,7 @@
     /** How discovery names real agents: each calls another of its addresses. */
     static final String PREFIX = "127.3.";
 
+    private static final Pattern IN_FORCE = Pattern.compile("^settings: version (\\d+) in force");
     private static final int BLOCK = 3;
     private static final int THREADS = 2;
     /** Of the settings, and what every time limit of the protocol is extended by. */
@@ -53,6 +56,8 @@
     private final List<ServerEntry> servers;
     private final Map<String, Backend> backendOf = new HashMap<>();
     private final DrainWatch drains = new DrainWatch(GRACE_NANOS, this::sends);
+    /** When each agent has said that it has which version of the settings. */
+    private final ChangeTimes settingsTimes;
     private ClientLoad load;
 
     /**
@@ -64,6 +69,7 @@
     RealSide(Children children, FleetPlan plan, Path root) throws IOException {
         this.plan = plan;
         port = freePort();
+        settingsTimes = new ChangeTimes(plan.real());
         if (plan.real() == 0) {
             group = null;
             agents = null;
@@ -71,7 +77,7 @@
             servers = FleetServers.made(plan.servers(), plan.zones());
             return;
         }
-        agents = new RealAgents(children, root);
+        agents = new RealAgents(children, root, this::hear);
         group = new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
         Work work = new Work(plan.answerMicros(), plan.answerSigma());
         Map<String, Work> works = new HashMap<>();
@@ -118,7 +124,7 @@
             return;
         }
         for (int i = 0; i < plan.real(); i++) {
-            agents.start("r" + i, told(i));
+            agents.start("r" + i, told(i, 0));
         }
         List<ClientLoad.Stream> streams = new ArrayList<>();
         try {
@@ -136,8 +142,36 @@
         }
     }
 
-    private Told told(int agent) {
+    /** An agent says on the thread of its log which version is in force; each has one thread. */
+    private void hear(String agent, String line) {
+        Matcher version = IN_FORCE.matcher(line);
+        if (version.find()) {
+            settingsTimes.applied(Integer.parseInt(agent.substring(1)), Long.parseLong(version.group(1)),
+                System.nanoTime());
+        }
+    }
+
+    /** Writes another version of the settings for each agent and has it read them. */
+    void settings(int number, long version) throws IOException {
+        settingsTimes.expect(number, version);
+        try {
+            for (int i = 0; i < running().size(); i++) {
+                running().get(i).reload(told(i, version));
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", e);
+        }
+    }
+
+    /** When they had versions of the settings, see {@link ChangeTimes#spread}. */
+    ChangeTimes.Spread whenSettings(int first, List<Long> made) {
+        return settingsTimes.spread(first, made);
+    }
+
+    private Told told(int agent, long version) {
         ObjectNode template = FleetConfig.common(discovery(agent), plan.zones(), plan.agents());
+        FleetConfig.version(template, version);
         FleetConfig.own((ObjectNode) template.get("settings"), agent, plan.mode());
         return new Told(template, "127.0.0.1:0", discovery(agent), plan.agents(), agent);
     }
--- a/src/test/java/gatefront/scale/HollowAgentTest.java
+++ b/src/test/java/gatefront/scale/HollowAgentTest.java
@@ -1,6 +1,8 @@
 package gatefront.scale;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import gatefront.Balancer.ListKind;
 import gatefront.Balancer.Phase;
@@ -93,6 +95,19 @@
         assertEquals(0, agent.open());
     }
 
+    @Test
+    void settingsOfAnOlderVersionAreNotTakenOver() {
+        Config other = Config.read(Path.of("src/test/resources/config.json"));
+        assertTrue(agent.settings(5, other));
+        assertFalse(agent.settings(5, other));
+        assertFalse(agent.settings(4, other));
+        assertTrue(agent.settings(7, other));
+        agent.list(ListKind.FULL, List.of(server(1, Phase.READY)));
+        agent.request(LOOKUP);
+        pass(10_000);
+        assertEquals(1, agent.counts().served);
+    }
+
     @Test
     void theFingerprintIsTheListsHoweverItCame() {
         agent.list(ListKind.FULL, List.of(server(1, Phase.READY), server(2, Phase.READY), server(3, Phase.READY)));
