--- a/src/scale/java/gatefront/scale/ChangeTimes.java
+++ b/src/scale/java/gatefront/scale/ChangeTimes.java
@@ -68,7 +68,7 @@
                 }
             }
         }
-        return new Spread(micros.getTotalCount(), (long) agents * made.size(), micros.getValueAtPercentile(50),
-            micros.getValueAtPercentile(99), micros.getMaxValue());
+        return new Spread(micros.getTotalCount(), (long) agents * made.size(),
+            micros.getValueAtPercentile(50), micros.getValueAtPercentile(99), micros.getMaxValue());
     }
 }
--- a/src/scale/java/gatefront/scale/ControlExperiment.java
+++ b/src/scale/java/gatefront/scale/ControlExperiment.java
@@ -12,9 +12,9 @@
 import java.util.function.ToDoubleFunction;
 
 /**
- * What control costs against the number of agents that follow discovery, or against the number of servers that it
- * lists: hollow agents without requests, at several sizes in an order shuffled for each round. A line is fitted to
- * all sizes but one, which it then predicts.
+ * What control costs against the number of agents that follow discovery, or against the number of servers
+ * that it lists: hollow agents without requests, at several sizes in an order shuffled for each round. A line
+ * is fitted to all sizes but one, which it then predicts.
  */
 final class ControlExperiment implements Experiment {
     private static final int SPARE_SECONDS = 120;
@@ -45,7 +45,8 @@
         HOLLOW_STEADY("CPU of a hollow agent with a change a second, % of a core", 4,
             result -> PERCENT * result.phase("steady").hollowCpu() / result.outcome().hollow()),
         HEAP("heap of all hollow agents after collections, MB", 1,
-            result -> result.totals().path("hollow_heap_kb_each").asDouble() * result.outcome().hollow() / 1_024),
+            result -> result.totals().path("hollow_heap_kb_each").asDouble()
+                * result.outcome().hollow() / 1_024),
         HEAP_EACH("heap of a hollow agent after collections, kB", 1,
             result -> result.totals().path("hollow_heap_kb_each").asDouble());
 
@@ -130,7 +131,8 @@
         int agents = byServers ? fixed : size;
         int servers = byServers ? size : fixed;
         return new FleetPlan(agents + " agents, " + servers + " servers", "round " + round,
-            List.of(FleetPlan.Event.IDLE, FleetPlan.Event.STEADY, FleetPlan.Event.WHOLE), agents, 0, servers, zones,
-            FleetPlan.Mode.AUTOMATIC, 0, 0, 1, 0, 1_000 + agents, 3, measureSeconds, 0, 1_000, 1, seed + round);
+            List.of(FleetPlan.Event.IDLE, FleetPlan.Event.STEADY, FleetPlan.Event.WHOLE), agents, 0,
+            servers, zones, FleetPlan.Mode.AUTOMATIC, 0, 0, 1, 0, 1_000 + agents, 3, measureSeconds, 0,
+            1_000, 1, seed + round);
     }
 }
--- a/src/scale/java/gatefront/scale/DiscoveryMeter.java
+++ b/src/scale/java/gatefront/scale/DiscoveryMeter.java
@@ -4,8 +4,8 @@
 import java.util.Deque;
 
 /**
- * What discovery has been asked for, over all its processes: sums, and the peak of its calls. Samples come from
- * one thread; times are nanoseconds of one clock.
+ * What discovery has been asked for, over all its processes: sums, and the peak of its calls. Samples come
+ * from one thread; times are nanoseconds of one clock.
  */
 final class DiscoveryMeter {
     /** Sums since the first sample. */
@@ -15,8 +15,8 @@
 
         /** Of what discovery's process says, and its processor time. */
         static Sums of(DiscoveryStandIn.Counts counts, double cpuSeconds) {
-            return new Sums(counts.calls(), counts.wholes(), counts.deltas(), counts.empties(), counts.refused(),
-                counts.bytesIn(), counts.bytesOut(), cpuSeconds);
+            return new Sums(counts.calls(), counts.wholes(), counts.deltas(), counts.empties(),
+                counts.refused(), counts.bytesIn(), counts.bytesOut(), cpuSeconds);
         }
 
         Sums plus(Sums other) {
@@ -68,7 +68,9 @@
         return ended.plus(running);
     }
 
-    /** The most calls that came between two samples no more than a second apart, since this was last asked. */
+    /**
+     * The most calls that came between two samples no more than a second apart, since this was last asked.
+     */
     double takePeak() {
         double most = peak;
         peak = 0;
--- a/src/scale/java/gatefront/scale/DrainWatch.java
+++ b/src/scale/java/gatefront/scale/DrainWatch.java
@@ -5,9 +5,9 @@
 import java.util.function.ToLongFunction;
 
 /**
- * Counts what servers get although they have left: whatever comes later than the grace after the last agent was
- * told. It follows the order of events: a leave that is not told to all before the server is back is not judged.
- * Times are nanoseconds of one clock; one thread uses it.
+ * Counts what servers get although they have left: whatever comes later than the grace after the last agent
+ * was told. It follows the order of events: a leave that is not told to all before the server is back is not
+ * judged. Times are nanoseconds of one clock; one thread uses it.
  */
 final class DrainWatch {
     /** A server that has left, until it is back. */
@@ -56,7 +56,8 @@
 
     /** The oldest version that not all agents are known to have; 0 if there is none. */
     long waitsFor() {
-        return left.values().stream().filter(each -> !each.told).mapToLong(each -> each.version).min().orElse(0);
+        return left.values().stream().filter(each -> !each.told).mapToLong(each -> each.version).min()
+            .orElse(0);
     }
 
     /** All agents have that version, and by that all before it. */
--- a/src/scale/java/gatefront/scale/FleetConfig.java
+++ b/src/scale/java/gatefront/scale/FleetConfig.java
@@ -68,7 +68,8 @@
     }
 
     /**
-     * Gives a configuration another version of its settings, which differ from the others in what a class is worth.
+     * Gives a configuration another version of its settings, which differ from the others in what a class is
+     * worth.
      *
      * @param version grows with each
      */
--- a/src/scale/java/gatefront/scale/FleetExperiment.java
+++ b/src/scale/java/gatefront/scale/FleetExperiment.java
@@ -16,7 +16,8 @@
 
     @Override
     public int limitSeconds() {
-        return plan.beforeSeconds() + 2 * plan.events().size() * plan.eventSeconds() + plan.afterSeconds() + SPARE_SECONDS;
+        return plan.beforeSeconds() + 2 * plan.events().size() * plan.eventSeconds()
+            + plan.afterSeconds() + SPARE_SECONDS;
     }
 
     @Override
--- a/src/scale/java/gatefront/scale/FleetPhase.java
+++ b/src/scale/java/gatefront/scale/FleetPhase.java
@@ -20,8 +20,9 @@
  * @param hollowCpu of a core, all hollow agents together
  * @param realCpu of a core, all real agents together
  */
-record FleetPhase(String name, double seconds, int changes, ChangeTimes.Spread hollow, ChangeTimes.Spread real,
-                  int agents, DiscoveryMeter.Sums discovery, DiscoveryMeter.Sums realDiscovery, double peakCalls, long failedCalls,
+record FleetPhase(String name, double seconds, int changes, ChangeTimes.Spread hollow,
+                  ChangeTimes.Spread real, int agents, DiscoveryMeter.Sums discovery,
+                  DiscoveryMeter.Sums realDiscovery, double peakCalls, long failedCalls,
                   double hollowCpu, double realCpu) {
     private static final int DIGITS = 3;
 
@@ -59,17 +60,18 @@
                 Report.number(2 * each.callsPerAgent(), 3), share(each.discovery.cpuSeconds() / each.seconds),
                 share(each.hollowCpu), share(each.realCpu)));
         }
-        report.table(title + "; times from the change until agents have it, in ms", List.of("part", "s", "changes",
-            "hollow had", "half", "99%", "last", "real had", "half", "99%", "last"), times);
-        report.table("control: calls a second at discovery, and what each agent has of it; CPU in % of a core, all "
-            + "together", List.of("part", "calls/s", "most in 1 s", "failed", "whole lists", "503",
+        report.table(title + "; times from the change until agents have it, in ms",
+            List.of("part", "s", "changes", "hollow had", "half", "99%", "last", "real had", "half",
+                "99%", "last"), times);
+        report.table("control: calls a second at discovery, and what each agent has of it; CPU in % of a "
+            + "core, all together", List.of("part", "calls/s", "most in 1 s", "failed", "whole lists", "503",
             "B/s each", "messages/s each", "CPU discovery", "CPU hollow", "CPU real"), costs);
     }
 
     /** How many had it, and when half, 99 in 100 and the last had, in milliseconds. */
     static List<String> cells(ChangeTimes.Spread spread) {
-        return List.of(spread.had() + "/" + spread.of(), millis(spread.p50Micros()), millis(spread.p99Micros()),
-            millis(spread.lastMicros()));
+        return List.of(spread.had() + "/" + spread.of(), millis(spread.p50Micros()),
+            millis(spread.p99Micros()), millis(spread.lastMicros()));
     }
 
     private static String millis(long micros) {
--- a/src/scale/java/gatefront/scale/FleetPlan.java
+++ b/src/scale/java/gatefront/scale/FleetPlan.java
@@ -31,16 +31,20 @@
  * @param versions how many versions of the settings the burst has
  * @param seed for everything random
  */
-record FleetPlan(String name, String scale, List<Event> events, int hollow, int real, int servers, int zones, Mode mode,
+record FleetPlan(String name, String scale, List<Event> events, int hollow, int real, int servers,
+                 int zones, Mode mode,
                  double perSecond, double realPerSecond, int answerMicros, double answerSigma, int spreadMs,
-                 int beforeSeconds, int eventSeconds, int afterSeconds, int changeMs, int versions, int seed) {
+                 int beforeSeconds, int eventSeconds, int afterSeconds, int changeMs, int versions,
+                 int seed) {
     /** What happens in the middle. */
     enum Event {
         /** Nothing: watches are renewed. */
         IDLE,
         /** Nothing but changes of single entries. */
         STEADY,
-        /** Discovery has changes no more that lead from the versions that agents have: all get the whole list. */
+        /**
+         * Discovery has changes no more that lead from the versions that agents have: all get the whole list.
+         */
         WHOLE,
         /** A zone's servers are gone with one change, and come back as just started with another. */
         ZONE,
--- a/src/scale/java/gatefront/scale/FleetProcesses.java
+++ b/src/scale/java/gatefront/scale/FleetProcesses.java
@@ -11,8 +11,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The processes of one experiment: discovery, hollow agents, real agents. One thread uses it. It ends what it has
- * started, whatever happened.
+ * The processes of one experiment: discovery, hollow agents, real agents. One thread uses it. It ends what it
+ * has started, whatever happened.
  */
 final class FleetProcesses implements AutoCloseable {
     /** How long agents may take to come to the same list: a bound on the run, not a judgement. */
@@ -144,7 +144,9 @@
         return made.size();
     }
 
-    /** Makes one change and has discovery forget how it came to its list: every agent gets the whole of it. */
+    /**
+     * Makes one change and has discovery forget how it came to its list: every agent gets the whole of it.
+     */
     void forget() throws IOException {
         List<ServerEntry> changed = List.of(servers.next(System.currentTimeMillis()));
         servers.apply(changed);
@@ -283,10 +285,12 @@
         List<Long> times = made.subList(markChange, made.size());
         settle();
         takeRealMillis();
-        List<Double> millis = realMillis.subList(markChange, made.size()).stream().flatMap(List::stream).toList();
+        List<Double> millis = realMillis.subList(markChange, made.size()).stream().flatMap(List::stream)
+            .toList();
         return new FleetPhase(name, seconds, times.size(), hollow.when(markChange, times),
             FleetPhase.spread(millis, (long) plan.real() * times.size()), plan.agents(),
-            meter.sums().minus(markSums), realSums().minus(markRealSums), meter.takePeak(), failedCalls() - markFailed, hollowCpu, realCpu);
+            meter.sums().minus(markSums), realSums().minus(markRealSums), meter.takePeak(),
+            failedCalls() - markFailed, hollowCpu, realCpu);
     }
 
     /** What discovery has done for real agents so far; those of its processes that have ended included. */
@@ -353,7 +357,8 @@
             phases.stream().mapToLong(each -> each.hollow().had()).sum(),
             phases.stream().mapToLong(each -> each.hollow().of()).sum(),
             plan.real(), realAgree(),
-            plan.realPerSecond() == 0 ? -1 : real.requests(), real.lost(), real.drains().late(), real.died(), made.size(), killed,
+            plan.realPerSecond() == 0 ? -1 : real.requests(), real.lost(), real.drains().late(),
+            real.died(), made.size(), killed,
             killed ? changesAfter : 0, settingsSent, settingsAgree(),
             settingsSent > 0 ? plan.agents() : 0);
     }
@@ -365,7 +370,8 @@
         totals.setAll((ObjectNode) counts);
         double resident = ProcessFigures.residentMb(hollow.pid());
         totals.put("hollow_resident_mb", round(resident))
-            .put("hollow_resident_kb_each", round((resident - emptyResidentMb) * KB / Math.max(1, plan.hollow())))
+            .put("hollow_resident_kb_each", round((resident - emptyResidentMb) * KB
+                / Math.max(1, plan.hollow())))
             .put("hollow_heap_kb_each", round((hollow.heapBytes() - emptyHeapBytes) / KB
                 / Math.max(1, plan.hollow())))
             .put("discovery_resident_mb", round(ProcessFigures.residentMb(discovery.pid())));
--- a/src/scale/java/gatefront/scale/FleetRun.java
+++ b/src/scale/java/gatefront/scale/FleetRun.java
@@ -78,7 +78,8 @@
                     fleet.pass(during, false);
                 });
                 part(fleet, "zone back", () -> {
-                    fleet.change(fleet.servers().zone(zone, ServerEntry.Status.READY, System.currentTimeMillis()));
+                    fleet.change(fleet.servers().zone(zone, ServerEntry.Status.READY,
+                        System.currentTimeMillis()));
                     fleet.pass(during, false);
                 });
             }
--- a/src/scale/java/gatefront/scale/FleetServers.java
+++ b/src/scale/java/gatefront/scale/FleetServers.java
@@ -28,12 +28,14 @@
 
     /** All servers of a zone as they would be listed in that state. */
     List<ServerEntry> zone(String zone, ServerEntry.Status status, long startedAtMs) {
-        return all.stream().filter(each -> each.zone().equals(zone)).map(each -> each.with(status, startedAtMs))
+        return all.stream().filter(each -> each.zone().equals(zone))
+            .map(each -> each.with(status, startedAtMs))
             .toList();
     }
 
     /**
-     * The next change of an ordinary day: one server after the other drains, goes and comes back as just started.
+     * The next change of an ordinary day: one server after the other drains, goes and comes back as just
+     * started.
      *
      * @param nowMs when it starts, in Unix time
      */
--- a/src/scale/java/gatefront/scale/HollowAgent.java
+++ b/src/scale/java/gatefront/scale/HollowAgent.java
@@ -159,8 +159,8 @@
     }
 
     /**
-     * Takes other settings over, as a real agent does once it has read its file; not those of an older version.
-     * On the loop.
+     * Takes other settings over, as a real agent does once it has read its file; not those of an older
+     * version. On the loop.
      *
      * @return whether they are in force now
      */
@@ -171,7 +171,8 @@
         Config before = config;
         balancer.settings(now(), new Takeover(next.settings(),
             Takeover.positions(before.classes(), next.classes()),
-            Takeover.positions(before.zones(), next.zones()), Takeover.positions(before.kinds(), next.kinds())));
+            Takeover.positions(before.zones(), next.zones()),
+            Takeover.positions(before.kinds(), next.kinds())));
         config = next;
         settingsVersion = version;
         return true;
--- a/src/scale/java/gatefront/scale/HollowCommand.java
+++ b/src/scale/java/gatefront/scale/HollowCommand.java
@@ -19,8 +19,8 @@
 
 /**
  * Hollow agents in a process of their own, so that what they cost is measured apart. A control line on
- * standard input is a JSON object whose {@code do} names what to do; each gets one line in answer. The process
- * ends with {@code end} or with its input.
+ * standard input is a JSON object whose {@code do} names what to do; each gets one line in answer. The
+ * process ends with {@code end} or with its input.
  */
 @Command(name = "hollow", mixinStandardHelpOptions = true,
     description = "Hollow agents, told by JSON lines on standard input what to do.")
--- a/src/scale/java/gatefront/scale/HollowFleet.java
+++ b/src/scale/java/gatefront/scale/HollowFleet.java
@@ -24,7 +24,8 @@
      * @param agents how many
      * @param first the number of the first of them in the whole fleet
      * @param of how many agents the fleet has in all, real ones included
-     * @param config what all have in common, in the form of the agent's configuration file; discovery included
+     * @param config what all have in common, in the form of the agent's configuration file; discovery
+     * included
      * @param mode who decides when discovery is asked
      * @param load what each carries
      * @param spreadMs over what time they begin, evenly, as separate starts would
@@ -85,7 +86,8 @@
             members.add(member);
             long delay = plan.spreadMs() * i / plan.agents();
             member.loop.schedule(() -> {
-                member.agent = new HollowAgent(member.loop, plan.config(plan.first() + number), truth, plan.load(),
+                member.agent = new HollowAgent(member.loop, plan.config(plan.first() + number), truth,
+                    plan.load(),
                     () -> System.nanoTime() / NANOS_PER_MICRO,
                     fingerprint -> changeTimes.applied(number, fingerprint, System.nanoTime()));
                 member.agent.begin();
--- a/src/scale/java/gatefront/scale/HollowLoad.java
+++ b/src/scale/java/gatefront/scale/HollowLoad.java
@@ -3,7 +3,8 @@
 import java.util.SplittableRandom;
 
 /**
- * What a hollow agent carries, in place of clients and servers: when requests come, and how long answers take.
+ * What a hollow agent carries, in place of clients and servers: when requests come, and how long answers
+ * take.
  *
  * @param perSecond requests of one agent a second in the mean, 0 for none; they come as a Poisson process
  * @param medianMicros the median time of an answer
--- a/src/scale/java/gatefront/scale/LikenessExperiment.java
+++ b/src/scale/java/gatefront/scale/LikenessExperiment.java
@@ -6,8 +6,8 @@
 
 /**
  * Whether hollow agents are like real ones: as many of both under the same load and the same changes, at one
- * discovery. What each side asks and gets is compared, part by part; where they differ by more than a tenth, the
- * factor says how.
+ * discovery. What each side asks and gets is compared, part by part; where they differ by more than a tenth,
+ * the factor says how.
  */
 final class LikenessExperiment implements Experiment {
     private static final int SPARE_SECONDS = 300;
@@ -46,7 +46,8 @@
         compare(rows, "all", "probes", result.totals().path("backends_probes").asDouble(),
             result.totals().path("probes").asDouble());
         report.table(plan.name() + ": what " + plan.real() + " real and " + plan.hollow()
-            + " hollow agents did, each in the mean", List.of("part", "figure", "real", "hollow", "factor", "alike"),
+            + " hollow agents did, each in the mean",
+            List.of("part", "figure", "real", "hollow", "factor", "alike"),
             rows);
         if (!result.outcome().complaints().isEmpty()) {
             throw new IOException(String.join("; ", result.outcome().complaints()));
--- a/src/scale/java/gatefront/scale/RealSide.java
+++ b/src/scale/java/gatefront/scale/RealSide.java
@@ -82,7 +82,8 @@
         Work work = new Work(plan.answerMicros(), plan.answerSigma());
         Map<String, Work> works = new HashMap<>();
         KINDS.forEach(each -> works.put(each.name(), work));
-        backends = new BackendStandIns(group, new BackendStandIns.Options(works, CONCURRENT, QUEUE, COLD_FACTOR,
+        backends = new BackendStandIns(group, new BackendStandIns.Options(works, CONCURRENT, QUEUE,
+            COLD_FACTOR,
             COLD_MS, plan.seed()));
         List<ServerEntry> entries = new ArrayList<>();
         for (ServerEntry each : FleetServers.made(plan.servers(), plan.zones())) {
@@ -93,7 +94,9 @@
         servers = List.copyOf(entries);
     }
 
-    /** A port that is free now, for all of discovery's addresses, in this process and in those that follow. */
+    /**
+     * A port that is free now, for all of discovery's addresses, in this process and in those that follow.
+     */
     private static int freePort() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return socket.getLocalPort();
@@ -129,7 +132,8 @@
         List<ClientLoad.Stream> streams = new ArrayList<>();
         try {
             for (RealAgent each : agents.all()) {
-                streams.add(new ClientLoad.Stream(each.name(), List.of(each.awaitReady()), plan.realPerSecond(),
+                streams.add(new ClientLoad.Stream(each.name(), List.of(each.awaitReady()),
+                    plan.realPerSecond(),
                     plan.seed() + streams.size(), 0));
             }
         } catch (InterruptedException e) {
@@ -236,7 +240,8 @@
     Map<String, Long> counts() {
         Map<String, Long> counts = new TreeMap<>();
         if (load != null) {
-            load.counts().forEach((outcome, count) -> counts.put(outcome.name().toLowerCase(Locale.ROOT), count));
+            load.counts().forEach((outcome, count) -> counts.put(outcome.name()
+                .toLowerCase(Locale.ROOT), count));
         }
         return counts;
     }
@@ -246,7 +251,8 @@
         Map<String, List<String>> logs = new TreeMap<>();
         for (int i = 0; load != null && i < running().size() && logs.size() < LOGS_MOST; i++) {
             Map<Outcome, Long> counts = load.counts(i);
-            if (counts.entrySet().stream().anyMatch(each -> each.getKey() != Outcome.SERVED && each.getValue() > 0)) {
+            counts.remove(Outcome.SERVED);
+            if (counts.values().stream().anyMatch(each -> each > 0)) {
                 RealAgent agent = running().get(i);
                 logs.put(agent.name() + " " + counts, agent.log());
             }
--- a/src/test/java/gatefront/scale/HollowAgentTest.java
+++ b/src/test/java/gatefront/scale/HollowAgentTest.java
@@ -35,7 +35,8 @@
     }
 
     private static Endpoint server(int id, Phase phase) {
-        return new Endpoint(new Server(id, 0, 0, 0, phase, 1, 0), "s" + id, new InetSocketAddress("127.0.0.1", 1));
+        return new Endpoint(new Server(id, 0, 0, 0, phase, 1, 0), "s" + id,
+            new InetSocketAddress("127.0.0.1", 1));
     }
 
     private void pass(long some) {
@@ -110,7 +111,8 @@
 
     @Test
     void theFingerprintIsTheListsHoweverItCame() {
-        agent.list(ListKind.FULL, List.of(server(1, Phase.READY), server(2, Phase.READY), server(3, Phase.READY)));
+        agent.list(ListKind.FULL, List.of(server(1, Phase.READY), server(2, Phase.READY),
+            server(3, Phase.READY)));
         agent.list(ListKind.DELTA, List.of(server(2, Phase.DRAINING), server(3, Phase.GONE)));
         List<Server> same = List.of(server(2, Phase.DRAINING).server(), server(1, Phase.READY).server());
         assertEquals(Fingerprint.of(same), agent.fingerprint());
