--- a/src/scale/java/gatefront/scale/RealSide.java
+++ b/src/scale/java/gatefront/scale/RealSide.java
@@ -22,6 +22,8 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * The real agents of an experiment with what they need and hollow ones do not: clients, and backends that
@@ -31,8 +33,12 @@
     /** How discovery names real agents: each calls another of its addresses. */
     static final String PREFIX = "127.3.";
 
+    private static final Pattern IN_FORCE = Pattern.compile("^settings: version (\\d+) in force");
     private static final int BLOCK = 3;
     private static final int THREADS = 2;
+    /** Of the settings, and what every time limit of the protocol is extended by. */
+    private static final long GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(FleetConfig.GRACE_MS + 50);
+    private static final int LOGS_MOST = 3;
     private static final int CONCURRENT = 16;
     private static final int QUEUE = 64;
     private static final double COLD_FACTOR = 3;
@@ -49,6 +55,9 @@
     private final BackendStandIns backends;
     private final List<ServerEntry> servers;
     private final Map<String, Backend> backendOf = new HashMap<>();
+    private final DrainWatch drains = new DrainWatch(GRACE_NANOS, this::sends);
+    /** When each agent has said that it has which version of the settings. */
+    private final ChangeTimes settingsTimes;
     private ClientLoad load;
 
     /**
@@ -60,6 +69,7 @@
     RealSide(Children children, FleetPlan plan, Path root) throws IOException {
         this.plan = plan;
         port = freePort();
+        settingsTimes = new ChangeTimes(plan.real());
         if (plan.real() == 0) {
             group = null;
             agents = null;
@@ -67,12 +77,13 @@
             servers = FleetServers.made(plan.servers(), plan.zones());
             return;
         }
-        agents = new RealAgents(children, root);
+        agents = new RealAgents(children, root, this::hear);
         group = new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
         Work work = new Work(plan.answerMicros(), plan.answerSigma());
         Map<String, Work> works = new HashMap<>();
         KINDS.forEach(each -> works.put(each.name(), work));
-        backends = new BackendStandIns(group, new BackendStandIns.Options(works, CONCURRENT, QUEUE, COLD_FACTOR,
+        backends = new BackendStandIns(group, new BackendStandIns.Options(works, CONCURRENT, QUEUE,
+            COLD_FACTOR,
             COLD_MS, plan.seed()));
         List<ServerEntry> entries = new ArrayList<>();
         for (ServerEntry each : FleetServers.made(plan.servers(), plan.zones())) {
@@ -83,7 +94,9 @@
         servers = List.copyOf(entries);
     }
 
-    /** A port that is free now, for all of discovery's addresses, in this process and in those that follow. */
+    /**
+     * A port that is free now, for all of discovery's addresses, in this process and in those that follow.
+     */
     private static int freePort() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return socket.getLocalPort();
@@ -114,12 +127,13 @@
             return;
         }
         for (int i = 0; i < plan.real(); i++) {
-            agents.start("r" + i, told(i));
+            agents.start("r" + i, told(i, 0));
         }
         List<ClientLoad.Stream> streams = new ArrayList<>();
         try {
             for (RealAgent each : agents.all()) {
-                streams.add(new ClientLoad.Stream(each.name(), List.of(each.awaitReady()), plan.realPerSecond(),
+                streams.add(new ClientLoad.Stream(each.name(), List.of(each.awaitReady()),
+                    plan.realPerSecond(),
                     plan.seed() + streams.size(), 0));
             }
         } catch (InterruptedException e) {
@@ -132,14 +146,42 @@
         }
     }
 
-    private Told told(int agent) {
+    /** An agent says on the thread of its log which version is in force; each has one thread. */
+    private void hear(String agent, String line) {
+        Matcher version = IN_FORCE.matcher(line);
+        if (version.find()) {
+            settingsTimes.applied(Integer.parseInt(agent.substring(1)), Long.parseLong(version.group(1)),
+                System.nanoTime());
+        }
+    }
+
+    /** Writes another version of the settings for each agent and has it read them. */
+    void settings(int number, long version) throws IOException {
+        settingsTimes.expect(number, version);
+        try {
+            for (int i = 0; i < running().size(); i++) {
+                running().get(i).reload(told(i, version));
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", e);
+        }
+    }
+
+    /** When they had versions of the settings, see {@link ChangeTimes#spread}. */
+    ChangeTimes.Spread whenSettings(int first, List<Long> made) {
+        return settingsTimes.spread(first, made);
+    }
+
+    private Told told(int agent, long version) {
         ObjectNode template = FleetConfig.common(discovery(agent), plan.zones(), plan.agents());
+        FleetConfig.version(template, version);
         FleetConfig.own((ObjectNode) template.get("settings"), agent, plan.mode());
         return new Told(template, "127.0.0.1:0", discovery(agent), plan.agents(), agent);
     }
 
     /** The backends do as discovery says of them. */
-    void changed(List<ServerEntry> changed) {
+    void changed(List<ServerEntry> changed, long version) {
         if (plan.real() == 0) {
             return;
         }
@@ -148,12 +190,24 @@
             if (each.status() == ServerEntry.Status.READY) {
                 backend.coldStart();
                 backend.set(Mode.SERVES);
+                drains.returns(each.name());
             } else {
                 backend.set(Mode.DRAINS);
+                drains.leaves(each.name(), version);
             }
         }
     }
 
+    private long sends(String server) {
+        BackendStandIns.Counts counts = backendOf.get(server).counts();
+        return counts.calls() + counts.turnedAway();
+    }
+
+    /** What has come to backends that have left. */
+    DrainWatch drains() {
+        return drains;
+    }
+
     /** Processor time of all agents so far, in seconds. */
     double cpuSeconds() {
         return running().stream().mapToDouble(each -> ProcessFigures.cpuSeconds(each.pid())).sum();
@@ -186,11 +240,26 @@
     Map<String, Long> counts() {
         Map<String, Long> counts = new TreeMap<>();
         if (load != null) {
-            load.counts().forEach((outcome, count) -> counts.put(outcome.name().toLowerCase(Locale.ROOT), count));
+            load.counts().forEach((outcome, count) -> counts.put(outcome.name()
+                .toLowerCase(Locale.ROOT), count));
         }
         return counts;
     }
 
+    /** The last log lines of the agents that refused or failed calls; of some, if there are many. */
+    Map<String, List<String>> logs() {
+        Map<String, List<String>> logs = new TreeMap<>();
+        for (int i = 0; load != null && i < running().size() && logs.size() < LOGS_MOST; i++) {
+            Map<Outcome, Long> counts = load.counts(i);
+            counts.remove(Outcome.SERVED);
+            if (counts.values().stream().anyMatch(each -> each > 0)) {
+                RealAgent agent = running().get(i);
+                logs.put(agent.name() + " " + counts, agent.log());
+            }
+        }
+        return logs;
+    }
+
     /** Adds what they have counted and cost in all. */
     void totals(ObjectNode totals) {
         counts().forEach((name, count) -> totals.put("real_" + name, count));
@@ -198,6 +267,7 @@
             totals.put("real_resident_mb_each", FleetProcesses.round(running().stream()
                 .mapToDouble(each -> ProcessFigures.residentMb(each.pid())).average().orElse(0)));
             BackendStandIns.Counts counts = backends.counts();
+            totals.put("real_late_sends", drains.late()).put("real_leaves_judged", drains.judged());
             totals.put("backends_calls", counts.calls()).put("backends_turned_away", counts.turnedAway())
                 .put("backends_probes", counts.probes());
         }
