A changed file is read again for a tenth of a second, not for two

Cause: the time of a file may be coarse, so one written less than two seconds before a read was read again with each look. With check_ms 1000 each change cost up to three reads, of 10 ms each where the known list holds 18,000.

Change: where a file's time shows parts of a second, it is taken to be as fine as the system's clock.

--- a/src/main/java/gatefront/net/ConfigFile.java
+++ b/src/main/java/gatefront/net/ConfigFile.java
@@ -16,7 +16,7 @@
  * each other (one at a time; what is asked for meanwhile is one more read after it), and against an agent
  * that is left behind by a lost signal or by a file seen half-written.
  */
-final class ConfigFile {
+public final class ConfigFile {
     /**
      * What one read has found.
      *
@@ -27,8 +27,8 @@
      * @param asked whether somebody asked for this read; else the file had changed
      * @param micros how long the reading took
      */
-    record Found(InetSocketAddress discovery, Config config, long version, String unusable, boolean asked,
-                 long micros) { }
+    public record Found(InetSocketAddress discovery, Config config, long version, String unusable,
+                        boolean asked, long micros) { }
 
     /** What tells whether a file has changed. One written a moment before may have changed unseen. */
     private record Stamp(Path file, FileTime modified, long size, Object key) {
@@ -42,12 +42,17 @@
         }
 
         boolean settled() {
-            return Math.abs(System.currentTimeMillis() - modified.toMillis()) > SETTLED_MS;
+            boolean fine = modified.toMillis() % 1000 != 0;
+            long age = System.currentTimeMillis() - modified.toMillis();
+            return Math.abs(age) > (fine ? SETTLED_FINE_MS : SETTLED_MS);
         }
     }
 
-    /** Times of files may be as coarse as this. */
+    /**
+     * Times of files may be as coarse as this, and where they show parts of a second, as the system's clock.
+     */
     private static final long SETTLED_MS = 2_000;
+    private static final long SETTLED_FINE_MS = 100;
     /** How soon an unusable file is looked at again where nobody says how often to look. */
     private static final long UNUSABLE_MS = 1_000;
 
@@ -71,14 +76,14 @@
      * @param live whether settings have versions; otherwise only a whole usable file tells anything
      * @param then hears of each read, one at a time, on the thread that has read
      */
-    ConfigFile(Path file, boolean live, Consumer<Found> then) {
+    public ConfigFile(Path file, boolean live, Consumer<Found> then) {
         this.file = file;
         this.live = live;
         this.then = then;
     }
 
     /** Reads the file, or has it read once more by the thread that reads now. */
-    void read(Path from) {
+    public void read(Path from) {
         synchronized (this) {
             file = from;
             asked = true;
@@ -158,12 +163,13 @@
     }
 
     /** From now on looks whether the file has changed; 0 for no more. */
-    synchronized void lookEvery(long ms) {
+    public synchronized void lookEvery(long ms) {
         everyMs = ms;
         watchIfNeeded();
     }
 
-    synchronized void close() {
+    /** Reads no more; a read that is under way ends as it may. */
+    public synchronized void close() {
         closed = true;
         notifyAll();
     }
--- a/src/main/java/gatefront/net/LiveSettings.java
+++ b/src/main/java/gatefront/net/LiveSettings.java
@@ -12,7 +12,7 @@
  * is taken whole or not at all; the same one is there already; a lower one is refused: to go back, the old
  * content gets a new version. All of it runs on the agent's event loop.
  */
-final class LiveSettings {
+public final class LiveSettings {
     private int taken;
     private int refused;
     /** The line of the last file, if that was refused: one that does not change is told of once. */
@@ -87,7 +87,7 @@
      * @throws IllegalArgumentException if they are unusable, or cannot follow under way; the message is one
      *     plain line that begins with the key
      */
-    static Takeover takeover(Config before, Config next, Predicate<String> inUse) {
+    public static Takeover takeover(Config before, Config next, Predicate<String> inUse) {
         named("classes", next.classes(), next.settings().classes().size());
         named("realms", next.tenants(), next.settings().tenants().size());
         named("zones", next.zones(), next.settings().zones());
