The known list's tree is let go once the module has the list

Cause: Config kept the known list as it was parsed for as long as the agent ran, beside what is made of it. With 18,000 entries in it the agent ran out of its heap of 32 MB before it was ready, also before settings were live.

Change: once the list is decoded the configuration in force has none, before the module makes its own of it.

--- a/src/main/java/gatefront/net/Agent.java
+++ b/src/main/java/gatefront/net/Agent.java
@@ -190,6 +190,7 @@
             log("known list: " + e.getMessage());
             known = new Discovery.Listing(0, true, List.of());
         }
+        apply(config.withoutKnown()); // before the module makes its own of it: both at once may be too much
         list(Balancer.ListKind.CACHED, known.endpoints());
         if (!config.settings().askDiscovery()) {
             discovery.watch();
--- a/src/main/java/gatefront/net/Config.java
+++ b/src/main/java/gatefront/net/Config.java
@@ -133,6 +133,15 @@
         return settled().equals(other.settled());
     }
 
+    /**
+     * The same without the known list, which is needed once. Guards against a tree of it that is kept for as
+     * long as the agent runs: for a large fleet it would take a great part of the heap.
+     */
+    Config withoutKnown() {
+        return new Config(listen, discovery, seed, sockets, null, settings, classes, tenants, zones, kinds,
+            loadFields, loadByProbe, connectTimeoutMicros, idleCloseMicros, live);
+    }
+
     private Config settled() {
         return new Config(listen, null, 0, sockets, null, settings, classes, tenants, zones, kinds,
             loadFields, loadByProbe, connectTimeoutMicros, idleCloseMicros, live);
