--- a/src/main/java/gatefront/net/Agent.java
+++ b/src/main/java/gatefront/net/Agent.java
@@ -72,8 +72,8 @@
     private final Map<Long, Discovery.Endpoint> servers = new HashMap<>();
     private final LiveSettings live = new LiveSettings();
     private final ConfigFile file;
-    /** The list of the configuration: what is held until discovery answers. */
-    private final Discovery.Listing known;
+    /** The list of the configuration: what is held until discovery answers; null once the module has it. */
+    private Discovery.Listing known;
     private final CountDownLatch ended = new CountDownLatch(1);
     /** The monotonic clock is anchored once to the time of day, in which the list tells starts. */
     private final long anchorMicros = 1000 * System.currentTimeMillis() - System.nanoTime() / 1000;
@@ -199,7 +199,10 @@
     }
 
     private void begin() {
-        list(Balancer.ListKind.CACHED, known.endpoints());
+        apply(config.withoutKnown()); // before the module makes its own of it: both at once may be too much
+        List<Discovery.Endpoint> held = known.endpoints();
+        known = null;
+        list(Balancer.ListKind.CACHED, held);
         if (!config.settings().askDiscovery()) {
             discovery.watch();
         }
