Test: none is sent for a client that reads no answers once it left

The place that was missing: a client that asks much at once and reads nothing, so that no more is taken until its answers are written, and then resets its connection.

--- a/src/test/java/gatefront/net/LeavingTest.java
+++ b/src/test/java/gatefront/net/LeavingTest.java
@@ -7,6 +7,7 @@
 import gatefront.Balancer;
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.List;
@@ -231,4 +232,27 @@
         assertOnlyTheNextIsSent(full.address());
         assertEquals(1, full.requests.size());
     }
+
+    /** A client that asks much and reads nothing, until no answer can be written, and then goes. */
+    @ParameterizedTest
+    @ValueSource(ints = {3, 60})
+    void noneIsSentForAClientThatReadsNoAnswersOnceItLeft(int ahead) throws Exception {
+        String large = "x".repeat(60_000);
+        Peer server = stage.server((message, socket) -> Peer.answer(socket, 200, "", large));
+        start();
+        Socket client = new Socket();
+        client.setReceiveBufferSize(2048);
+        client.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), stage.agent.address().getPort()));
+        for (int i = 0; i <= ahead; i++) {
+            Peer.write(client, stage.request("lookup", 8000, ""));
+        }
+        Stage.await(() -> server.requests.size() >= 2);
+        Peer.reset(client);
+        passTheLoop();
+        assertEquals(large, stage.call("lookup").text()); // what was out then has arrived before
+        int sent = server.requests.size();
+        assertEquals(large, stage.call("lookup").text());
+        assertEquals(sent + 1, server.requests.size());
+        assertTrue(ahead < 60 || sent < ahead, sent + " were sent before it left: none was left to be sent");
+    }
 }
