--- a/src/scale/java/gatefront/scale/ControlExperiment.java
+++ b/src/scale/java/gatefront/scale/ControlExperiment.java
@@ -94,7 +94,7 @@
 
     @Override
     public int limitSeconds() {
-        return rounds * (sizes.size() + 1) * (4 * measureSeconds + SPARE_SECONDS);
+        return rounds * (sizes.size() + 1) * (5 * measureSeconds + SPARE_SECONDS);
     }
 
     @Override
@@ -131,8 +131,8 @@
         int agents = byServers ? fixed : size;
         int servers = byServers ? size : fixed;
         return new FleetPlan(agents + " agents, " + servers + " servers", "round " + round,
-            List.of(FleetPlan.Event.IDLE, FleetPlan.Event.STEADY, FleetPlan.Event.WHOLE), agents, 0,
-            servers, zones, FleetPlan.Mode.AUTOMATIC, 0, 0, 1, 0, 1_000 + agents, 3, measureSeconds, 0,
+            List.of(FleetPlan.Event.WARM, FleetPlan.Event.IDLE, FleetPlan.Event.STEADY,
+                FleetPlan.Event.WHOLE), agents, 0, servers, zones, FleetPlan.Mode.AUTOMATIC, 0, 0, 1, 0, 1_000 + agents, 3, measureSeconds, 0,
             1_000, 1, seed + round);
     }
 }
--- a/src/scale/java/gatefront/scale/FleetPlan.java
+++ b/src/scale/java/gatefront/scale/FleetPlan.java
@@ -38,6 +38,8 @@
                  int seed) {
     /** What happens in the middle. */
     enum Event {
+        /** Many changes: programs run until they are compiled, and what follows is measured without that. */
+        WARM,
         /** Nothing: watches are renewed. */
         IDLE,
         /** Nothing but changes of single entries. */
--- a/src/scale/java/gatefront/scale/FleetProcesses.java
+++ b/src/scale/java/gatefront/scale/FleetProcesses.java
@@ -93,12 +93,17 @@
 
     /** Lets time pass, with the ordinary changes if wanted, and prints a line for each interval. */
     void pass(long millis, boolean changing) throws IOException {
+        pass(millis, changing ? plan.changeMs() : 0);
+    }
+
+    /** The same with changes as often as that, in milliseconds; 0 for none. */
+    void pass(long millis, int changeMs) throws IOException {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
         long nextChange = System.nanoTime();
         while (System.nanoTime() < end) {
-            if (changing && plan.changeMs() > 0 && System.nanoTime() >= nextChange) {
+            if (changeMs > 0 && System.nanoTime() >= nextChange) {
                 change(List.of(servers.next(System.currentTimeMillis())));
-                nextChange += TimeUnit.MILLISECONDS.toNanos(plan.changeMs());
+                nextChange += TimeUnit.MILLISECONDS.toNanos(changeMs);
             }
             sample();
             followDrains();
--- a/src/scale/java/gatefront/scale/FleetRun.java
+++ b/src/scale/java/gatefront/scale/FleetRun.java
@@ -11,6 +11,8 @@
 final class FleetRun {
     /** The zone that is lost. */
     private static final int LOST_ZONE = 0;
+    /** Between two changes while programs warm up. */
+    private static final int WARM_MS = 100;
 
     private final FleetPlan plan;
     private final Report report;
@@ -66,6 +68,7 @@
         long during = millis(plan.eventSeconds());
         String zone = FleetConfig.zone(LOST_ZONE);
         switch (event) {
+            case WARM -> part(fleet, "warm", () -> fleet.pass(during, WARM_MS));
             case IDLE -> part(fleet, "idle", () -> fleet.pass(during, false));
             case WHOLE -> part(fleet, "whole", () -> {
                 fleet.forget();
