--- a/src/scale/java/gatefront/scale/FleetProcesses.java
+++ b/src/scale/java/gatefront/scale/FleetProcesses.java
@@ -16,7 +16,7 @@
  */
 final class FleetProcesses implements AutoCloseable {
     /** How long agents may take to come to the same list: a bound on the run, not a judgement. */
-    private static final long SETTLE_MS = 60_000;
+    private static final long SETTLE_MS = 30_000;
     private static final long SAMPLE_MS = 50;
     private static final double INTERVAL_SECONDS = 1;
     private static final double NANOS = 1e9;
@@ -47,6 +47,8 @@
     private DiscoveryMeter.Sums intervalSums;
     private double intervalHollowCpu;
     private int cutAt;
+    /** Agents did not come to the same list in the time given. */
+    private boolean strayed;
     private int markChange;
     private long markAt;
     private DiscoveryMeter.Sums markSums;
@@ -91,12 +93,17 @@
 
     /** Lets time pass, with the ordinary changes if wanted, and prints a line for each interval. */
     void pass(long millis, boolean changing) throws IOException {
+        pass(millis, changing ? plan.changeMs() : 0);
+    }
+
+    /** The same with changes as often as that, in milliseconds; 0 for none. */
+    void pass(long millis, int changeMs) throws IOException {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
         long nextChange = System.nanoTime();
         while (System.nanoTime() < end) {
-            if (changing && plan.changeMs() > 0 && System.nanoTime() >= nextChange) {
+            if (changeMs > 0 && System.nanoTime() >= nextChange) {
                 change(List.of(servers.next(System.currentTimeMillis())));
-                nextChange += TimeUnit.MILLISECONDS.toNanos(plan.changeMs());
+                nextChange += TimeUnit.MILLISECONDS.toNanos(changeMs);
             }
             sample();
             followDrains();
@@ -231,12 +238,13 @@
 
     /** Waits until every agent has the list as it stands, or it has taken too long; prints on. */
     boolean settle() throws IOException {
-        if (discovery == null || !reachable) {
+        if (discovery == null || !reachable || strayed) {
             return false;
         }
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(SETTLE_MS);
         while (hollow.agree(servers.fingerprint()) < plan.hollow() || realAgree() < plan.real()) {
             if (System.nanoTime() > end) {
+                strayed = true; // the outcome tells; waiting again would not help
                 return false;
             }
             pass(SAMPLE_MS, false);
