Agents cut off together do not call discovery again in step

Change: Backoff, with the latter half of each wait by chance from the agent's own seed. Where lists are asked for the module decides, as before.

--- a/src/main/java/gatefront/net/Discovery.java
+++ b/src/main/java/gatefront/net/Discovery.java
@@ -85,7 +85,7 @@
     /** Numbers the calls: what belongs to an earlier one is disregarded. */
     private int call;
     private Future<?> timeout;
-    private long backoff = BACKOFF_LEAST_MS;
+    private final Backoff backoff;
 
     public Discovery(EventLoop loop, Config config, Listener listener) {
         this(loop, config, listener, NioSocketChannel::new);
@@ -97,6 +97,7 @@
         this.config = config;
         this.address = config.discovery();
         this.listener = listener;
+        this.backoff = new Backoff(BACKOFF_LEAST_MS, BACKOFF_MOST_MS, config.seed());
         this.bootstrap = new Bootstrap().group(loop).channelFactory(sockets)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) ANSWER_MS)
             .option(ChannelOption.TCP_NODELAY, true)
@@ -146,7 +147,7 @@
     public void moveTo(InetSocketAddress to) {
         if (!closed && !to.equals(address)) {
             address = to;
-            backoff = BACKOFF_LEAST_MS;
+            backoff.reset();
             moved = true;
             fetch();
         }
@@ -234,8 +235,7 @@
         if (config.settings().askDiscovery() && !moved) {
             watching = false; // the module decides when to ask again
         } else {
-            next(backoff);
-            backoff = Math.min(2 * backoff, BACKOFF_MOST_MS);
+            next(backoff.next());
         }
         if (moved) {
             Agent.say("discovery: after the move: " + why);
@@ -269,7 +269,7 @@
         }
         index = listing.index();
         moved = false;
-        backoff = BACKOFF_LEAST_MS;
+        backoff.reset();
         if (!HttpUtil.isKeepAlive(response)) {
             drop();
         }
