A list with no length is not followed by a failed call

Change: a connection that is no longer up when the answer has been read is let go with it.

Test: aListWithNoLengthEndsWithItsConnectionAndIsNoFailure, fails before.

--- a/src/main/java/gatefront/net/Discovery.java
+++ b/src/main/java/gatefront/net/Discovery.java
@@ -270,7 +270,7 @@
         index = listing.index();
         moved = false;
         backoff.reset();
-        if (!HttpUtil.isKeepAlive(response)) {
+        if (!HttpUtil.isKeepAlive(response) || !channel.isActive()) { // its end may have ended the list
             drop();
         }
         boolean news = listing.snapshot() || !listing.endpoints().isEmpty();
--- a/src/test/java/gatefront/net/AskedDiscoveryTest.java
+++ b/src/test/java/gatefront/net/AskedDiscoveryTest.java
@@ -138,6 +138,19 @@
         assertTrue(found + waits.get(1) <= TOLD_MICROS, found + " and " + waits);
     }
 
+    /** Failed before: the end of the connection that ended the list counted as a call that failed. */
+    @Test
+    void aListWithNoLengthEndsWithItsConnectionAndIsNoFailure() throws Exception {
+        stage.news.add((message, socket) -> {
+            Peer.write(socket, "HTTP/1.1 200 OK\r\n\r\n{\"index\":5,\"snapshot\":false,\"endpoints\":["
+                + Stage.endpoint(1, drained.address(), "Terminating") + "]}");
+            socket.close();
+        });
+        stage.start(hurried());
+        assertDrainKnown(stage.discovery);
+        assertEquals(1, waits.size(), "before the first call alone");
+    }
+
     @Test
     void aChangeIsKnownOnceDiscoveryIsBack() throws Exception {
         int port = stage.discovery.listener.getLocalPort();
