Scale run: whether an agent takes another whole list, and tests of death and cut-off

A whole list that comes while another is held needs memory for both; the slopes now end each point with one and say when the agent has it.

--- a/src/scale/java/gatefront/scale/DiscoveryStandIn.java
+++ b/src/scale/java/gatefront/scale/DiscoveryStandIn.java
@@ -516,7 +516,7 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             if (!(cause instanceof IOException)) {
-                System.err.println("discovery: " + cause); // a fault of its own must not look like the agent's
+                System.err.println("discovery: " + cause); // its own fault must not look like the agent's
             }
             ctx.close();
         }
--- a/src/scale/java/gatefront/scale/SlopesExperiment.java
+++ b/src/scale/java/gatefront/scale/SlopesExperiment.java
@@ -18,6 +18,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -38,6 +39,7 @@
     private static final int PORTS = 4;
     private static final int THREADS = 4;
     private static final int SPARE_SECONDS = 20;
+    private static final int AGAIN_SECONDS = 4;
 
     /** What is measured of an agent. */
     private enum Figure {
@@ -48,7 +50,9 @@
         FIRST("control bytes until start-s, kB", Sample::firstKb, 1),
         CALLS("calls to discovery, 1/s", Sample::calls, 2),
         BYTES("control bytes, B/s", Sample::bytes, 0),
-        PROBES("probes answered, 1/s", Sample::probes, 2);
+        PROBES("probes answered, 1/s", Sample::probes, 2),
+        AGAIN("CPU for another whole list, s", Sample::againCpu, 2),
+        AGAIN_HAS("until it has that, ms", Sample::againMs, 0);
 
         private final String title;
         private final ToDoubleFunction<Sample> of;
@@ -63,10 +67,11 @@
 
     /**
      * Of one agent: processor time until start-s, in seconds; share of a core in the steady time; memory;
-     * bytes from and to discovery until start-s; then calls, bytes and probes a second.
+     * bytes from and to discovery until start-s; then calls, bytes and probes a second; then processor time
+     * for another whole list while the first is held, and until it has that, not a number if it never has.
      */
     private record Sample(double startCpu, double share, double residentMb, double heapMb, double firstKb,
-                          double calls, double bytes, double probes) { }
+                          double calls, double bytes, double probes, double againCpu, double againMs) { }
 
     /**
      * What an agent is given beside the size.
@@ -162,7 +167,8 @@
     private void batch(List<Point> points, int round, JsonNode told, ExecutorService players, Report report,
                        Children children) throws InterruptedException {
         Map<Point, Future<Sample>> playing = new LinkedHashMap<>();
-        points.forEach(each -> playing.put(each, players.submit(() -> sample(each, told, children))));
+        List<String> log = new CopyOnWriteArrayList<>();
+        points.forEach(each -> playing.put(each, players.submit(() -> sample(each, told, children, log))));
         for (Map.Entry<Point, Future<Sample>> each : playing.entrySet()) {
             Map<String, Object> line = new LinkedHashMap<>();
             line.put("round", round);
@@ -179,13 +185,17 @@
             }
             report.line("point", line);
         }
+        if (!log.isEmpty()) {
+            report.line("no second list", Map.of("log", log));
+        }
     }
 
-    private Sample sample(Point point, JsonNode told, Children children) throws Exception {
+    private Sample sample(Point point, JsonNode settings, Children children, List<String> log)
+        throws Exception {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
+        Spread spread = new Spread();
         try (var stands = new BackendStandIns(group, BackendStandIns.Options.atOnce());
-             var discovery = new DiscoveryStandIn(group, ANY_PORT,
-                 DiscoveryStandIn.Options.fast(new Spread()));
+             var discovery = new DiscoveryStandIn(group, ANY_PORT, DiscoveryStandIn.Options.fast(spread));
              var real = new RealAgents(children, root)) {
             List<InetSocketAddress> at = new ArrayList<>();
             for (int i = 0; i < PORTS; i++) {
@@ -193,7 +203,7 @@
             }
             List<ServerEntry> entries = Fleet.entries(point.size(), at);
             discovery.replace(entries);
-            var agent = real.start("n0", new RealAgents.Told(told, "127.0.0.1:0", discovery.address(),
+            var agent = real.start("n0", new RealAgents.Told(settings, "127.0.0.1:0", discovery.address(),
                 point.in().fleet() ? point.size() : 1, 0));
             Changes changes = new Changes(discovery, entries, point.in().changes());
             changes.until(agent.startedAt() + TimeUnit.SECONDS.toNanos(startSeconds));
@@ -216,9 +226,18 @@
                 throw new IOException("the agent has ended: " + agent.log());
             }
             double heap = ProcessFigures.liveHeapMb(children, agent.pid());
+            cpu = ProcessFigures.cpuSeconds(agent.pid());
+            long told = System.nanoTime();
+            long version = discovery.replace(entries);
+            TimeUnit.SECONDS.sleep(AGAIN_SECONDS);
+            double again = ProcessFigures.cpuSeconds(agent.pid()) - cpu - share * AGAIN_SECONDS;
+            double has = spread.of(version, told).last();
+            if (Double.isNaN(has)) {
+                log.addAll(agent.log());
+            }
             return new Sample(startCpu, 100 * share, resident, heap, first / 1e3,
                 (after.calls() - before.calls()) / seconds, (bytes(after) - bytes(before)) / seconds,
-                answered);
+                answered, again, has);
         } finally {
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
         }
--- a/src/test/java/gatefront/scale/DiscoveryStandInTest.java
+++ b/src/test/java/gatefront/scale/DiscoveryStandInTest.java
@@ -12,10 +12,12 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -105,6 +107,42 @@
         assertTold("40 changes", "?since=40&timeout_ms=1");
     }
 
+    @Test
+    void whatIsCutOffSaysNothingUntilItsConnectionsAreReset() throws Exception {
+        // A plain socket: the library's client would ask again by itself after the reset.
+        try (Socket watch = new Socket("127.0.0.1", discovery.address().getPort())) {
+            String call = "GET /v1/servers?since=7&timeout_ms=60000 HTTP/1.1\r\nHost: d\r\n\r\n";
+            watch.getOutputStream().write(call.getBytes(StandardCharsets.US_ASCII));
+            has.take();
+            discovery.cutOff();
+            discovery.change(List.of(entry("a", Status.READY)));
+            discovery.reachable();
+            assertThrows(IOException.class, () -> watch.getInputStream().read(), "no byte before the reset");
+        }
+        assertTold("8 changes a=Ready", "?since=7&timeout_ms=60000");
+    }
+
+    @Test
+    void aProcessThatIsKilledIsFollowedByOneAtTheSameAddressWithTheSameVersion() throws Exception {
+        List<ServerEntry> servers = List.of(entry("a", Status.READY), entry("b", Status.READY));
+        try (Children children = new Children()) {
+            DiscoveryProcess first = new DiscoveryProcess(children, List.of());
+            first.replace(servers);
+            long version = first.change(List.of(entry("c", Status.READY))).get("version").asLong();
+            first.kill();
+            assertThrows(IOException.class, () -> first.ask("stats"));
+            DiscoveryProcess second = new DiscoveryProcess(children,
+                List.of("--down", "--listen", Addresses.text(first.address())));
+            assertEquals(version, second.restore(version, servers));
+            second.ask("up");
+            assertEquals(first.address(), second.address());
+            var counts = second.ask("stats");
+            assertEquals(version, counts.get("version").asLong());
+            assertEquals(0, counts.get("counts").get("calls").asLong());
+            assertThrows(IOException.class, () -> second.ask("dance"));
+        }
+    }
+
     @Test
     void fixedCapacityAnswersInTurnAndRefusesWhoWaitsTooLong() {
         long[] now = {0};
