--- a/src/main/java/gatefront/net/Backends.java
+++ b/src/main/java/gatefront/net/Backends.java
@@ -433,11 +433,10 @@
                 ctx.close(); // an answer to nothing
                 return;
             }
-            // An answer before the request has left whole cannot be an answer to it.
-            if (part.decoderResult().isFailure() || !attempt.written
-                    || part instanceof HttpResponse first && !begin(first)
-                    || part instanceof HttpContent content && !add(content)) {
-                attempt.broken(); // spoilt: nothing of it is served, and it may have run
+            String spoilt = spoilt(attempt, part);
+            if (spoilt != null) {
+                tally.spoilt(spoilt);
+                attempt.broken(); // nothing of it is served, and it may have run
             } else if (part instanceof LastHttpContent) {
                 HttpResponse whole = head;
                 head = null;
@@ -447,6 +446,20 @@
             }
         }
 
+        /** Takes a part of an answer; says what is wrong with it, or null. */
+        private String spoilt(Attempt attempt, HttpObject part) {
+            if (part.decoderResult().isFailure()) {
+                return "unreadable: " + part.decoderResult().cause().getMessage();
+            }
+            if (!attempt.written) {
+                return "early"; // before the request has left whole it cannot be an answer to it
+            }
+            if (part instanceof HttpResponse first && !begin(first)) {
+                return "status " + first.status().code() + " with " + Decoders.framing(first.headers());
+            }
+            return part instanceof HttpContent content && !add(content) ? "too long" : null;
+        }
+
         /** Takes the head of an answer; false if it cannot end well. */
         private boolean begin(HttpResponse first) {
             head = first;
@@ -455,9 +468,8 @@
             if (status < 200) {
                 return status != 101; // nobody asked for another protocol
             }
-            // Guards against a body cut short that nobody can tell from a whole one: only a length or chunks
-            // end what is served. One that is too long is not waited for.
-            return length == Decoders.CHUNKED || length == Decoders.NO_LENGTH && status != 200
+            // One that is too long is not waited for.
+            return length == Decoders.CHUNKED || length == Decoders.NO_LENGTH
                 || length >= 0 && length <= BODY_MAX;
         }
 
@@ -495,7 +507,12 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            ctx.close(); // reset; what that means for the attempt is told by channelInactive
+            // Guards against a body cut short that passes for a whole one: with no length given the end of
+            // its connection ends it, and a reset is no such end.
+            if (connection.attempt != null) {
+                connection.attempt.broken();
+            }
+            ctx.close();
         }
     }
 
