--- a/src/scale/java/gatefront/scale/WatchersExperiment.java
+++ b/src/scale/java/gatefront/scale/WatchersExperiment.java
@@ -25,6 +25,7 @@
     private static final int HERD_SECONDS = 120;
     private static final int SPARE_SECONDS = 20;
     private static final long POLL_MS = 2;
+    private static final int WARM_WATCHERS = 100;
     private static final InetSocketAddress NOBODY = new InetSocketAddress("127.0.0.1", 1);
 
     /** What is measured. */
@@ -54,6 +55,7 @@
     private final int changes;
     private final int measureSeconds;
     private final int rounds;
+    private final int warmAnswers;
 
     WatchersExperiment(Keys keys) {
         sizes = keys.wholes("watchers", List.of(16, 160, 1600), 1, 8_000);
@@ -66,6 +68,7 @@
         changes = keys.whole("changes-per-s", 1, 1, 100);
         measureSeconds = keys.whole("measure-s", 10, 1, 600);
         rounds = keys.whole("rounds", 3, 1, 100);
+        warmAnswers = keys.whole("warm-answers", 100_000, 0, 1_000_000);
     }
 
     @Override
@@ -110,6 +113,7 @@
              Watchers watchers = new Watchers(group, discovery.address(), waitMs)) {
             List<ServerEntry> entries = Fleet.entries(servers, List.of(NOBODY));
             discovery.replace(entries);
+            warm(group, discovery, Math.min(size, WARM_WATCHERS), entries);
             double cpu = ProcessFigures.cpuSeconds(discovery.pid());
             long from = System.nanoTime();
             watchers.add(size);
@@ -136,6 +140,18 @@
         return point;
     }
 
+    /** Has it answer until its code is compiled: what a process spends on that is not a slope. */
+    private void warm(EventLoopGroup group, DiscoveryProcess discovery, int watching,
+                      List<ServerEntry> entries) throws IOException, InterruptedException {
+        try (Watchers watchers = new Watchers(group, discovery.address(), waitMs)) {
+            watchers.add(watching);
+            while (watchers.answers() < warmAnswers && watchers.broken() == 0) {
+                discovery.change(List.of(entries.get(0)));
+                Thread.sleep(POLL_MS);
+            }
+        }
+    }
+
     private void steady(Map<Figure, Double> point, DiscoveryProcess discovery, Watchers watchers,
                         int perSecond, List<ServerEntry> entries, Figure share, Figure each)
                         throws IOException, InterruptedException {
