A list that cannot be taken is told with its cause, not as a closed connection

Its log says only "discovery: connection closed", again and again: what stopped the reading was swallowed in Discovery.Answers.exceptionCaught.

Change: the call has failed with that cause.

Test: aListThatCannotBeTakenIsToldWithItsCause, with a list longer than is taken.

--- a/src/main/java/gatefront/net/Discovery.java
+++ b/src/main/java/gatefront/net/Discovery.java
@@ -330,6 +330,10 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (ctx.channel() == channel) {
+                // Else a list that is too long, or too much for the heap, passes for a closed connection.
+                failed(call, "broken: " + String.valueOf(cause).lines().findFirst().orElse(""));
+            }
             ctx.close();
         }
     }
--- a/src/test/java/gatefront/net/AskedDiscoveryTest.java
+++ b/src/test/java/gatefront/net/AskedDiscoveryTest.java
@@ -6,7 +6,9 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import gatefront.Balancer;
 import gatefront.Rules;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.PrintStream;
 import java.lang.reflect.Proxy;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -138,6 +140,25 @@
         assertTrue(found + waits.get(1) <= TOLD_MICROS, found + " and " + waits);
     }
 
+    /** Failed before: it was told as a closed connection, each time it was asked for again. */
+    @Test
+    void aListThatCannotBeTakenIsToldWithItsCause() throws Exception {
+        stage.news.addAll(List.of((message, socket) -> Peer.write(socket,
+            "HTTP/1.1 200 OK\r\nContent-Length: " + (8 << 20) + "\r\n\r\n{"), drain()));
+        PrintStream usual = System.err;
+        var log = new ByteArrayOutputStream();
+        System.setErr(new PrintStream(log, true));
+        try {
+            stage.start(hurried());
+            assertDrainKnown(stage.discovery);
+        } finally {
+            System.setErr(usual);
+        }
+        assertTrue(log.toString().lines().anyMatch(each -> each.startsWith("discovery: broken: ")
+            && each.contains("content length exceeded")), log.toString());
+        assertEquals(2, waits.size(), "before the first call and after the one that failed");
+    }
+
     /** Failed before: the end of the connection that ended the list counted as a call that failed. */
     @Test
     void aListWithNoLengthEndsWithItsConnectionAndIsNoFailure() throws Exception {
