Until a class is known, the answer times of all classes judge a server

Cause: an answer is slow against the lowest 0.8 quantile of its class, and that is known after 50 answers of the class. A light agent (some 25 requests a second in four classes) has them after 8 s or never; till then only two thirds of the aim count as slow, 195 ms for work of some 20 ms.

Change: until a class is known, the quantile over all classes stands in, known after two seconds. By its making one answer in five is above it on idle servers, whatever the mix, which is what the limits expect.

Test: beforeAnyClassIsKnownAnswersSlowerThanTheFirstOfAllClassesCloseAServer, without the mend 6 of 8 sent.

--- a/src/main/java/gatefront/Rules.java
+++ b/src/main/java/gatefront/Rules.java
@@ -137,6 +137,8 @@
     private double retries = RETRY_BANK;
     /** The share of keys that cross zones at once. */
     private double spill;
+    /** A quantile of all answer times, which stands in for a class that has been seen too seldom. */
+    private final Quantile allTimes = new Quantile(QUANTILE);
     /** By kind of server, what {@link Target#stretch} is for one. */
     private final Map<Integer, Double> kindStretch = new HashMap<>();
     /** The unhurried time of the requests that came, as a sum that fades. */
@@ -710,6 +712,7 @@
         state.typical += (state.typical == 0 ? 1 : BLEND / 2) * (spent - state.typical);
         state.unhurried = state.unhurried == 0 ? state.typical : Math.min(state.unhurried, state.typical);
         state.times.add(spent);
+        allTimes.add(spent);
         if (state.times.known()) {
             target.pace.add(spent / state.times.lowest());
         }
@@ -724,10 +727,11 @@
     /**
      * Whether an answer was slow for its class and its server's nature. Danger: where the aim leaves room for
      * many times the work, a short queue does no harm, and to pause for it leaves servers idle; so does
-     * holding small machines to the pace of the large ones.
+     * holding small machines to the pace of the large ones. Danger: a light agent sees the few answers of
+     * one class for so long that it takes a jam for their usual time; all classes together are known before.
      */
     private boolean slow(Open req, Target target, long spent) {
-        Quantile times = req.state.times;
+        Quantile times = req.state.times.known() ? req.state.times : allTimes;
         double nature = target.pace.known() ? Math.max(1, Math.min(NATURE_MAX, target.pace.lowest())) : 1;
         double most = SLOW_SHARE * (req.endAt - req.cameAt);
         return spent > Math.max(target.limit > LIMIT_FEW ? 0 : HARMLESS_SHARE * req.state.type.aim(),
--- a/src/test/java/gatefront/MechanismTest.java
+++ b/src/test/java/gatefront/MechanismTest.java
@@ -683,6 +683,28 @@
         assertTrue(sent >= 4, "sent " + sent);
     }
 
+    /**
+     * Failed before: until it had seen fifty answers of one class, a light agent took what a jam took for
+     * the usual time, as long as that was within two thirds of the aim.
+     */
+    @Test
+    void beforeAnyClassIsKnownAnswersSlowerThanTheFirstOfAllClassesCloseAServer() {
+        var type = Hand.type(Semantics.SAFE, Scope.ALL);
+        Hand hand = new Hand(Hand.settings(List.of(type, type, type, type),
+            new Permits(3, false, true, true, false, 0), 1, 2)).full(Hand.server(1, 0));
+        for (int i = 0; i < 120; i++) {
+            long id = hand.request(i % 4, 0);
+            long spent = i < 60 ? 30_000 : 300_000; // an aim of a second, and thirty answers of each class
+            hand.pass(spent);
+            hand.end(id, 0, Outcome.OK, spent);
+        }
+        int sent = 0;
+        for (int i = 0; i < 8; i++) {
+            sent += hand.sends(hand.request(i % 4, 0)).size();
+        }
+        assertTrue(sent <= 2, "sent " + sent);
+    }
+
     /** Else the limit would hold back nothing. */
     @Test
     void answersOfWhichEverySecondIsSlowCloseAServer() {
