The known list comes before discovery's, however early the module asks

Change: the call is made once the agent has begun.

Test: theKnownListComesBeforeDiscoverysAlsoWhereTheModuleAsksAtOnce, fails without the condition.

--- a/src/main/java/gatefront/net/Agent.java
+++ b/src/main/java/gatefront/net/Agent.java
@@ -79,6 +79,7 @@
     private final long anchorMicros = 1000 * System.currentTimeMillis() - System.nanoTime() / 1000;
     private final AtomicBoolean stopping = new AtomicBoolean();
     private long nextId = 1;
+    private boolean watchWanted;
     private boolean deciding;
     private boolean ending;
     /** Whether a list has come, or has been waited for long enough; and whether the path has been run. */
@@ -183,12 +184,21 @@
     private static Agent start(Path file, Config config, Function<Agent, Balancer> module)
             throws IOException {
         Agent agent = new Agent(file, config, module);
-        agent.loop.execute(agent::begin);
+        agent.beginSoon();
         InetSocketAddress at = agent.address();
         say("listening on " + at.getAddress().getHostAddress() + ":" + at.getPort());
         return agent;
     }
 
+    /** One that has not begun: it listens, and has no list yet. */
+    static Agent made(Config config, Function<Agent, Balancer> module) throws IOException {
+        return new Agent(null, config, module);
+    }
+
+    void beginSoon() {
+        loop.execute(this::begin);
+    }
+
     private static Discovery.Listing known(Config config) {
         try {
             return Discovery.decode(config.known(), config);
@@ -203,9 +213,8 @@
         List<Discovery.Endpoint> held = known.endpoints();
         known = null;
         list(Balancer.ListKind.CACHED, held);
-        if (!config.settings().askDiscovery()) {
-            discovery.watch();
-        }
+        watchWanted |= !config.settings().askDiscovery();
+        watchOnceBegun();
         loop.schedule(() -> listed = true, FIRST_LIST_MS, TimeUnit.MILLISECONDS);
         Warmup.run(loop, config, backends, clients, answered -> {
             tally.take(0, 0); // its own requests are nobody's
@@ -602,7 +611,20 @@
 
     @Override
     public void watchServers() {
-        loop.execute(() -> discovery.watch());
+        loop.execute(() -> {
+            watchWanted = true;
+            watchOnceBegun();
+        });
+    }
+
+    /**
+     * Guards against the known list coming after discovery's, where the module asks as soon as it is made: it
+     * would take the newer one's place.
+     */
+    private void watchOnceBegun() {
+        if (known == null && watchWanted) {
+            discovery.watch();
+        }
     }
 
     @Override
--- a/src/test/java/gatefront/net/AskedDiscoveryTest.java
+++ b/src/test/java/gatefront/net/AskedDiscoveryTest.java
@@ -140,6 +140,29 @@
         assertTrue(found + waits.get(1) <= TOLD_MICROS, found + " and " + waits);
     }
 
+    /** Failed before: asked for as soon as the module was made, the newer list could come first and be undone. */
+    @Test
+    void theKnownListComesBeforeDiscoverysAlsoWhereTheModuleAsksAtOnce() throws Exception {
+        List<Object> lists = new CopyOnWriteArrayList<>();
+        Function<Agent, Balancer> overheard = stage.overheard((event, details) -> {
+            if (event.equals("servers")) {
+                lists.add(details[1]);
+            }
+        });
+        stage.agent = Agent.made(Config.of(stage.config), agent -> {
+            agent.watchServers();
+            return overheard.apply(agent);
+        });
+        for (int i = 0; i < 100; i++) {
+            stage.agent.kept(); // a turn of the loop each: time enough for a call
+        }
+        assertEquals(List.of(), asked(stage.discovery));
+        stage.news.add(drain());
+        stage.agent.beginSoon();
+        assertDrainKnown(stage.discovery);
+        assertEquals(List.of(Balancer.ListKind.CACHED, Balancer.ListKind.DELTA), lists);
+    }
+
     /** Failed before: it was told as a closed connection, each time it was asked for again. */
     @Test
     void aListThatCannotBeTakenIsToldWithItsCause() throws Exception {
