Scale run: discovery's port is none that the system gives to other connections

start-asked on a busy machine: discovery did not come up, its port had been taken for somebody's connection between the look and the start. A restart after a kill could have met the same.

--- a/src/scale/java/gatefront/scale/RealSide.java
+++ b/src/scale/java/gatefront/scale/RealSide.java
@@ -11,6 +11,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -21,6 +22,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -38,6 +40,9 @@
     private static final int THREADS = 2;
     /** Of the settings, and what every time limit of the protocol is extended by. */
     private static final long GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(FleetConfig.GRACE_MS + 50);
+    private static final int PORT_LEAST = 15_000;
+    private static final int PORT_MOST = 30_000;
+    private static final int PORT_TRIES = 100;
     private static final int LOGS_MOST = 3;
     private static final int CONCURRENT = 16;
     private static final int QUEUE = 64;
@@ -95,12 +100,21 @@
     }
 
     /**
-     * A port that is free now, for all of discovery's addresses, in this process and in those that follow.
+     * A port that is free now, for all of discovery's addresses, in this process and in those that follow. It
+     * is none that the system gives to connections of its own choice: one would take it while discovery is
+     * down.
      */
     private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
+        for (int i = 0; i < PORT_TRIES; i++) {
+            int port = ThreadLocalRandom.current().nextInt(PORT_LEAST, PORT_MOST);
+            try (ServerSocket socket = new ServerSocket()) {
+                socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+                return port;
+            } catch (BindException e) {
+                continue; // another try
+            }
         }
+        throw new IOException("no port from " + PORT_LEAST + " to " + PORT_MOST + " is free");
     }
 
     /** What discovery lists at first. */
