--- /dev/null
+++ b/src/main/java/slateslip/distribution/ToControl.java
@@ -0,0 +1,28 @@
+package slateslip.distribution;
+
+import java.util.List;
+
+/** What a data plane tells a control agent on its stream. */
+public sealed interface ToControl {
+  /**
+   * The first message on a stream, and again when the mode changes.
+   *
+   * @param node name of the data plane's node
+   * @param incarnation drawn at random at its start
+   * @param zone its zone
+   * @param configurationVersion the version in force there; 0 if none
+   * @param active whether it wants configurations and sessions, or only {@link ToDataPlane.Heartbeat}
+   */
+  record Subscribe(
+      String node, long incarnation, String zone, long configurationVersion, boolean active)
+      implements ToControl {}
+
+  /** The versions now in force at the data plane. */
+  record Acknowledge(long configurationVersion, long sessionRevision) implements ToControl {}
+
+  /** Demand of each tenant since the data plane started; sent a few times a second. */
+  record Demand(List<TenantDemand> tenants) implements ToControl {}
+
+  /** Shows that the peer is alive when nothing else is sent. */
+  record Ping(long nonce) implements ToControl {}
+}
--- /dev/null
+++ b/src/main/java/slateslip/routing/RouterInput.java
@@ -0,0 +1,106 @@
+package slateslip.routing;
+
+import java.util.List;
+import slateslip.configuration.RoutingTable;
+import slateslip.distribution.AgentShares;
+import slateslip.distribution.BackendSession;
+
+/** What can happen to a {@link RequestRouter}. */
+public sealed interface RouterInput {
+  /** Another configuration is in force; requests under way go on as they began. */
+  record TableChanged(RoutingTable table) implements RouterInput {}
+
+  /** The whole list of registered backends, ready and draining ones, of all services. */
+  record BackendsChanged(List<BackendSession> backends) implements RouterInput {}
+
+  /** This data plane's share of the fleet-wide limits. */
+  record SharesChanged(AgentShares shares) implements RouterInput {}
+
+  /**
+   * A whole request has been read from a client.
+   *
+   * @param request identifies it in later inputs and outputs; not in use
+   */
+  record RequestArrived(long request, RequestFacts facts) implements RouterInput {}
+
+  /** The client closed its connection before its answer was complete; nothing more is owed. */
+  record ClientGone(long request) implements RouterInput {}
+
+  /** An attempt's first event (streams) or answer head (others) was passed on or is about to be. */
+  record AttemptStarted(long request, int attempt) implements RouterInput {}
+
+  /**
+   * An attempt has ended; exactly one per {@link RouterOutput.SendAttempt}.
+   *
+   * @param load what the backend told of its load in this answer; null if nothing
+   * @param lastEventId id of the last whole event passed on to the client; -1 if none
+   */
+  record AttemptEnded(
+      long request, int attempt, AttemptOutcome outcome, BackendLoad load, long lastEventId)
+      implements RouterInput {}
+
+  /** A health probe has ended; exactly one per {@link RouterOutput.Probe}. */
+  record ProbeEnded(String backendId, ProbeOutcome outcome, BackendLoad load)
+      implements RouterInput {}
+
+  /** The time asked for by {@link RouterOutput.WakeAt} has come. */
+  record Wake() implements RouterInput {}
+
+  /** The process is leaving: serve what is open, take what still comes. */
+  record Leaving() implements RouterInput {}
+
+  /** Running, waiting and slots as a backend told them in {@code X-Backend-Load}. */
+  record BackendLoad(int running, int waiting, int slots) {}
+
+  /** How a health probe ended. */
+  enum ProbeOutcome {
+    /** Status 200 by the backend that was asked. */
+    HEALTHY,
+    /** Another status by the backend that was asked. */
+    UNHEALTHY,
+    /** It turned the probe away unseen: full. */
+    FULL,
+    /** No answer in the time given. */
+    TIMEOUT,
+    /** No connection, or it broke. */
+    UNREACHABLE,
+    /** Another instance answers at this address. */
+    OTHER_INSTANCE
+  }
+
+  /**
+   * How an attempt ended.
+   *
+   * @param kind what happened
+   * @param status the backend's HTTP status; 0 if there was none
+   */
+  record AttemptOutcome(Kind kind, int status) {
+    /** What happened to an attempt. */
+    public enum Kind {
+      /** A whole, valid success; it has been or is being passed on whole. */
+      SUCCESS,
+      /** A whole answer with a failure status and a stamp: the request ran. Kept for relaying. */
+      ERROR_ANSWER,
+      /** The backend said that it did not run it ({@code X-Not-Executed}). */
+      NOT_EXECUTED,
+      /** Status 421: another instance has the address; it did not run. */
+      OTHER_INSTANCE,
+      /** No byte of the request can have reached the backend. */
+      NOT_SENT,
+      /** The connection broke, or the answer was no valid answer, after bytes had been sent. */
+      BROKEN,
+      /** No answer in the time given, after bytes had been sent. */
+      TIMEOUT,
+      /** Ended by {@link RouterOutput.CancelAttempt}. */
+      CANCELLED
+    }
+
+    /** Whether the request may have run at the backend. */
+    public boolean mayHaveRun() {
+      return switch (kind) {
+        case NOT_EXECUTED, OTHER_INSTANCE, NOT_SENT -> false;
+        case SUCCESS, ERROR_ANSWER, BROKEN, TIMEOUT, CANCELLED -> true;
+      };
+    }
+  }
+}
--- a/src/scale/java/gatefront/scale/RealAgents.java
+++ b/src/scale/java/gatefront/scale/RealAgents.java
@@ -74,7 +74,7 @@
             throw new IOException("deploy/balancer.toml: run is missing");
         }
         this.run = line.group(1);
-        this.folder = Files.createTempDirectory("gatefront-scale");
+        this.folder = Files.createTempDirectory("slateslip-scale");
     }
 
     /**
--- a/src/scale/java/gatefront/scale/RunCommand.java
+++ b/src/scale/java/gatefront/scale/RunCommand.java
@@ -49,7 +49,7 @@
         try {
             experiment = read(Keys.read(file), spec.name());
         } catch (BadExperiment e) {
-            System.err.println("gatefront-scale: " + e.getMessage());
+            System.err.println("slateslip-scale: " + e.getMessage());
             return 2;
         }
         return play(experiment);
@@ -82,9 +82,9 @@
             }).get(experiment.limitSeconds(), TimeUnit.SECONDS);
             return 0;
         } catch (TimeoutException e) {
-            System.err.println("gatefront-scale: not done after " + experiment.limitSeconds() + " s, ended");
+            System.err.println("slateslip-scale: not done after " + experiment.limitSeconds() + " s, ended");
         } catch (ExecutionException e) {
-            System.err.println("gatefront-scale: " + e.getCause());
+            System.err.println("slateslip-scale: " + e.getCause());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
