Protocol: SBE messages between data planes and control agents, with framing

Cause: data planes and control agents have their messages as types, but nothing that carries them. Change: a schema, its generated codecs (committed; scripts/generate-codecs.sh writes them again), a codec whose errors are values, and frames with a 4-byte length. A document's length is checked before memory is taken for it. Sessions go in one message, whole or as a change, so that an entry is written and read in one place. Tests: each message there and back, cut at each byte, damaged, of another schema, and this schema against a later one both ways. The cut found that a whole table was taken without its empty last group.

--- /dev/null
+++ b/src/main/java/slateslip/protocol/distribution/DistributionDecoder.java
@@ -0,0 +1,169 @@
+package slateslip.protocol.distribution;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.agrona.DirectBuffer;
+import slateslip.distribution.AgentShares;
+import slateslip.distribution.AgentShares.TenantShare;
+import slateslip.distribution.BackendSession;
+import slateslip.distribution.TenantDemand;
+import slateslip.distribution.ToControl;
+import slateslip.distribution.ToDataPlane;
+import slateslip.protocol.distribution.generated.AcknowledgeDecoder;
+import slateslip.protocol.distribution.generated.ConfigurationPatchDecoder;
+import slateslip.protocol.distribution.generated.ConfigurationSnapshotDecoder;
+import slateslip.protocol.distribution.generated.DemandDecoder;
+import slateslip.protocol.distribution.generated.DocumentDecoder;
+import slateslip.protocol.distribution.generated.Flag;
+import slateslip.protocol.distribution.generated.HeartbeatDecoder;
+import slateslip.protocol.distribution.generated.MessageHeaderDecoder;
+import slateslip.protocol.distribution.generated.PingDecoder;
+import slateslip.protocol.distribution.generated.PongDecoder;
+import slateslip.protocol.distribution.generated.SessionsDecoder;
+import slateslip.protocol.distribution.generated.SharesDecoder;
+import slateslip.protocol.distribution.generated.SubscribeDecoder;
+
+/**
+ * Reads messages of the distribution schema. Whatever reaches beyond the message's end raises {@link
+ * IndexOutOfBoundsException}, by the buffer's own checks or by those here; an unknown value of a type
+ * raises {@link IllegalArgumentException}.
+ */
+final class DistributionDecoder {
+  private final MessageHeaderDecoder header = new MessageHeaderDecoder();
+
+  /** Reads a message for a control agent; null if its kind is not known. */
+  ToControl readToControl(DirectBuffer buffer, int template) {
+    return switch (template) {
+      case SubscribeDecoder.TEMPLATE_ID -> readSubscribe(buffer);
+      case AcknowledgeDecoder.TEMPLATE_ID -> readAcknowledge(buffer);
+      case DemandDecoder.TEMPLATE_ID -> readDemand(buffer);
+      case PingDecoder.TEMPLATE_ID -> new ToControl.Ping(
+          new PingDecoder().wrapAndApplyHeader(buffer, 0, header).nonce());
+      default -> null;
+    };
+  }
+
+  /** Reads a message for a data plane; null if its kind is not known. */
+  ToDataPlane readToDataPlane(DirectBuffer buffer, int template) {
+    return switch (template) {
+      case ConfigurationSnapshotDecoder.TEMPLATE_ID -> readSnapshot(buffer);
+      case ConfigurationPatchDecoder.TEMPLATE_ID -> readPatch(buffer);
+      case SessionsDecoder.TEMPLATE_ID -> readSessions(buffer);
+      case SharesDecoder.TEMPLATE_ID -> readShares(buffer);
+      case HeartbeatDecoder.TEMPLATE_ID -> readHeartbeat(buffer);
+      case PongDecoder.TEMPLATE_ID -> new ToDataPlane.Pong(
+          new PongDecoder().wrapAndApplyHeader(buffer, 0, header).nonce());
+      default -> null;
+    };
+  }
+
+  private ToControl readSubscribe(DirectBuffer buffer) {
+    SubscribeDecoder decoder = new SubscribeDecoder().wrapAndApplyHeader(buffer, 0, header);
+    long incarnation = decoder.incarnation();
+    long configurationVersion = decoder.configurationVersion();
+    boolean active = isSet(decoder.active());
+    String node = decoder.node();
+    String zone = decoder.zone();
+    return new ToControl.Subscribe(node, incarnation, zone, configurationVersion, active);
+  }
+
+  private ToControl readAcknowledge(DirectBuffer buffer) {
+    AcknowledgeDecoder decoder = new AcknowledgeDecoder().wrapAndApplyHeader(buffer, 0, header);
+    return new ToControl.Acknowledge(decoder.configurationVersion(), decoder.sessionRevision());
+  }
+
+  private ToControl readDemand(DirectBuffer buffer) {
+    DemandDecoder decoder = new DemandDecoder().wrapAndApplyHeader(buffer, 0, header);
+    List<TenantDemand> tenants = new ArrayList<>();
+    for (DemandDecoder.TenantsDecoder tenant : decoder.tenants()) {
+      long wanted = tenant.wantedUnits();
+      long admitted = tenant.admittedUnits();
+      tenants.add(new TenantDemand(tenant.tenant(), wanted, admitted));
+    }
+    return new ToControl.Demand(tenants);
+  }
+
+  private ToDataPlane readSnapshot(DirectBuffer buffer) {
+    ConfigurationSnapshotDecoder decoder =
+        new ConfigurationSnapshotDecoder().wrapAndApplyHeader(buffer, 0, header);
+    byte[] document = new byte[checkedLength(buffer, decoder.limit(), decoder.contentLength())];
+    decoder.getContent(document, 0, document.length);
+    return new ToDataPlane.ConfigurationSnapshot(decoder.configurationVersion(), document);
+  }
+
+  private ToDataPlane readPatch(DirectBuffer buffer) {
+    ConfigurationPatchDecoder decoder =
+        new ConfigurationPatchDecoder().wrapAndApplyHeader(buffer, 0, header);
+    byte[] patch = new byte[checkedLength(buffer, decoder.limit(), decoder.contentLength())];
+    decoder.getContent(patch, 0, patch.length);
+    return new ToDataPlane.ConfigurationPatch(decoder.fromVersion(), decoder.toVersion(), patch);
+  }
+
+  /** The length of a document, if the message holds as much: else an array of any size would be made. */
+  private static int checkedLength(DirectBuffer buffer, int limit, int length) {
+    int left = buffer.capacity() - limit - DocumentDecoder.varDataEncodingOffset();
+    if (length < 0 || length > left) {
+      throw new IndexOutOfBoundsException("a document of " + length + " bytes where " + left + " are");
+    }
+    return length;
+  }
+
+  private ToDataPlane readSessions(DirectBuffer buffer) {
+    SessionsDecoder decoder = new SessionsDecoder().wrapAndApplyHeader(buffer, 0, header);
+    long revision = decoder.revision();
+    boolean whole = isSet(decoder.whole());
+    boolean complete = isSet(decoder.complete());
+    List<BackendSession> changed = new ArrayList<>();
+    for (SessionsDecoder.ChangedDecoder session : decoder.changed()) {
+      changed.add(readSession(session));
+    }
+    List<String> gone = new ArrayList<>();
+    for (SessionsDecoder.GoneDecoder id : decoder.gone()) {
+      gone.add(id.instance());
+    }
+    return whole
+        ? new ToDataPlane.SessionSnapshot(revision, complete, changed)
+        : new ToDataPlane.SessionDelta(revision, changed, gone);
+  }
+
+  private static BackendSession readSession(SessionsDecoder.ChangedDecoder decoder) {
+    int slots = decoder.slots();
+    boolean draining = isSet(decoder.draining());
+    long coldLeftMillis = decoder.coldLeftMillis();
+    long sequence = decoder.sequence();
+    String id = decoder.instance();
+    String service = decoder.service();
+    String address = decoder.address();
+    String zone = decoder.zone();
+    String software = decoder.software();
+    return new BackendSession(
+        id, service, address, zone, software, slots, draining, coldLeftMillis, sequence);
+  }
+
+  private ToDataPlane readShares(DirectBuffer buffer) {
+    SharesDecoder decoder = new SharesDecoder().wrapAndApplyHeader(buffer, 0, header);
+    int agents = decoder.agents();
+    List<TenantShare> tenants = new ArrayList<>();
+    for (SharesDecoder.TenantsDecoder tenant : decoder.tenants()) {
+      double fraction = tenant.fraction();
+      tenants.add(new TenantShare(tenant.tenant(), fraction));
+    }
+    return new ToDataPlane.Shares(new AgentShares(agents, tenants));
+  }
+
+  private ToDataPlane readHeartbeat(DirectBuffer buffer) {
+    HeartbeatDecoder decoder = new HeartbeatDecoder().wrapAndApplyHeader(buffer, 0, header);
+    boolean current = isSet(decoder.current());
+    long configurationVersion = decoder.configurationVersion();
+    long sessionRevision = decoder.sessionRevision();
+    List<String> controlAgents = new ArrayList<>();
+    for (HeartbeatDecoder.ControlAgentsDecoder agent : decoder.controlAgents()) {
+      controlAgents.add(agent.address());
+    }
+    return new ToDataPlane.Heartbeat(current, configurationVersion, sessionRevision, controlAgents);
+  }
+
+  private static boolean isSet(Flag flag) {
+    return flag == Flag.YES;
+  }
+}
--- /dev/null
+++ b/src/main/java/slateslip/protocol/distribution/DistributionEncoder.java
@@ -0,0 +1,207 @@
+package slateslip.protocol.distribution;
+
+import java.util.List;
+import org.agrona.ExpandableArrayBuffer;
+import slateslip.distribution.AgentShares.TenantShare;
+import slateslip.distribution.BackendSession;
+import slateslip.distribution.TenantDemand;
+import slateslip.distribution.ToControl;
+import slateslip.distribution.ToDataPlane;
+import slateslip.protocol.distribution.generated.AcknowledgeEncoder;
+import slateslip.protocol.distribution.generated.ConfigurationPatchEncoder;
+import slateslip.protocol.distribution.generated.ConfigurationSnapshotEncoder;
+import slateslip.protocol.distribution.generated.DemandEncoder;
+import slateslip.protocol.distribution.generated.Flag;
+import slateslip.protocol.distribution.generated.HeartbeatEncoder;
+import slateslip.protocol.distribution.generated.MessageHeaderEncoder;
+import slateslip.protocol.distribution.generated.PingEncoder;
+import slateslip.protocol.distribution.generated.PongEncoder;
+import slateslip.protocol.distribution.generated.SessionsEncoder;
+import slateslip.protocol.distribution.generated.SharesEncoder;
+import slateslip.protocol.distribution.generated.SubscribeEncoder;
+
+/** Writes messages of the distribution schema. Not safe for several threads. */
+final class DistributionEncoder {
+  private static final int INITIAL_BYTES = 512;
+  private static final int KEPT_BYTES = 64 * 1024;
+
+  private final MessageHeaderEncoder header = new MessageHeaderEncoder();
+  private ExpandableArrayBuffer buffer = new ExpandableArrayBuffer(INITIAL_BYTES);
+
+  byte[] encode(ToControl message) {
+    return copy(MessageHeaderEncoder.ENCODED_LENGTH + write(message));
+  }
+
+  byte[] encode(ToDataPlane message) {
+    return copy(MessageHeaderEncoder.ENCODED_LENGTH + write(message));
+  }
+
+  private byte[] copy(int length) {
+    byte[] bytes = new byte[length];
+    buffer.getBytes(0, bytes);
+    if (buffer.capacity() > KEPT_BYTES) {
+      buffer = new ExpandableArrayBuffer(INITIAL_BYTES);
+    }
+    return bytes;
+  }
+
+  private int write(ToControl message) {
+    if (message instanceof ToControl.Subscribe subscribe) {
+      return write(subscribe);
+    }
+    if (message instanceof ToControl.Acknowledge acknowledge) {
+      return write(acknowledge);
+    }
+    if (message instanceof ToControl.Demand demand) {
+      return write(demand);
+    }
+    if (message instanceof ToControl.Ping ping) {
+      PingEncoder encoder = new PingEncoder().wrapAndApplyHeader(buffer, 0, header);
+      return encoder.nonce(ping.nonce()).encodedLength();
+    }
+    throw new AssertionError("a message that is not in the schema: " + message);
+  }
+
+  private int write(ToDataPlane message) {
+    if (message instanceof ToDataPlane.ConfigurationSnapshot snapshot) {
+      return write(snapshot);
+    }
+    if (message instanceof ToDataPlane.ConfigurationPatch patch) {
+      return write(patch);
+    }
+    if (message instanceof ToDataPlane.SessionSnapshot snapshot) {
+      return writeSessions(
+          snapshot.revision(), true, snapshot.complete(), snapshot.sessions(), List.of());
+    }
+    if (message instanceof ToDataPlane.SessionDelta delta) {
+      return writeSessions(delta.revision(), false, false, delta.changed(), delta.gone());
+    }
+    if (message instanceof ToDataPlane.Shares shares) {
+      return write(shares);
+    }
+    if (message instanceof ToDataPlane.Heartbeat heartbeat) {
+      return write(heartbeat);
+    }
+    if (message instanceof ToDataPlane.Pong pong) {
+      PongEncoder encoder = new PongEncoder().wrapAndApplyHeader(buffer, 0, header);
+      return encoder.nonce(pong.nonce()).encodedLength();
+    }
+    throw new AssertionError("a message that is not in the schema: " + message);
+  }
+
+  private int write(ToControl.Subscribe message) {
+    return new SubscribeEncoder()
+        .wrapAndApplyHeader(buffer, 0, header)
+        .incarnation(message.incarnation())
+        .configurationVersion(message.configurationVersion())
+        .active(flag(message.active()))
+        .node(message.node())
+        .zone(message.zone())
+        .encodedLength();
+  }
+
+  private int write(ToControl.Acknowledge message) {
+    return new AcknowledgeEncoder()
+        .wrapAndApplyHeader(buffer, 0, header)
+        .configurationVersion(message.configurationVersion())
+        .sessionRevision(message.sessionRevision())
+        .encodedLength();
+  }
+
+  private int write(ToControl.Demand message) {
+    DemandEncoder encoder = new DemandEncoder().wrapAndApplyHeader(buffer, 0, header);
+    DemandEncoder.TenantsEncoder group = encoder.tenantsCount(message.tenants().size());
+    for (TenantDemand demand : message.tenants()) {
+      group
+          .next()
+          .wantedUnits(demand.wantedUnits())
+          .admittedUnits(demand.admittedUnits())
+          .tenant(demand.tenant());
+    }
+    return encoder.encodedLength();
+  }
+
+  private int write(ToDataPlane.ConfigurationSnapshot message) {
+    return new ConfigurationSnapshotEncoder()
+        .wrapAndApplyHeader(buffer, 0, header)
+        .configurationVersion(message.version())
+        .putContent(message.document(), 0, message.document().length)
+        .encodedLength();
+  }
+
+  private int write(ToDataPlane.ConfigurationPatch message) {
+    return new ConfigurationPatchEncoder()
+        .wrapAndApplyHeader(buffer, 0, header)
+        .fromVersion(message.fromVersion())
+        .toVersion(message.toVersion())
+        .putContent(message.patch(), 0, message.patch().length)
+        .encodedLength();
+  }
+
+  private int writeSessions(
+      long revision,
+      boolean whole,
+      boolean complete,
+      List<BackendSession> changed,
+      List<String> gone) {
+    SessionsEncoder encoder =
+        new SessionsEncoder()
+            .wrapAndApplyHeader(buffer, 0, header)
+            .revision(revision)
+            .whole(flag(whole))
+            .complete(flag(complete));
+    SessionsEncoder.ChangedEncoder sessions = encoder.changedCount(changed.size());
+    for (BackendSession session : changed) {
+      write(session, sessions.next());
+    }
+    SessionsEncoder.GoneEncoder ids = encoder.goneCount(gone.size());
+    for (String id : gone) {
+      ids.next().instance(id);
+    }
+    return encoder.encodedLength();
+  }
+
+  private static void write(BackendSession session, SessionsEncoder.ChangedEncoder encoder) {
+    encoder
+        .slots(session.slots())
+        .draining(flag(session.draining()))
+        .coldLeftMillis(session.coldLeftMillis())
+        .sequence(session.sequence())
+        .instance(session.id())
+        .service(session.service())
+        .address(session.address())
+        .zone(session.zone())
+        .software(session.version());
+  }
+
+  private int write(ToDataPlane.Shares message) {
+    SharesEncoder encoder =
+        new SharesEncoder()
+            .wrapAndApplyHeader(buffer, 0, header)
+            .agents(message.shares().agents());
+    SharesEncoder.TenantsEncoder group = encoder.tenantsCount(message.shares().tenants().size());
+    for (TenantShare share : message.shares().tenants()) {
+      group.next().fraction(share.fraction()).tenant(share.tenant());
+    }
+    return encoder.encodedLength();
+  }
+
+  private int write(ToDataPlane.Heartbeat message) {
+    HeartbeatEncoder encoder =
+        new HeartbeatEncoder()
+            .wrapAndApplyHeader(buffer, 0, header)
+            .current(flag(message.current()))
+            .configurationVersion(message.configurationVersion())
+            .sessionRevision(message.sessionRevision());
+    HeartbeatEncoder.ControlAgentsEncoder group =
+        encoder.controlAgentsCount(message.controlAgents().size());
+    for (String address : message.controlAgents()) {
+      group.next().address(address);
+    }
+    return encoder.encodedLength();
+  }
+
+  private static Flag flag(boolean value) {
+    return value ? Flag.YES : Flag.NO;
+  }
+}
--- /dev/null
+++ b/src/main/java/slateslip/protocol/distribution/package-info.java
@@ -0,0 +1,2 @@
+/** SBE messages between data planes and control agents. */
+package slateslip.protocol.distribution;
--- /dev/null
+++ b/src/test/java/slateslip/protocol/distribution/DistributionCodecTest.java
@@ -0,0 +1,155 @@
+package slateslip.protocol.distribution;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import slateslip.distribution.AgentShares;
+import slateslip.distribution.AgentShares.TenantShare;
+import slateslip.distribution.BackendSession;
+import slateslip.distribution.TenantDemand;
+import slateslip.distribution.ToControl;
+import slateslip.distribution.ToDataPlane;
+import slateslip.protocol.Decoded;
+
+/** What is written is read back; what is not whole or not known is told apart and harms nothing. */
+class DistributionCodecTest {
+  private static final int CONTENT_LENGTH_OFFSET = 8 + 8;
+  private static final BackendSession SESSION =
+      new BackendSession(
+          "i-7f3a91c2", "modelos-ñ", "10.1.0.9:8080", "meseta", "v1", 64, true, 250, 1L << 40);
+
+  private final DistributionCodec codec = new DistributionCodec();
+
+  static Stream<ToControl> toControl() {
+    return Stream.of(
+        new ToControl.Subscribe("edge-1", -5, "faro", 7, true),
+        new ToControl.Subscribe("", 0, "", 0, false),
+        new ToControl.Acknowledge(9, 12),
+        new ToControl.Demand(List.of()),
+        new ToControl.Demand(
+            List.of(new TenantDemand("a", 5, 4), new TenantDemand("b", 1L << 50, 0))),
+        new ToControl.Ping(77));
+  }
+
+  static Stream<ToDataPlane> toDataPlane() {
+    BackendSession other = new BackendSession("i-2", "s", "10.1.0.1:1", "z", "", 1, false, 0, 0);
+    return Stream.of(
+        new ToDataPlane.SessionSnapshot(3, false, List.of(SESSION, other)),
+        new ToDataPlane.SessionSnapshot(3, true, List.of()),
+        new ToDataPlane.SessionDelta(4, List.of(SESSION), List.of("i-1", "i-3")),
+        new ToDataPlane.SessionDelta(5, List.of(), List.of()),
+        new ToDataPlane.Shares(new AgentShares(6, List.of(new TenantShare("a", 0.25)))),
+        new ToDataPlane.Heartbeat(true, 4, 5, List.of("10.1.0.6", "10.2.0.20")),
+        new ToDataPlane.Heartbeat(false, 0, 0, List.of()),
+        new ToDataPlane.Pong(-1));
+  }
+
+  @ParameterizedTest
+  @MethodSource("toControl")
+  void readsWhatItWroteToControl(ToControl message) {
+    assertThat(
+        codec.decodeToControl(codec.encode(message)), equalTo(new Decoded.Message<>(message)));
+  }
+
+  @ParameterizedTest
+  @MethodSource("toDataPlane")
+  void readsWhatItWroteToDataPlane(ToDataPlane message) {
+    assertThat(
+        codec.decodeToDataPlane(codec.encode(message)), equalTo(new Decoded.Message<>(message)));
+  }
+
+  @Test
+  void readsDocumentsOfAnyLength() {
+    byte[] document = new byte[4 * 1024 * 1024];
+    new Random(1).nextBytes(document);
+    ToDataPlane snapshot = read(codec.encode(new ToDataPlane.ConfigurationSnapshot(8, document)));
+    assertThat(((ToDataPlane.ConfigurationSnapshot) snapshot).version(), is(8L));
+    assertThat(((ToDataPlane.ConfigurationSnapshot) snapshot).document(), equalTo(document));
+
+    byte[] empty = new byte[0];
+    ToDataPlane patch = read(codec.encode(new ToDataPlane.ConfigurationPatch(8, 11, empty)));
+    assertThat(((ToDataPlane.ConfigurationPatch) patch).fromVersion(), is(8L));
+    assertThat(((ToDataPlane.ConfigurationPatch) patch).toVersion(), is(11L));
+    assertThat(((ToDataPlane.ConfigurationPatch) patch).patch(), equalTo(empty));
+  }
+
+  @ParameterizedTest
+  @MethodSource("toControl")
+  void toldApartFromADataPlanesMessages(ToControl message) {
+    assertThat(
+        codec.decodeToDataPlane(codec.encode(message)), is(instanceOf(Decoded.Unknown.class)));
+  }
+
+  @ParameterizedTest
+  @MethodSource("toDataPlane")
+  void aMessageCutAnywhereIsMalformed(ToDataPlane message) {
+    byte[] whole = codec.encode(message);
+    for (int length = 0; length < whole.length; length++) {
+      Decoded<ToDataPlane> decoded = codec.decodeToDataPlane(Arrays.copyOf(whole, length));
+      assertThat("cut at " + length, decoded, is(instanceOf(Decoded.Malformed.class)));
+    }
+  }
+
+  @Test
+  void aDocumentLongerThanItsMessageIsMalformedAndTakesNoMemory() {
+    byte[] document = "{}".getBytes(StandardCharsets.UTF_8);
+    for (int length : new int[] {3, 1 << 20, Integer.MAX_VALUE, -1, Integer.MIN_VALUE}) {
+      byte[] bytes = codec.encode(new ToDataPlane.ConfigurationSnapshot(8, document));
+      ByteBuffer.wrap(bytes)
+          .order(ByteOrder.LITTLE_ENDIAN)
+          .putInt(CONTENT_LENGTH_OFFSET, length);
+      assertThat(codec.decodeToDataPlane(bytes), is(instanceOf(Decoded.Malformed.class)));
+    }
+  }
+
+  @Test
+  void anotherSchemaIsUnknown() {
+    byte[] bytes = codec.encode(new ToControl.Ping(1));
+    ByteBuffer.wrap(bytes).order(ByteOrder.LITTLE_ENDIAN).putShort(4, (short) 9999);
+    assertThat(codec.decodeToControl(bytes), equalTo(new Decoded.Unknown<>(9999, 4)));
+  }
+
+  @Test
+  void garbageIsNeverThrownBack() {
+    Random random = new Random(7);
+    for (int round = 0; round < 20_000; round++) {
+      byte[] bytes = new byte[random.nextInt(80)];
+      random.nextBytes(bytes);
+      codec.decodeToControl(bytes);
+      codec.decodeToDataPlane(bytes);
+    }
+  }
+
+  @Test
+  void damagedMessagesAreNeverThrownBack() {
+    Random random = new Random(8);
+    List<byte[]> whole = new ArrayList<>();
+    toControl().forEach(message -> whole.add(codec.encode(message)));
+    toDataPlane().forEach(message -> whole.add(codec.encode(message)));
+    for (int round = 0; round < 20_000; round++) {
+      byte[] bytes = whole.get(random.nextInt(whole.size())).clone();
+      for (int damage = 0; damage < 3; damage++) {
+        bytes[random.nextInt(bytes.length)] = (byte) random.nextInt();
+      }
+      codec.decodeToControl(bytes);
+      codec.decodeToDataPlane(bytes);
+    }
+  }
+
+  private ToDataPlane read(byte[] bytes) {
+    return ((Decoded.Message<ToDataPlane>) codec.decodeToDataPlane(bytes)).value();
+  }
+}
--- /dev/null
+++ b/src/test/java/slateslip/protocol/distribution/newer/package-info.java
@@ -0,0 +1,5 @@
+/* Generated SBE (Simple Binary Encoding) message codecs.*/
+/**
+ * Distribution of configurations, sessions and shares
+ */
+package slateslip.protocol.distribution.newer;
