Settings: the process's file as a typed, checked record

Cause: both programs start from a file of a.b=value lines. Change: slateslip.settings reads it with java.util.Properties, every character taken literally, into NodeSettings, Bounds and their like; a missing or malformed key is a value with key and reason.

--- /dev/null
+++ b/src/main/java/slateslip/settings/NodeSettings.java
@@ -0,0 +1,123 @@
+package slateslip.settings;
+
+import java.io.IOException;
+import java.io.Reader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The settings of one process.
+ *
+ * @param node name of the machine
+ * @param role name of the role in the deploy file; empty if not given
+ * @param ip address of the machine
+ * @param zone zone of the machine
+ * @param region region of the machine; empty if not given
+ * @param zones region of each zone of the deployment
+ * @param frontListen where clients connect; null if the process does not serve them
+ * @param readyListen where readiness is asked; null if it is not
+ * @param controlListen where backends and the operator call; null if they do not
+ * @param ports free for traffic between agents
+ * @param seeds control addresses of some control agents, in the order given
+ * @param bootstrap whether the whole system starts for the first time, with empty disks
+ * @param countsForQuorum whether the machine counts for {@link FaultTolerance#machines}
+ * @param limits what the process may use
+ * @param dataDirectory where files live; null if the machine has no disk
+ * @param heartbeatMillis between two calls of a backend
+ * @param contracts names of the parts of the rules that are in force
+ * @param faultTolerance what may be lost at once
+ * @param bounds figures of the rules
+ */
+public record NodeSettings(
+    String node,
+    String role,
+    InetAddress ip,
+    String zone,
+    String region,
+    Map<String, String> zones,
+    InetSocketAddress frontListen,
+    InetSocketAddress readyListen,
+    InetSocketAddress controlListen,
+    PortRange ports,
+    List<InetSocketAddress> seeds,
+    boolean bootstrap,
+    boolean countsForQuorum,
+    ProcessLimits limits,
+    Path dataDirectory,
+    long heartbeatMillis,
+    Set<String> contracts,
+    FaultTolerance faultTolerance,
+    Bounds bounds) {
+
+  private static final int DEFAULT_HEARTBEAT_MILLIS = 1_200;
+  private static final String ZONES_PREFIX = "zones.";
+  private static final String SEEDS = "seed_nodes";
+
+  /** Reads and checks a settings file. */
+  public static SettingsOutcome load(Path file) {
+    try (Reader reader = Files.newBufferedReader(file, StandardCharsets.UTF_8)) {
+      return parse(reader);
+    } catch (IOException unreadable) {
+      return unreadable(file.toString(), unreadable);
+    }
+  }
+
+  /** Reads and checks settings; unknown keys are ignored. Does not close the reader. */
+  public static SettingsOutcome parse(Reader source) {
+    KeyReader keys;
+    try {
+      keys = new KeyReader(LiteralProperties.read(source));
+    } catch (IOException unreadable) {
+      return unreadable("settings", unreadable);
+    }
+    NodeSettings settings = read(keys);
+    if (!keys.problems().isEmpty()) {
+      return new SettingsOutcome.Invalid(List.copyOf(keys.problems()));
+    }
+    return new SettingsOutcome.Valid(settings);
+  }
+
+  private static NodeSettings read(KeyReader keys) {
+    return new NodeSettings(
+        keys.needed("node"),
+        keys.text("role"),
+        keys.neededAddress("ip"),
+        keys.needed("zone"),
+        keys.text("region"),
+        Map.copyOf(keys.withPrefix(ZONES_PREFIX)),
+        keys.socketAddress("listen.front"),
+        keys.socketAddress("listen.ready"),
+        keys.socketAddress("listen.control"),
+        keys.neededPortRange("port_range"),
+        readSeeds(keys),
+        keys.flag("bootstrap", false),
+        keys.flag("counts_for_quorum", false),
+        ProcessLimits.read(keys),
+        readDataDirectory(keys),
+        Math.max(1, keys.integer("heartbeat_ms", DEFAULT_HEARTBEAT_MILLIS)),
+        Set.copyOf(keys.list("contracts")),
+        FaultTolerance.read(keys),
+        Bounds.read(keys));
+  }
+
+  private static List<InetSocketAddress> readSeeds(KeyReader keys) {
+    keys.needed(SEEDS);
+    return List.copyOf(keys.socketAddresses(SEEDS));
+  }
+
+  private static Path readDataDirectory(KeyReader keys) {
+    String directory = keys.text("data_dir");
+    return directory.isEmpty() ? null : Path.of(directory);
+  }
+
+  private static SettingsOutcome unreadable(String what, IOException cause) {
+    String reason = "cannot read " + what + ": " + cause;
+    return new SettingsOutcome.Invalid(List.of(new SettingsOutcome.Problem("", reason)));
+  }
+}
