--- /dev/null
+++ b/src/main/java/slateslip/coordination/DurableRecord.java
@@ -0,0 +1,47 @@
+package slateslip.coordination;
+
+/** What a node writes to its disk. */
+public sealed interface DurableRecord {
+  /**
+   * Everything that the node keeps; stands for all records before it.
+   *
+   * @param self the node's identity
+   * @param witness its votes
+   * @param installedEpoch newest epoch whose state it has installed
+   * @param incarnation of the primary that installed it
+   * @param state the replica's state, whole
+   */
+  record Snapshot(
+      NodeId self,
+      WitnessState witness,
+      long installedEpoch,
+      long incarnation,
+      StateTransfer state)
+      implements DurableRecord {}
+
+  /**
+   * A change of the witness state.
+   *
+   * @param witness new value, whole
+   */
+  record Vote(WitnessState witness) implements DurableRecord {}
+
+  /**
+   * State taken over from the primary of an epoch.
+   *
+   * @param epoch installed epoch
+   * @param incarnation of that primary
+   * @param state replaces what is there from its base on
+   */
+  record Installation(long epoch, long incarnation, StateTransfer state)
+      implements DurableRecord {}
+
+  /**
+   * One record.
+   *
+   * @param sequence of the record
+   * @param committedSequence committed when it was written
+   * @param record its bytes
+   */
+  record Entry(long sequence, long committedSequence, byte[] record) implements DurableRecord {}
+}
--- /dev/null
+++ b/src/main/java/slateslip/coordination/ReplicatedState.java
@@ -0,0 +1,16 @@
+package slateslip.coordination;
+
+/** The application whose state is replicated. All methods are deterministic. */
+public interface ReplicatedState {
+  /** Checks a command against the committed state, which nothing else changes meanwhile. */
+  Preparation prepare(byte[] command);
+
+  /** Applies a committed record. */
+  void apply(byte[] record);
+
+  /** The whole state. */
+  byte[] snapshot();
+
+  /** Replaces the whole state; an empty array is the state before the first record. */
+  void restore(byte[] snapshot);
+}
--- /dev/null
+++ b/src/main/java/slateslip/storage/StorageFile.java
@@ -0,0 +1,22 @@
+package slateslip.storage;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+
+/** One open file of the ring. */
+public interface StorageFile extends AutoCloseable {
+  /** Length in bytes. */
+  long length() throws IOException;
+
+  /** Reads the whole file. */
+  byte[] readAll() throws IOException;
+
+  /** Writes all of the buffer at a position. */
+  void write(long position, ByteBuffer bytes) throws IOException;
+
+  /** Returns once everything written so far lasts through a loss of power. */
+  void sync() throws IOException;
+
+  @Override
+  void close() throws IOException;
+}
