Control state: replica with founding, views, replication, failover, joining, confirmation

A tenure (epoch, incarnation) orders the lives of an epoch's primary, as messages of an earlier life may arrive behind those of the next.

--- a/src/main/java/slateslip/coordination/ControlReplica.java
+++ b/src/main/java/slateslip/coordination/ControlReplica.java
@@ -1,7 +1,22 @@
 package slateslip.coordination;
 
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+
 /** One core node's part in keeping the control state. */
 public final class ControlReplica {
+  private final ReplicaContext context;
+  private final ClientCalls calls;
+  private final PeerTable peers;
+  private final PrimaryRole primary;
+  private final FollowerRole follower;
+  private final Witness witness;
+  private final Proposer proposer;
+  private boolean started;
+
   /**
    * A replica; its first input is {@link ReplicaInput.Start}.
    *
@@ -9,7 +24,15 @@
    * @param state the replicated application, in its state before the first record
    * @param randomSeed for identities and backoff
    */
-  public ControlReplica(ReplicaSettings settings, ReplicatedState state, long randomSeed) {}
+  public ControlReplica(ReplicaSettings settings, ReplicatedState state, long randomSeed) {
+    context = new ReplicaContext(settings, state, randomSeed);
+    calls = new ClientCalls(context);
+    peers = new PeerTable(context);
+    primary = new PrimaryRole(context, peers, calls);
+    follower = new FollowerRole(context);
+    witness = new Witness(context, this::primaryAlive);
+    proposer = new Proposer(context, new Proposals());
+  }
 
   /**
    * Handles one input.
@@ -17,6 +40,288 @@
    * @param nowMicros steady time
    */
   public Effects handle(long nowMicros, ReplicaInput input) {
-    throw new UnsupportedOperationException("not written yet");
+    context.now = nowMicros;
+    take(input);
+    takeOwnMessages();
+    if (started) {
+      advance();
+      takeOwnMessages();
+    }
+    context.retryDisk();
+    return context.outbox.flush(context.store.takeApplied(), role(), wakeAt());
+  }
+
+  private void take(ReplicaInput input) {
+    if (input instanceof ReplicaInput.Start start) {
+      start(start.recovered());
+    } else if (input instanceof ReplicaInput.Received received) {
+      if (started && !received.from().equals(context.self)) {
+        receive(received.from(), received.message());
+      }
+    } else if (input instanceof ReplicaInput.Written written) {
+      written(written.token());
+    } else if (input instanceof ReplicaInput.WriteFailed failed) {
+      context.disk.failed(context.now, failed.token());
+    } else if (input instanceof ReplicaInput.Propose propose) {
+      propose(propose);
+    } else if (input instanceof ReplicaInput.Confirm confirm) {
+      confirm(confirm);
+    }
+  }
+
+  private void takeOwnMessages() {
+    while (context.outbox.hasMessageToSelf()) {
+      receive(context.self, context.outbox.nextToSelf());
+    }
+  }
+
+  private void start(List<DurableRecord> recovered) {
+    follower.start();
+    if (!recovered.isEmpty()) {
+      Recovery.replay(recovered, context);
+    }
+    if (context.self.address().equals(context.settings.address())) {
+      begin();
+    } else {
+      takeIdentity(recovered.isEmpty());
+    }
+  }
+
+  /** Founds, or becomes a new node; nothing is said before the identity is on disk. */
+  private void takeIdentity(boolean emptyDisk) {
+    NodeAddress address = context.settings.address();
+    boolean founds =
+        emptyDisk && context.settings.bootstrap() && context.settings.seeds().contains(address);
+    if (founds) {
+      context.self = new NodeId(address, NodeId.FOUNDER_DISK);
+      context.witness = WitnessState.decided(View.founding(context.settings.seeds()));
+      context.store.beginTenure(new Tenure(1, 0));
+    } else {
+      long diskId = context.random.nextLong(1, Long.MAX_VALUE);
+      context.self = new NodeId(address, diskId);
+      context.witness = WitnessState.decided(context.view());
+    }
+    context.writeVote(() -> {});
+  }
+
+  private void begin() {
+    started = true;
+    if (context.isPrimary()) {
+      primary.begin();
+    }
+  }
+
+  private void written(long token) {
+    DurableMark before = context.disk.durable();
+    if (!context.disk.written(token)) {
+      return;
+    }
+    if (!started) {
+      begin();
+    }
+    if (!primary.leading() && !context.disk.durable().equals(before)) {
+      follower.durable();
+    }
+  }
+
+  private void propose(ReplicaInput.Propose propose) {
+    if (primary.leading()) {
+      calls.propose(propose.clientToken(), propose.command());
+    } else {
+      calls.notPrimary(propose.clientToken(), follower.primary());
+    }
+  }
+
+  private void confirm(ReplicaInput.Confirm confirm) {
+    if (primary.leading()) {
+      calls.confirm(confirm.clientToken(), peers.round());
+    } else {
+      calls.notPrimary(confirm.clientToken(), follower.primary());
+    }
+  }
+
+  private void receive(NodeId from, PeerMessage message) {
+    if (message instanceof PeerMessage.Prepare prepare) {
+      prepare(from, prepare);
+    } else if (message instanceof PeerMessage.Promise promise) {
+      proposer.promise(from, promise);
+    } else if (message instanceof PeerMessage.Accept accept) {
+      accept(from, accept);
+    } else if (message instanceof PeerMessage.Accepted accepted) {
+      proposer.accepted(from, accepted);
+    } else if (message instanceof PeerMessage.Refused refused) {
+      proposer.refused(from, refused);
+    } else if (message instanceof PeerMessage.Decided decided) {
+      adopt(decided.view());
+    } else if (!from.equals(context.self)) {
+      receiveFromOther(from, message);
+    }
+  }
+
+  private void receiveFromOther(NodeId from, PeerMessage message) {
+    if (message instanceof PeerMessage.Hello hello) {
+      hello(from, hello);
+    } else if (message instanceof PeerMessage.Heartbeat heartbeat) {
+      heartbeat(from, heartbeat);
+    } else if (message instanceof PeerMessage.HeartbeatReply reply) {
+      primary.heartbeatReply(from, reply);
+    } else if (message instanceof PeerMessage.Synced synced) {
+      primary.synced(from, synced);
+    } else if (!primary.leading()) {
+      receiveAsFollower(from, message);
+    }
+  }
+
+  private void receiveAsFollower(NodeId from, PeerMessage message) {
+    if (!from.equals(context.view().primary())) {
+      return;
+    }
+    if (message instanceof PeerMessage.Install install) {
+      follower.install(install);
+    } else if (message instanceof PeerMessage.Append append) {
+      follower.append(append);
+    } else if (message instanceof PeerMessage.TakeOver takeOver) {
+      follower.takeOver(from, takeOver);
+    }
+  }
+
+  private void prepare(NodeId from, PeerMessage.Prepare message) {
+    adopt(message.base());
+    if (message.base().epoch() < context.view().epoch()) {
+      tellView(from);
+    } else {
+      witness.prepare(from, message);
+    }
+  }
+
+  private void accept(NodeId from, PeerMessage.Accept message) {
+    if (message.baseEpoch() < context.view().epoch()) {
+      tellView(from);
+    } else {
+      witness.accept(from, message);
+    }
+  }
+
+  private void hello(NodeId from, PeerMessage.Hello message) {
+    adopt(message.view());
+    if (message.view().epoch() < context.view().epoch()) {
+      tellView(from);
+    }
+    if (primary.leading()) {
+      primary.hello(from, message.status());
+    }
+  }
+
+  private void heartbeat(NodeId from, PeerMessage.Heartbeat message) {
+    adopt(message.view());
+    long epoch = message.tenure().epoch();
+    if (epoch < context.view().epoch()) {
+      tellView(from);
+    } else if (!primary.leading()) {
+      follower.heartbeat(from, message);
+    }
+  }
+
+  private void tellView(NodeId to) {
+    context.outbox.send(to.address(), new PeerMessage.Decided(context.view()));
+  }
+
+  /** Takes a decided view if it is newer than the one known. */
+  private void adopt(View view) {
+    View before = context.view();
+    if (view.epoch() <= before.epoch()) {
+      return;
+    }
+    context.witness = WitnessState.decided(view);
+    context.writeVote(() -> {});
+    proposer.viewChanged();
+    follower.viewChanged();
+    if (context.isPrimary()) {
+      primary.viewDecided(before, view);
+      primary.begin();
+    } else {
+      primary.end(Optional.of(view.primary().address()));
+    }
+  }
+
+  private boolean primaryAlive() {
+    return primary.leading() ? primary.active() : follower.primaryAlive();
+  }
+
+  private void advance() {
+    proposer.tick();
+    primary.resignIfUnwell();
+    primary.advance(proposer.busy());
+    if (!primary.leading()) {
+      follower.askForView();
+    }
+    if (proposer.ready() && wantsToPropose()) {
+      proposer.begin(primary.leading() || follower.consented());
+    }
+  }
+
+  private boolean wantsToPropose() {
+    if (primary.leading()) {
+      return primary.active()
+          && (primary.laterViewAccepted() || primary.wantedView().isPresent());
+    }
+    return follower.wantsToLead();
+  }
+
+  private Effects.RoleStatus role() {
+    return new Effects.RoleStatus(
+        started ? context.self : NodeId.NONE,
+        context.view().epoch(),
+        context.view().primary(),
+        primary.serving(),
+        context.store.appliedSequence());
+  }
+
+  private long wakeAt() {
+    long due = proposer.dueAt();
+    long tick = context.now + Timing.TICK;
+    return due > context.now ? Math.min(due, tick) : tick;
+  }
+
+  /** Chooses and announces views. */
+  private final class Proposals implements Proposer.Host {
+    @Override
+    public Optional<View> ownValue(View base, Map<NodeId, PeerMessage.Promise> promises) {
+      if (primary.leading()) {
+        View same =
+            new View(base.epoch() + 1, base.primary(), base.members(), base.witnesses());
+        return Optional.of(primary.wantedView().orElse(same));
+      }
+      if (!base.mayLeadNext(context.self, context.disk.durable().tenure().epoch())) {
+        return Optional.empty();
+      }
+      List<NodeId> answering =
+          base.members().stream()
+              .map(ViewMember::node)
+              .filter(node -> promises.containsKey(node))
+              .filter(node -> promises.get(node).status().diskHealthy())
+              .toList();
+      List<NodeId> installed =
+          answering.stream()
+              .filter(node -> base.mayLeadNext(node, installedEpoch(promises.get(node))))
+              .toList();
+      return Optional.of(
+          MembershipPolicy.takenOver(
+              base, context.self, context.settings.faultTolerance(), answering, installed));
+    }
+
+    private long installedEpoch(PeerMessage.Promise promise) {
+      return promise.status().durable().epoch();
+    }
+
+    @Override
+    public void decided(View base, View view) {
+      Set<NodeId> told = new TreeSet<>(base.witnesses());
+      told.addAll(view.witnesses());
+      told.remove(context.self);
+      adopt(view);
+      PeerMessage decided = new PeerMessage.Decided(view);
+      told.forEach(node -> context.outbox.send(node.address(), decided));
+    }
   }
 }
--- a/src/main/java/slateslip/coordination/DurableRecord.java
+++ b/src/main/java/slateslip/coordination/DurableRecord.java
@@ -7,16 +7,10 @@
    *
    * @param self the node's identity
    * @param witness its votes
-   * @param installedEpoch newest epoch whose state it has installed
-   * @param incarnation of the primary that installed it
+   * @param installed newest tenure whose state it has installed
    * @param state the replica's state, whole
    */
-  record Snapshot(
-      NodeId self,
-      WitnessState witness,
-      long installedEpoch,
-      long incarnation,
-      StateTransfer state)
+  record Snapshot(NodeId self, WitnessState witness, Tenure installed, StateTransfer state)
       implements DurableRecord {}
 
   /**
@@ -27,14 +21,12 @@
   record Vote(WitnessState witness) implements DurableRecord {}
 
   /**
-   * State taken over from the primary of an epoch.
+   * State taken over from a primary.
    *
-   * @param epoch installed epoch
-   * @param incarnation of that primary
+   * @param tenure of that primary
    * @param state replaces what is there from its base on
    */
-  record Installation(long epoch, long incarnation, StateTransfer state)
-      implements DurableRecord {}
+  record Installation(Tenure tenure, StateTransfer state) implements DurableRecord {}
 
   /**
    * One record.
--- /dev/null
+++ b/src/main/java/slateslip/coordination/Outbox.java
@@ -0,0 +1,53 @@
+package slateslip.coordination;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+
+/** Collects what an input leads to. Messages to the node itself are handled within the same input. */
+final class Outbox {
+  private final NodeAddress own;
+  private final Deque<PeerMessage> toSelf = new ArrayDeque<>();
+  private List<Effects.DurableWrite> writes = new ArrayList<>();
+  private List<Effects.Send> sends = new ArrayList<>();
+  private List<ClientResult> results = new ArrayList<>();
+
+  Outbox(NodeAddress own) {
+    this.own = own;
+  }
+
+  void write(long token, DurableRecord record) {
+    writes.add(new Effects.DurableWrite(token, record));
+  }
+
+  void send(NodeAddress to, PeerMessage message) {
+    if (to.equals(own)) {
+      toSelf.add(message);
+    } else {
+      sends.add(new Effects.Send(to, message));
+    }
+  }
+
+  void result(ClientResult result) {
+    results.add(result);
+  }
+
+  /** The next message to the node itself, or null. */
+  PeerMessage nextToSelf() {
+    return toSelf.poll();
+  }
+
+  boolean hasMessageToSelf() {
+    return !toSelf.isEmpty();
+  }
+
+  /** Hands over what was collected and begins anew. */
+  Effects flush(boolean applied, Effects.RoleStatus role, long wakeAtMicros) {
+    Effects effects = new Effects(writes, sends, results, applied, role, wakeAtMicros);
+    writes = new ArrayList<>();
+    sends = new ArrayList<>();
+    results = new ArrayList<>();
+    return effects;
+  }
+}
--- /dev/null
+++ b/src/main/java/slateslip/coordination/Peer.java
@@ -0,0 +1,107 @@
+package slateslip.coordination;
+
+/** What the primary knows of another node. */
+final class Peer {
+  private static final long NEVER = Long.MIN_VALUE / 4;
+  private static final long MEGABYTE = 1 << 20;
+
+  final NodeId node;
+  PeerStatus status;
+  long heardAt = NEVER;
+  long echoedSentAt = NEVER;
+  long cleanRound;
+  long wellSince = Long.MAX_VALUE;
+  int drops;
+  long droppedAt = NEVER;
+  Tenure sentTenure = Tenure.NONE;
+  long sentSequence;
+  long sentRound;
+  private boolean owes;
+  private long owesSince;
+  private long owesBound;
+
+  Peer(NodeId node) {
+    this.node = node;
+  }
+
+  /** Forgets what was sent in another tenure. */
+  void beginTenure() {
+    cleanRound = 0;
+    sentTenure = Tenure.NONE;
+    owes = false;
+  }
+
+  /** Something was sent that must reach the disk. */
+  void sent(Tenure tenure, long sequence, long round, long bytes, long now) {
+    sentTenure = tenure;
+    sentSequence = sequence;
+    sentRound = round;
+    if (!owes) {
+      owes = true;
+      owesSince = now;
+      owesBound = Timing.APPEND_BOUND;
+    }
+    owesBound += bytes * Timing.TRANSFER_PER_MB / MEGABYTE;
+  }
+
+  /** Whether all up to a record is on its disk in that tenure, and it follows no later view. */
+  boolean hasDurable(Tenure tenure, long sequence) {
+    return status != null
+        && status.durable().equals(tenure)
+        && status.durableSequence() >= sequence
+        && status.decidedEpoch() <= tenure.epoch()
+        && !status.acceptedLater();
+  }
+
+  /** Notes whether it still owes what was sent last. */
+  void settle(Tenure tenure) {
+    if (hasDurable(tenure, sentSequence)) {
+      owes = false;
+    }
+  }
+
+  boolean overdue(long now) {
+    return owes && now - owesSince > owesBound;
+  }
+
+  /** How long no answer has come to what was sent. */
+  long silentFor(long now, long tenureBegan) {
+    return now - Math.max(echoedSentAt, tenureBegan);
+  }
+
+  /** Whether it answers and its disk works. */
+  boolean well(long now, long tenureBegan) {
+    return silentFor(now, tenureBegan) < Timing.SILENCE
+        && (status == null || status.diskHealthy())
+        && !overdue(now);
+  }
+
+  /** Keeps the time since which it has been well. */
+  void watch(long now, long tenureBegan) {
+    boolean heard = echoedSentAt > NEVER;
+    if (!heard || !well(now, tenureBegan)) {
+      wellSince = Long.MAX_VALUE;
+    } else if (wellSince == Long.MAX_VALUE) {
+      wellSince = now;
+    } else if (now - wellSince > Timing.DROPS_FORGOTTEN) {
+      drops = 0;
+    }
+  }
+
+  long wellFor(long now) {
+    return wellSince == Long.MAX_VALUE ? 0 : now - wellSince;
+  }
+
+  /** How long it must be well before it is taken in, longer each time that it was dropped. */
+  long patience() {
+    if (drops == 0) {
+      return Timing.JOIN_AFTER;
+    }
+    return Timing.REJOIN_AFTER << Math.min(drops - 1, Timing.REJOIN_DOUBLINGS);
+  }
+
+  void dropped(long now) {
+    drops++;
+    droppedAt = now;
+  }
+}
--- a/src/main/java/slateslip/coordination/PeerMessage.java
+++ b/src/main/java/slateslip/coordination/PeerMessage.java
@@ -13,23 +13,24 @@
   /**
    * Of the primary, in regular rounds and at each commit or confirmation.
    *
-   * @param epoch its view's
-   * @param incarnation drawn at each start of the primary's process
-   * @param round rises with each round of heartbeats of that incarnation
+   * @param tenure of the primary
+   * @param round rises with each round of heartbeats
    * @param committedSequence records committed
+   * @param active whether the primary hears a majority of the witnesses and means to go on
    * @param view the view, or {@link View#NONE} if the receiver is known to have it
    */
-  record Heartbeat(long epoch, long incarnation, long round, long committedSequence, View view)
+  record Heartbeat(
+      Tenure tenure, long round, long committedSequence, boolean active, View view)
       implements PeerMessage {}
 
   /**
    * Answer to a heartbeat, once it has been handled.
    *
-   * @param incarnation of the heartbeat
+   * @param tenure of the heartbeat
    * @param round of the heartbeat
    * @param status of the replying node
    */
-  record HeartbeatReply(long incarnation, long round, PeerStatus status) implements PeerMessage {}
+  record HeartbeatReply(Tenure tenure, long round, PeerStatus status) implements PeerMessage {}
 
   /**
    * A view was decided.
@@ -91,33 +92,29 @@
   /**
    * The state that a view begins with, or that a node outside of it follows from.
    *
-   * @param epoch the view's
-   * @param incarnation of its primary
+   * @param tenure of the primary
    * @param state whole, or from what the receiver is known to have
    */
-  record Install(long epoch, long incarnation, StateTransfer state) implements PeerMessage {}
+  record Install(Tenure tenure, StateTransfer state) implements PeerMessage {}
 
   /**
    * One record.
    *
-   * @param epoch the view's
-   * @param incarnation of its primary
+   * @param tenure of the primary
    * @param sequence of the record
    * @param committedSequence records committed
    * @param record its bytes
    */
-  record Append(
-      long epoch, long incarnation, long sequence, long committedSequence, byte[] record)
+  record Append(Tenure tenure, long sequence, long committedSequence, byte[] record)
       implements PeerMessage {}
 
   /**
    * Everything up to a sequence number is on disk.
    *
-   * @param epoch installed epoch
-   * @param incarnation of the primary that sent it
+   * @param tenure installed on disk
    * @param sequence last record on disk
    */
-  record Synced(long epoch, long incarnation, long sequence) implements PeerMessage {}
+  record Synced(Tenure tenure, long sequence) implements PeerMessage {}
 
   /**
    * The primary resigns in favour of the receiver.
--- a/src/main/java/slateslip/coordination/PeerStatus.java
+++ b/src/main/java/slateslip/coordination/PeerStatus.java
@@ -5,10 +5,9 @@
  *
  * @param decidedEpoch epoch of the newest decided view that it knows
  * @param acceptedLater whether it has accepted a view after that one
- * @param installedEpoch newest epoch whose state it has on disk
- * @param receivedIncarnation primary's life whose installation it has received last
- * @param receivedSequence last record received from that life
- * @param durableIncarnation primary's life whose installation it has on disk
+ * @param received tenure whose installation it has received last
+ * @param receivedSequence last record received
+ * @param durable tenure whose installation it has on disk
  * @param durableSequence last record that it has on disk
  * @param committedSequence records that it knows to be committed
  * @param diskHealthy whether its disk takes writes within the bound
@@ -16,10 +15,23 @@
 public record PeerStatus(
     long decidedEpoch,
     boolean acceptedLater,
-    long installedEpoch,
-    long receivedIncarnation,
+    Tenure received,
     long receivedSequence,
-    long durableIncarnation,
+    Tenure durable,
     long durableSequence,
     long committedSequence,
-    boolean diskHealthy) {}
+    boolean diskHealthy) {
+
+  /** The same with newer news of the disk. */
+  PeerStatus withDurable(Tenure tenure, long sequence) {
+    return new PeerStatus(
+        decidedEpoch,
+        acceptedLater,
+        received,
+        receivedSequence,
+        tenure,
+        sequence,
+        committedSequence,
+        diskHealthy);
+  }
+}
--- /dev/null
+++ b/src/main/java/slateslip/coordination/PeerTable.java
@@ -0,0 +1,123 @@
+package slateslip.coordination;
+
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/** The other nodes as the primary sees them, and its rounds of heartbeats. */
+final class PeerTable {
+  private static final int ROUNDS_KEPT = 256;
+
+  private record Round(long number, long sentAt) {}
+
+  private final ReplicaContext context;
+  private final Map<NodeId, Peer> peers = new TreeMap<>();
+  private final Deque<Round> rounds = new ArrayDeque<>();
+  private long round;
+  private long tenureBegan;
+
+  PeerTable(ReplicaContext context) {
+    this.context = context;
+  }
+
+  long round() {
+    return round;
+  }
+
+  long tenureBegan() {
+    return tenureBegan;
+  }
+
+  Peer of(NodeId node) {
+    return peers.computeIfAbsent(node, Peer::new);
+  }
+
+  Collection<Peer> all() {
+    return peers.values();
+  }
+
+  /**
+   * Begins a tenure: nothing said in an earlier one counts.
+   *
+   * @param resumed whether this node has led until now
+   */
+  void beginTenure(boolean resumed) {
+    tenureBegan = context.now;
+    if (!resumed) {
+      peers.clear();
+    }
+    peers.values().forEach(Peer::beginTenure);
+  }
+
+  /** Opens a round. */
+  void beginRound() {
+    round++;
+    rounds.addLast(new Round(round, context.now));
+    if (rounds.size() > ROUNDS_KEPT) {
+      rounds.removeFirst();
+    }
+  }
+
+  /** A node answered a round of this tenure. */
+  void echoed(Peer peer, long echoedRound) {
+    for (Round sent : rounds) {
+      if (sent.number() == echoedRound) {
+        peer.echoedSentAt = Math.max(peer.echoedSentAt, sent.sentAt());
+      }
+    }
+  }
+
+  /** The view's other nodes, and those heard of late. */
+  Set<NodeId> targets() {
+    Set<NodeId> targets = new TreeSet<>(context.view().witnesses());
+    for (Peer peer : peers.values()) {
+      if (context.now - peer.heardAt < Timing.GUEST_KEPT) {
+        targets.add(peer.node);
+      }
+    }
+    targets.remove(context.self);
+    return targets;
+  }
+
+  /** Forgets nodes that are neither in the view nor heard. */
+  void forgetStrangers() {
+    Set<NodeId> targets = targets();
+    peers.keySet().removeIf(node -> !targets.contains(node) && !keptForPenalty(node));
+  }
+
+  private boolean keptForPenalty(NodeId node) {
+    return context.now - peers.get(node).droppedAt < Timing.WITNESS_REMOVED * 2;
+  }
+
+  boolean well(Peer peer) {
+    return peer.well(context.now, tenureBegan);
+  }
+
+  /** Whether a majority of the view's witnesses, this node among them, has answered of late. */
+  boolean hearsMajority() {
+    View view = context.view();
+    long heard =
+        view.witnesses().stream().filter(node -> node.equals(context.self) || hears(node)).count();
+    return heard >= view.majority();
+  }
+
+  private boolean hears(NodeId node) {
+    return of(node).silentFor(context.now, tenureBegan) < Timing.SILENCE;
+  }
+
+  /** Whether a majority answered that round or a later one and has accepted no later view. */
+  boolean cleanMajority(long since) {
+    View view = context.view();
+    boolean own = view.hasWitness(context.self) && !context.witness.hasAccepted();
+    long others =
+        view.witnesses().stream()
+            .filter(node -> !node.equals(context.self))
+            .filter(node -> of(node).cleanRound >= since)
+            .count();
+    return others + (own ? 1 : 0) >= view.majority();
+  }
+}
--- /dev/null
+++ b/src/main/java/slateslip/coordination/Recovery.java
@@ -0,0 +1,32 @@
+package slateslip.coordination;
+
+import java.util.List;
+
+/** Brings a replica to what its disk holds. */
+final class Recovery {
+  private Recovery() {}
+
+  /** Replays records that begin with a snapshot. */
+  static void replay(List<DurableRecord> records, ReplicaContext context) {
+    if (!(records.get(0) instanceof DurableRecord.Snapshot)) {
+      throw new IllegalArgumentException("the first record on disk is no snapshot");
+    }
+    records.forEach(record -> replay(record, context));
+    ReplicaStore store = context.store;
+    context.disk.recovered(new DurableMark(store.installed(), store.lastSequence()));
+  }
+
+  private static void replay(DurableRecord record, ReplicaContext context) {
+    if (record instanceof DurableRecord.Snapshot snapshot) {
+      context.self = snapshot.self();
+      context.witness = snapshot.witness();
+      context.store.install(snapshot.installed(), snapshot.state());
+    } else if (record instanceof DurableRecord.Vote vote) {
+      context.witness = vote.witness();
+    } else if (record instanceof DurableRecord.Installation installation) {
+      context.store.install(installation.tenure(), installation.state());
+    } else if (record instanceof DurableRecord.Entry entry) {
+      context.store.append(entry.sequence(), entry.committedSequence(), entry.record());
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/slateslip/coordination/ReplicaContext.java
@@ -0,0 +1,80 @@
+package slateslip.coordination;
+
+import java.util.SplittableRandom;
+
+/** What the parts of one replica share. */
+final class ReplicaContext {
+  final ReplicaSettings settings;
+  final SplittableRandom random;
+  final Outbox outbox;
+  final ReplicaStore store;
+  final DurableQueue disk;
+  NodeId self = NodeId.NONE;
+  WitnessState witness = WitnessState.NONE;
+  long now;
+
+  ReplicaContext(ReplicaSettings settings, ReplicatedState state, long randomSeed) {
+    this.settings = settings;
+    random = new SplittableRandom(randomSeed);
+    outbox = new Outbox(settings.address());
+    store = new ReplicaStore(state);
+    disk = new DurableQueue(outbox, settings.journalBytes(), this::snapshot);
+  }
+
+  /** Newest decided view known. */
+  View view() {
+    return witness.decided();
+  }
+
+  boolean isPrimary() {
+    return !view().isNone() && view().primary().equals(self);
+  }
+
+  /** Members that must have a record before it is committed, at least. */
+  int membersNeeded() {
+    return settings.faultTolerance() + 1;
+  }
+
+  boolean diskHealthy() {
+    return disk.healthy(now);
+  }
+
+  /** Starts a durable write of what the memory holds already. */
+  void write(DurableRecord record, long bytes, Runnable then) {
+    disk.write(now, record, bytes, mark(), then);
+  }
+
+  void writeVote(Runnable then) {
+    write(new DurableRecord.Vote(witness), 0, then);
+  }
+
+  void retryDisk() {
+    disk.retry(now, mark());
+  }
+
+  private DurableMark mark() {
+    return new DurableMark(store.installed(), store.lastSequence());
+  }
+
+  private DurableRecord.Snapshot snapshot() {
+    return new DurableRecord.Snapshot(self, witness, store.installed(), store.whole());
+  }
+
+  /** What this node tells of itself. */
+  PeerStatus status() {
+    return new PeerStatus(
+        view().epoch(),
+        witness.hasAccepted(),
+        store.installed(),
+        store.lastSequence(),
+        disk.durable().tenure(),
+        disk.durable().sequence(),
+        store.appliedSequence(),
+        diskHealthy());
+  }
+
+  /** A random time in microseconds. */
+  long randomBetween(long least, long most) {
+    return random.nextLong(least, most + 1);
+  }
+}
--- /dev/null
+++ b/src/main/java/slateslip/coordination/Tenure.java
@@ -0,0 +1,24 @@
+package slateslip.coordination;
+
+/**
+ * One activation of a view's primary. Records with the same sequence number are the same within a
+ * tenure.
+ *
+ * @param epoch of the view
+ * @param incarnation 1 or more; rises each time that the epoch's primary starts anew
+ */
+public record Tenure(long epoch, long incarnation) implements Comparable<Tenure> {
+  /** Before every other. */
+  public static final Tenure NONE = new Tenure(0, 0);
+
+  /** The tenure of a primary that begins or resumes an epoch after this one. */
+  public Tenure next(long newEpoch) {
+    return new Tenure(newEpoch, epoch == newEpoch ? incarnation + 1 : 1);
+  }
+
+  @Override
+  public int compareTo(Tenure other) {
+    int byEpoch = Long.compare(epoch, other.epoch);
+    return byEpoch != 0 ? byEpoch : Long.compare(incarnation, other.incarnation);
+  }
+}
--- /dev/null
+++ b/src/main/java/slateslip/coordination/Witness.java
@@ -0,0 +1,66 @@
+package slateslip.coordination;
+
+/** Votes on the view of the next epoch. A vote is sent once it is on disk. */
+final class Witness {
+  /** Tells whether the view's primary is there. */
+  interface PrimaryWatch {
+    boolean primaryAlive();
+  }
+
+  private final ReplicaContext context;
+  private final PrimaryWatch watch;
+
+  Witness(ReplicaContext context, PrimaryWatch watch) {
+    this.context = context;
+    this.watch = watch;
+  }
+
+  /** First phase; the base is the newest decided view that this node knows. */
+  void prepare(NodeId from, PeerMessage.Prepare message) {
+    WitnessState state = context.witness;
+    long epoch = state.decided().epoch();
+    if (message.ballot().compareTo(state.promised()) < 0) {
+      refuse(from, epoch, message.ballot(), state.promised(), false);
+      return;
+    }
+    if (!message.consented() && watch.primaryAlive()) {
+      refuse(from, epoch, message.ballot(), Ballot.NONE, true);
+      return;
+    }
+    context.witness =
+        new WitnessState(
+            state.decided(), message.ballot(), state.acceptedBallot(), state.accepted());
+    PeerStatus status = context.status();
+    context.writeVote(
+        () ->
+            context.outbox.send(
+                from.address(),
+                new PeerMessage.Promise(
+                    epoch, message.ballot(), state.acceptedBallot(), state.accepted(), status)));
+  }
+
+  /** Second phase. */
+  void accept(NodeId from, PeerMessage.Accept message) {
+    WitnessState state = context.witness;
+    long epoch = state.decided().epoch();
+    if (message.baseEpoch() != epoch) {
+      return;
+    }
+    if (message.ballot().compareTo(state.promised()) < 0) {
+      refuse(from, epoch, message.ballot(), state.promised(), false);
+      return;
+    }
+    context.witness =
+        new WitnessState(state.decided(), message.ballot(), message.ballot(), message.value());
+    context.writeVote(
+        () ->
+            context.outbox.send(
+                from.address(), new PeerMessage.Accepted(epoch, message.ballot())));
+  }
+
+  private void refuse(
+      NodeId from, long epoch, Ballot ballot, Ballot promised, boolean primaryAlive) {
+    context.outbox.send(
+        from.address(), new PeerMessage.Refused(epoch, ballot, promised, primaryAlive));
+  }
+}
