--- a/src/main/java/slateslip/protocol/coordination/DurableRecordCodec.java
+++ b/src/main/java/slateslip/protocol/coordination/DurableRecordCodec.java
@@ -1,19 +1,179 @@
 package slateslip.protocol.coordination;
 
+import org.agrona.DirectBuffer;
+import org.agrona.ExpandableArrayBuffer;
+import slateslip.coordination.Ballot;
 import slateslip.coordination.DurableRecord;
+import slateslip.coordination.NodeId;
+import slateslip.coordination.StateTransfer;
+import slateslip.coordination.Tenure;
+import slateslip.coordination.View;
+import slateslip.coordination.WitnessState;
 import slateslip.protocol.Decoded;
+import slateslip.protocol.MessageReader;
+import slateslip.protocol.coordination.generated.EntryRecordDecoder;
+import slateslip.protocol.coordination.generated.EntryRecordEncoder;
+import slateslip.protocol.coordination.generated.InstallationRecordDecoder;
+import slateslip.protocol.coordination.generated.InstallationRecordEncoder;
+import slateslip.protocol.coordination.generated.MessageHeaderDecoder;
+import slateslip.protocol.coordination.generated.MessageHeaderEncoder;
+import slateslip.protocol.coordination.generated.SnapshotRecordDecoder;
+import slateslip.protocol.coordination.generated.SnapshotRecordEncoder;
+import slateslip.protocol.coordination.generated.VoteRecordDecoder;
+import slateslip.protocol.coordination.generated.VoteRecordEncoder;
 
 /** Records on disk as SBE. */
 public final class DurableRecordCodec {
+  private static final int INITIAL_BYTES = 512;
+
   private DurableRecordCodec() {}
 
-  /** Encodes a record. */
+  /** Encodes a record, header included. */
   public static byte[] encode(DurableRecord record) {
-    throw new UnsupportedOperationException("not written yet");
+    ExpandableArrayBuffer buffer = new ExpandableArrayBuffer(INITIAL_BYTES);
+    byte[] bytes = new byte[write(record, buffer)];
+    buffer.getBytes(0, bytes);
+    return bytes;
   }
 
   /** Decodes a record that fills the array; bad input gives {@link Decoded.Malformed}. */
   public static Decoded<DurableRecord> decode(byte[] bytes) {
-    throw new UnsupportedOperationException("not written yet");
+    return MessageReader.read(bytes, PeerMessageCodec.SCHEMA_ID, DurableRecordCodec::read);
+  }
+
+  private static int write(DurableRecord record, ExpandableArrayBuffer buffer) {
+    if (record instanceof DurableRecord.Snapshot snapshot) {
+      return write(snapshot, buffer);
+    }
+    if (record instanceof DurableRecord.Vote vote) {
+      return write(vote, buffer);
+    }
+    if (record instanceof DurableRecord.Installation installation) {
+      return write(installation, buffer);
+    }
+    return write((DurableRecord.Entry) record, buffer);
+  }
+
+  private static int write(DurableRecord.Snapshot record, ExpandableArrayBuffer buffer) {
+    SnapshotRecordEncoder encoder =
+        new SnapshotRecordEncoder().wrapAndApplyHeader(buffer, 0, new MessageHeaderEncoder());
+    Fields.put(encoder.self(), record.self());
+    Fields.put(encoder.promised(), record.witness().promised());
+    Fields.put(encoder.acceptedBallot(), record.witness().acceptedBallot());
+    Fields.put(encoder.installed(), record.installed());
+    byte[] decided = Images.encode(record.witness().decided());
+    encoder.putDecided(decided, 0, decided.length);
+    byte[] accepted = Images.encode(record.witness().accepted());
+    encoder.putAccepted(accepted, 0, accepted.length);
+    byte[] state = Images.encode(record.state());
+    encoder.putState(state, 0, state.length);
+    return encoder.limit();
+  }
+
+  private static int write(DurableRecord.Vote record, ExpandableArrayBuffer buffer) {
+    VoteRecordEncoder encoder =
+        new VoteRecordEncoder().wrapAndApplyHeader(buffer, 0, new MessageHeaderEncoder());
+    Fields.put(encoder.promised(), record.witness().promised());
+    Fields.put(encoder.acceptedBallot(), record.witness().acceptedBallot());
+    byte[] decided = Images.encode(record.witness().decided());
+    encoder.putDecided(decided, 0, decided.length);
+    byte[] accepted = Images.encode(record.witness().accepted());
+    encoder.putAccepted(accepted, 0, accepted.length);
+    return encoder.limit();
+  }
+
+  private static int write(DurableRecord.Installation record, ExpandableArrayBuffer buffer) {
+    InstallationRecordEncoder encoder =
+        new InstallationRecordEncoder().wrapAndApplyHeader(buffer, 0, new MessageHeaderEncoder());
+    Fields.put(encoder.tenure(), record.tenure());
+    byte[] state = Images.encode(record.state());
+    encoder.putState(state, 0, state.length);
+    return encoder.limit();
+  }
+
+  private static int write(DurableRecord.Entry record, ExpandableArrayBuffer buffer) {
+    EntryRecordEncoder encoder =
+        new EntryRecordEncoder().wrapAndApplyHeader(buffer, 0, new MessageHeaderEncoder());
+    encoder.sequence(record.sequence()).committedSequence(record.committedSequence());
+    encoder.putRecord(record.record(), 0, record.record().length);
+    return encoder.limit();
+  }
+
+  private static DurableRecord read(DirectBuffer buffer, int template) {
+    return switch (template) {
+      case SnapshotRecordDecoder.TEMPLATE_ID -> readSnapshot(buffer);
+      case VoteRecordDecoder.TEMPLATE_ID -> readVote(buffer);
+      case InstallationRecordDecoder.TEMPLATE_ID -> readInstallation(buffer);
+      case EntryRecordDecoder.TEMPLATE_ID -> readEntry(buffer);
+      default -> null;
+    };
+  }
+
+  private static DurableRecord readSnapshot(DirectBuffer buffer) {
+    MessageHeaderDecoder header = new MessageHeaderDecoder();
+    SnapshotRecordDecoder decoder =
+        new SnapshotRecordDecoder().wrapAndApplyHeader(buffer, 0, header);
+    check(header, SnapshotRecordDecoder.BLOCK_LENGTH);
+    NodeId self = Fields.node(decoder.self());
+    Ballot promised = Fields.ballot(decoder.promised());
+    Ballot acceptedBallot = Fields.ballot(decoder.acceptedBallot());
+    Tenure installed = Fields.tenure(decoder.installed());
+    byte[] decidedBytes = Fields.room(buffer, decoder.limit(), decoder.decidedLength());
+    decoder.getDecided(decidedBytes, 0, decidedBytes.length);
+    byte[] acceptedBytes = Fields.room(buffer, decoder.limit(), decoder.acceptedLength());
+    decoder.getAccepted(acceptedBytes, 0, acceptedBytes.length);
+    byte[] stateBytes = Fields.room(buffer, decoder.limit(), decoder.stateLength());
+    decoder.getState(stateBytes, 0, stateBytes.length);
+    WitnessState witness = witness(promised, acceptedBallot, decidedBytes, acceptedBytes);
+    StateTransfer state = Images.state(stateBytes);
+    return new DurableRecord.Snapshot(self, witness, installed, state);
+  }
+
+  private static DurableRecord readVote(DirectBuffer buffer) {
+    MessageHeaderDecoder header = new MessageHeaderDecoder();
+    VoteRecordDecoder decoder = new VoteRecordDecoder().wrapAndApplyHeader(buffer, 0, header);
+    check(header, VoteRecordDecoder.BLOCK_LENGTH);
+    Ballot promised = Fields.ballot(decoder.promised());
+    Ballot acceptedBallot = Fields.ballot(decoder.acceptedBallot());
+    byte[] decidedBytes = Fields.room(buffer, decoder.limit(), decoder.decidedLength());
+    decoder.getDecided(decidedBytes, 0, decidedBytes.length);
+    byte[] acceptedBytes = Fields.room(buffer, decoder.limit(), decoder.acceptedLength());
+    decoder.getAccepted(acceptedBytes, 0, acceptedBytes.length);
+    return new DurableRecord.Vote(
+        witness(promised, acceptedBallot, decidedBytes, acceptedBytes));
+  }
+
+  private static WitnessState witness(
+      Ballot promised, Ballot acceptedBallot, byte[] decidedBytes, byte[] acceptedBytes) {
+    View decided = Images.view(decidedBytes);
+    View accepted = Images.view(acceptedBytes);
+    return new WitnessState(decided, promised, acceptedBallot, accepted);
+  }
+
+  private static DurableRecord readInstallation(DirectBuffer buffer) {
+    MessageHeaderDecoder header = new MessageHeaderDecoder();
+    InstallationRecordDecoder decoder =
+        new InstallationRecordDecoder().wrapAndApplyHeader(buffer, 0, header);
+    check(header, InstallationRecordDecoder.BLOCK_LENGTH);
+    Tenure tenure = Fields.tenure(decoder.tenure());
+    byte[] stateBytes = Fields.room(buffer, decoder.limit(), decoder.stateLength());
+    decoder.getState(stateBytes, 0, stateBytes.length);
+    return new DurableRecord.Installation(tenure, Images.state(stateBytes));
+  }
+
+  private static DurableRecord readEntry(DirectBuffer buffer) {
+    MessageHeaderDecoder header = new MessageHeaderDecoder();
+    EntryRecordDecoder decoder = new EntryRecordDecoder().wrapAndApplyHeader(buffer, 0, header);
+    check(header, EntryRecordDecoder.BLOCK_LENGTH);
+    long sequence = decoder.sequence();
+    long committedSequence = decoder.committedSequence();
+    byte[] record = Fields.room(buffer, decoder.limit(), decoder.recordLength());
+    decoder.getRecord(record, 0, record.length);
+    return new DurableRecord.Entry(sequence, committedSequence, record);
+  }
+
+  private static void check(MessageHeaderDecoder header, int knownLength) {
+    Fields.checkBlock(
+        header.blockLength(), header.version(), knownLength, MessageHeaderDecoder.SCHEMA_VERSION);
   }
 }
--- /dev/null
+++ b/src/main/java/slateslip/protocol/coordination/Fields.java
@@ -0,0 +1,105 @@
+package slateslip.protocol.coordination;
+
+import org.agrona.DirectBuffer;
+import slateslip.coordination.Ballot;
+import slateslip.coordination.NodeAddress;
+import slateslip.coordination.NodeId;
+import slateslip.coordination.PeerStatus;
+import slateslip.coordination.Tenure;
+import slateslip.protocol.MessageReader;
+import slateslip.protocol.coordination.generated.BallotNumberDecoder;
+import slateslip.protocol.coordination.generated.BallotNumberEncoder;
+import slateslip.protocol.coordination.generated.Flag;
+import slateslip.protocol.coordination.generated.NodeIdentityDecoder;
+import slateslip.protocol.coordination.generated.NodeIdentityEncoder;
+import slateslip.protocol.coordination.generated.StatusReportDecoder;
+import slateslip.protocol.coordination.generated.StatusReportEncoder;
+import slateslip.protocol.coordination.generated.TenureNumberDecoder;
+import slateslip.protocol.coordination.generated.TenureNumberEncoder;
+
+/** Parts that several messages have. */
+final class Fields {
+  private static final int LENGTH_BYTES = 4;
+  private static final short YES = 1;
+
+  private Fields() {}
+
+  static void put(NodeIdentityEncoder encoder, NodeId node) {
+    encoder.ipv4(node.address().ipv4()).diskId(node.diskId());
+  }
+
+  static NodeId node(NodeIdentityDecoder decoder) {
+    return new NodeId(new NodeAddress(decoder.ipv4()), decoder.diskId());
+  }
+
+  static void put(BallotNumberEncoder encoder, Ballot ballot) {
+    encoder
+        .round(ballot.round())
+        .ipv4(ballot.proposer().address().ipv4())
+        .diskId(ballot.proposer().diskId());
+  }
+
+  static Ballot ballot(BallotNumberDecoder decoder) {
+    NodeId proposer = new NodeId(new NodeAddress(decoder.ipv4()), decoder.diskId());
+    return new Ballot(decoder.round(), proposer);
+  }
+
+  static void put(TenureNumberEncoder encoder, Tenure tenure) {
+    encoder.epoch(tenure.epoch()).incarnation(tenure.incarnation());
+  }
+
+  static Tenure tenure(TenureNumberDecoder decoder) {
+    return new Tenure(decoder.epoch(), decoder.incarnation());
+  }
+
+  static void put(StatusReportEncoder encoder, PeerStatus status) {
+    encoder
+        .decidedEpoch(status.decidedEpoch())
+        .receivedEpoch(status.received().epoch())
+        .receivedIncarnation(status.received().incarnation())
+        .receivedSequence(status.receivedSequence())
+        .durableEpoch(status.durable().epoch())
+        .durableIncarnation(status.durable().incarnation())
+        .durableSequence(status.durableSequence())
+        .committedSequence(status.committedSequence())
+        .acceptedLater(flag(status.acceptedLater()).value())
+        .diskHealthy(flag(status.diskHealthy()).value());
+  }
+
+  static PeerStatus status(StatusReportDecoder decoder) {
+    return new PeerStatus(
+        decoder.decidedEpoch(),
+        decoder.acceptedLater() == YES,
+        new Tenure(decoder.receivedEpoch(), decoder.receivedIncarnation()),
+        decoder.receivedSequence(),
+        new Tenure(decoder.durableEpoch(), decoder.durableIncarnation()),
+        decoder.durableSequence(),
+        decoder.committedSequence(),
+        decoder.diskHealthy() == YES);
+  }
+
+  static Flag flag(boolean value) {
+    return value ? Flag.YES : Flag.NO;
+  }
+
+  static boolean isSet(Flag flag) {
+    return flag == Flag.YES;
+  }
+
+  /**
+   * Room for a document that the message is to hold next.
+   *
+   * @param limit where its length field begins
+   * @param length as the message says
+   */
+  static byte[] room(DirectBuffer buffer, int limit, int length) {
+    return new byte[MessageReader.checkedLength(buffer, limit + LENGTH_BYTES, length)];
+  }
+
+  /** A block shorter than that of its own version would be read beyond its end. */
+  static void checkBlock(int length, int version, int knownLength, int knownVersion) {
+    if (version >= knownVersion && length < knownLength) {
+      throw new IllegalArgumentException("a block of " + length + " bytes");
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/slateslip/protocol/coordination/Images.java
@@ -0,0 +1,130 @@
+package slateslip.protocol.coordination;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.agrona.DirectBuffer;
+import org.agrona.ExpandableArrayBuffer;
+import org.agrona.concurrent.UnsafeBuffer;
+import slateslip.coordination.NodeId;
+import slateslip.coordination.StateTransfer;
+import slateslip.coordination.View;
+import slateslip.coordination.ViewMember;
+import slateslip.protocol.coordination.generated.MessageHeaderDecoder;
+import slateslip.protocol.coordination.generated.MessageHeaderEncoder;
+import slateslip.protocol.coordination.generated.TransferImageDecoder;
+import slateslip.protocol.coordination.generated.TransferImageEncoder;
+import slateslip.protocol.coordination.generated.ViewImageDecoder;
+import slateslip.protocol.coordination.generated.ViewImageEncoder;
+
+/** Views and states inside of messages and records: each a message of its own. */
+final class Images {
+  private static final byte[] NOTHING = new byte[0];
+  private static final int SMALL = 256;
+
+  private Images() {}
+
+  /** A view's message; empty for {@link View#NONE}. */
+  static byte[] encode(View view) {
+    if (view.isNone()) {
+      return NOTHING;
+    }
+    ExpandableArrayBuffer buffer = new ExpandableArrayBuffer(SMALL);
+    ViewImageEncoder encoder =
+        new ViewImageEncoder().wrapAndApplyHeader(buffer, 0, new MessageHeaderEncoder());
+    encoder.epoch(view.epoch());
+    Fields.put(encoder.primary(), view.primary());
+    ViewImageEncoder.MembersEncoder members = encoder.membersCount(view.members().size());
+    for (ViewMember member : view.members()) {
+      members.next().sinceEpoch(member.sinceEpoch());
+      Fields.put(members.node(), member.node());
+    }
+    ViewImageEncoder.WitnessesEncoder witnesses =
+        encoder.witnessesCount(view.witnesses().size());
+    for (NodeId witness : view.witnesses()) {
+      Fields.put(witnesses.next().node(), witness);
+    }
+    return copy(buffer, encoder.limit());
+  }
+
+  /**
+   * Reads a view.
+   *
+   * @throws RuntimeException of the kinds that {@link slateslip.protocol.MessageReader} turns into
+   *     values
+   */
+  static View view(byte[] bytes) {
+    if (bytes.length == 0) {
+      return View.NONE;
+    }
+    DirectBuffer buffer = new UnsafeBuffer(bytes);
+    expect(buffer, ViewImageDecoder.TEMPLATE_ID);
+    ViewImageDecoder decoder = new ViewImageDecoder();
+    decoder.wrapAndApplyHeader(buffer, 0, new MessageHeaderDecoder());
+    long epoch = decoder.epoch();
+    NodeId primary = Fields.node(decoder.primary());
+    List<ViewMember> members = new ArrayList<>();
+    for (ViewImageDecoder.MembersDecoder member : decoder.members()) {
+      members.add(new ViewMember(Fields.node(member.node()), member.sinceEpoch()));
+    }
+    List<NodeId> witnesses = new ArrayList<>();
+    for (ViewImageDecoder.WitnessesDecoder witness : decoder.witnesses()) {
+      witnesses.add(Fields.node(witness.node()));
+    }
+    return new View(epoch, primary, members, witnesses);
+  }
+
+  /** A state's message. */
+  static byte[] encode(StateTransfer state) {
+    ExpandableArrayBuffer buffer = new ExpandableArrayBuffer(SMALL + (int) state.bytes());
+    TransferImageEncoder encoder =
+        new TransferImageEncoder().wrapAndApplyHeader(buffer, 0, new MessageHeaderEncoder());
+    encoder
+        .baseSequence(state.baseSequence())
+        .committedSequence(state.committedSequence())
+        .whole(Fields.flag(state.whole()));
+    TransferImageEncoder.RecordsEncoder records = encoder.recordsCount(state.records().size());
+    for (byte[] record : state.records()) {
+      records.next().putRecord(record, 0, record.length);
+    }
+    encoder.putBase(state.base(), 0, state.base().length);
+    return copy(buffer, encoder.limit());
+  }
+
+  /**
+   * Reads a state.
+   *
+   * @throws RuntimeException of the kinds that {@link slateslip.protocol.MessageReader} turns into
+   *     values
+   */
+  static StateTransfer state(byte[] bytes) {
+    DirectBuffer buffer = new UnsafeBuffer(bytes);
+    expect(buffer, TransferImageDecoder.TEMPLATE_ID);
+    TransferImageDecoder decoder = new TransferImageDecoder();
+    decoder.wrapAndApplyHeader(buffer, 0, new MessageHeaderDecoder());
+    long baseSequence = decoder.baseSequence();
+    long committedSequence = decoder.committedSequence();
+    boolean whole = Fields.isSet(decoder.whole());
+    List<byte[]> records = new ArrayList<>();
+    for (TransferImageDecoder.RecordsDecoder next : decoder.records()) {
+      byte[] record = Fields.room(buffer, decoder.limit(), next.recordLength());
+      next.getRecord(record, 0, record.length);
+      records.add(record);
+    }
+    byte[] base = Fields.room(buffer, decoder.limit(), decoder.baseLength());
+    decoder.getBase(base, 0, base.length);
+    return new StateTransfer(baseSequence, whole, base, records, committedSequence);
+  }
+
+  private static void expect(DirectBuffer buffer, int template) {
+    MessageHeaderDecoder header = new MessageHeaderDecoder().wrap(buffer, 0);
+    if (header.schemaId() != MessageHeaderDecoder.SCHEMA_ID || header.templateId() != template) {
+      throw new IllegalArgumentException("no message " + template + " inside of another");
+    }
+  }
+
+  private static byte[] copy(ExpandableArrayBuffer buffer, int length) {
+    byte[] bytes = new byte[length];
+    buffer.getBytes(0, bytes);
+    return bytes;
+  }
+}
--- a/src/main/java/slateslip/storage/RingStorage.java
+++ b/src/main/java/slateslip/storage/RingStorage.java
@@ -1,11 +1,40 @@
 package slateslip.storage;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 
-/** A ring of preallocated files that hold records behind a snapshot. */
-public final class RingStorage {
-  private RingStorage() {}
+/**
+ * A ring of preallocated files that hold records behind a snapshot. After {@link #open} and after
+ * each failure nothing is taken until {@link #begin} has succeeded, in another file than the one
+ * that holds the newest whole chain; so a torn or failed write never harms what was durable.
+ */
+public final class RingStorage implements AutoCloseable {
+  private static final int PREALLOCATED_PART = 256 * 1024;
+  private static final String NO_SPACE = "No space";
+
+  private record Slot(int number, long generation) {}
+
+  private final StorageFolder folder;
+  private final RingOptions options;
+  private final StorageFile[] files;
+  private final List<byte[]> recovered = new ArrayList<>();
+  private boolean folderSynced;
+  private int keptSlot = -1;
+  private long highestGeneration;
+  private boolean taking;
+  private int slot;
+  private long position;
+  private long index;
+
+  private RingStorage(StorageFolder folder, RingOptions options) {
+    this.folder = folder;
+    this.options = options;
+    files = new StorageFile[options.files()];
+  }
 
   /**
    * Opens the ring and recovers what it holds.
@@ -13,26 +42,162 @@
    * @throws IOException if the folder can't be read; no data is then known to be lost
    */
   public static RingStorage open(StorageFolder folder, RingOptions options) throws IOException {
-    throw new UnsupportedOperationException("not written yet");
+    RingStorage ring = new RingStorage(folder, options);
+    ring.recover();
+    return ring;
+  }
+
+  private static String name(int number) {
+    return "control-" + number + ".ring";
+  }
+
+  private void recover() throws IOException {
+    List<String> names = folder.names();
+    List<Slot> found = new ArrayList<>();
+    for (int number = 0; number < files.length; number++) {
+      if (names.contains(name(number))) {
+        files[number] = folder.open(name(number));
+        Optional<RecordFormat.Header> header = RecordFormat.header(files[number], 0);
+        if (header.isPresent()) {
+          found.add(new Slot(number, header.get().generation()));
+        }
+      }
+    }
+    found.sort(Comparator.comparingLong(Slot::generation).reversed());
+    for (Slot candidate : found) {
+      if (recovered.isEmpty()) {
+        readChain(candidate);
+      }
+    }
+  }
+
+  private void readChain(Slot candidate) throws IOException {
+    StorageFile file = files[candidate.number()];
+    long at = 0;
+    Optional<byte[]> payload = RecordFormat.payload(file, at, candidate.generation(), 0);
+    while (payload.isPresent()) {
+      recovered.add(payload.get());
+      at += RecordFormat.HEADER_BYTES + payload.get().length;
+      payload = RecordFormat.payload(file, at, candidate.generation(), recovered.size());
+    }
+    if (!recovered.isEmpty()) {
+      keptSlot = candidate.number();
+      highestGeneration = candidate.generation();
+    }
   }
 
   /** Payloads found by {@link #open}: the newest whole snapshot and the records behind it. */
   public List<byte[]> recovered() {
-    throw new UnsupportedOperationException("not written yet");
+    return List.copyOf(recovered);
   }
 
-  /** Writes a record behind the newest snapshot and syncs it. */
-  public StorageOutcome append(byte[] payload) {
-    throw new UnsupportedOperationException("not written yet");
+  /** Lets the memory of what was recovered go. */
+  public void forgetRecovered() {
+    recovered.clear();
+  }
+
+  /** Writes records behind the newest snapshot and syncs them; all count or none. */
+  public StorageOutcome append(List<byte[]> payloads) {
+    if (!taking) {
+      return StorageOutcome.FAILED;
+    }
+    try {
+      for (byte[] payload : payloads) {
+        put(payload);
+      }
+      files[slot].sync();
+      return StorageOutcome.DURABLE;
+    } catch (IOException e) {
+      taking = false;
+      return failure(e);
+    }
   }
 
   /** Begins another file with a snapshot that stands for everything before it, and syncs it. */
   public StorageOutcome begin(byte[] snapshot) {
-    throw new UnsupportedOperationException("not written yet");
+    taking = false;
+    slot = (keptSlot + 1) % files.length;
+    highestGeneration++;
+    position = 0;
+    index = 0;
+    try {
+      if (files[slot] == null) {
+        files[slot] = folder.open(name(slot));
+        folderSynced = false;
+      }
+      put(snapshot);
+      files[slot].sync();
+      syncFolder();
+    } catch (IOException e) {
+      return failure(e);
+    }
+    keptSlot = slot;
+    taking = true;
+    return StorageOutcome.DURABLE;
   }
 
-  /** Writes one part of what is not yet preallocated; whether anything is left to do. */
+  private void syncFolder() throws IOException {
+    if (!folderSynced) {
+      folder.sync();
+      folderSynced = true;
+    }
+  }
+
+  private void put(byte[] payload) throws IOException {
+    ByteBuffer bytes = RecordFormat.encode(highestGeneration, index, payload);
+    int length = bytes.remaining();
+    files[slot].write(position, bytes);
+    position += length;
+    index++;
+  }
+
+  private static StorageOutcome failure(IOException cause) {
+    String message = cause.getMessage();
+    boolean full = message != null && message.contains(NO_SPACE);
+    return full ? StorageOutcome.FULL : StorageOutcome.FAILED;
+  }
+
+  /**
+   * Writes one part of what is not yet preallocated, without a sync. To be called when nothing else
+   * is to be written.
+   *
+   * @return whether something may be left to do
+   */
   public boolean preallocateNext() {
-    throw new UnsupportedOperationException("not written yet");
+    if (!taking) {
+      return false;
+    }
+    try {
+      for (int number = 0; number < files.length; number++) {
+        if (files[number] == null) {
+          files[number] = folder.open(name(number));
+          folderSynced = false;
+        }
+        long length = files[number].length();
+        if (length < options.fileBytes()) {
+          extend(files[number], length);
+          return true;
+        }
+      }
+      syncFolder();
+      return false;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  private void extend(StorageFile file, long length) throws IOException {
+    long bytes = Math.min(PREALLOCATED_PART, options.fileBytes() - length);
+    file.write(length, ByteBuffer.allocate((int) bytes));
+    file.sync();
+  }
+
+  @Override
+  public void close() throws IOException {
+    for (StorageFile file : files) {
+      if (file != null) {
+        file.close();
+      }
+    }
   }
 }
--- a/src/main/java/slateslip/storage/StorageFile.java
+++ b/src/main/java/slateslip/storage/StorageFile.java
@@ -8,8 +8,8 @@
   /** Length in bytes. */
   long length() throws IOException;
 
-  /** Reads the whole file. */
-  byte[] readAll() throws IOException;
+  /** Fills the buffer from a position on, as far as the file goes. */
+  void read(long position, ByteBuffer into) throws IOException;
 
   /** Writes all of the buffer at a position. */
   void write(long position, ByteBuffer bytes) throws IOException;
--- /dev/null
+++ b/src/test/java/slateslip/protocol/coordination/next/EntryRecordEncoder.java
@@ -0,0 +1,327 @@
+/* Generated SBE (Simple Binary Encoding) message codec. */
+package slateslip.protocol.coordination.next;
+
+import org.agrona.MutableDirectBuffer;
+import org.agrona.DirectBuffer;
+
+@SuppressWarnings("all")
+public final class EntryRecordEncoder
+{
+    public static final int BLOCK_LENGTH = 24;
+    public static final int TEMPLATE_ID = 33;
+    public static final int SCHEMA_ID = 103;
+    public static final int SCHEMA_VERSION = 1;
+    public static final String SEMANTIC_VERSION = "1.0";
+    public static final java.nio.ByteOrder BYTE_ORDER = java.nio.ByteOrder.LITTLE_ENDIAN;
+
+    private final EntryRecordEncoder parentMessage = this;
+    private MutableDirectBuffer buffer;
+    private int offset;
+    private int limit;
+
+    public int sbeBlockLength()
+    {
+        return BLOCK_LENGTH;
+    }
+
+    public int sbeTemplateId()
+    {
+        return TEMPLATE_ID;
+    }
+
+    public int sbeSchemaId()
+    {
+        return SCHEMA_ID;
+    }
+
+    public int sbeSchemaVersion()
+    {
+        return SCHEMA_VERSION;
+    }
+
+    public String sbeSemanticType()
+    {
+        return "";
+    }
+
+    public MutableDirectBuffer buffer()
+    {
+        return buffer;
+    }
+
+    public int offset()
+    {
+        return offset;
+    }
+
+    public EntryRecordEncoder wrap(final MutableDirectBuffer buffer, final int offset)
+    {
+        if (buffer != this.buffer)
+        {
+            this.buffer = buffer;
+        }
+        this.offset = offset;
+        limit(offset + BLOCK_LENGTH);
+
+        return this;
+    }
+
+    public EntryRecordEncoder wrapAndApplyHeader(
+        final MutableDirectBuffer buffer, final int offset, final MessageHeaderEncoder headerEncoder)
+    {
+        headerEncoder
+            .wrap(buffer, offset)
+            .blockLength(BLOCK_LENGTH)
+            .templateId(TEMPLATE_ID)
+            .schemaId(SCHEMA_ID)
+            .version(SCHEMA_VERSION);
+
+        return wrap(buffer, offset + MessageHeaderEncoder.ENCODED_LENGTH);
+    }
+
+    public int encodedLength()
+    {
+        return limit - offset;
+    }
+
+    public int limit()
+    {
+        return limit;
+    }
+
+    public void limit(final int limit)
+    {
+        this.limit = limit;
+    }
+
+    public static int sequenceId()
+    {
+        return 1;
+    }
+
+    public static int sequenceSinceVersion()
+    {
+        return 0;
+    }
+
+    public static int sequenceEncodingOffset()
+    {
+        return 0;
+    }
+
+    public static int sequenceEncodingLength()
+    {
+        return 8;
+    }
+
+    public static String sequenceMetaAttribute(final MetaAttribute metaAttribute)
+    {
+        if (MetaAttribute.PRESENCE == metaAttribute)
+        {
+            return "required";
+        }
+
+        return "";
+    }
+
+    public static long sequenceNullValue()
+    {
+        return -9223372036854775808L;
+    }
+
+    public static long sequenceMinValue()
+    {
+        return -9223372036854775807L;
+    }
+
+    public static long sequenceMaxValue()
+    {
+        return 9223372036854775807L;
+    }
+
+    public EntryRecordEncoder sequence(final long value)
+    {
+        buffer.putLong(offset + 0, value, BYTE_ORDER);
+        return this;
+    }
+
+
+    public static int committedSequenceId()
+    {
+        return 2;
+    }
+
+    public static int committedSequenceSinceVersion()
+    {
+        return 0;
+    }
+
+    public static int committedSequenceEncodingOffset()
+    {
+        return 8;
+    }
+
+    public static int committedSequenceEncodingLength()
+    {
+        return 8;
+    }
+
+    public static String committedSequenceMetaAttribute(final MetaAttribute metaAttribute)
+    {
+        if (MetaAttribute.PRESENCE == metaAttribute)
+        {
+            return "required";
+        }
+
+        return "";
+    }
+
+    public static long committedSequenceNullValue()
+    {
+        return -9223372036854775808L;
+    }
+
+    public static long committedSequenceMinValue()
+    {
+        return -9223372036854775807L;
+    }
+
+    public static long committedSequenceMaxValue()
+    {
+        return 9223372036854775807L;
+    }
+
+    public EntryRecordEncoder committedSequence(final long value)
+    {
+        buffer.putLong(offset + 8, value, BYTE_ORDER);
+        return this;
+    }
+
+
+    public static int addedNoteId()
+    {
+        return 90;
+    }
+
+    public static int addedNoteSinceVersion()
+    {
+        return 1;
+    }
+
+    public static int addedNoteEncodingOffset()
+    {
+        return 16;
+    }
+
+    public static int addedNoteEncodingLength()
+    {
+        return 8;
+    }
+
+    public static String addedNoteMetaAttribute(final MetaAttribute metaAttribute)
+    {
+        if (MetaAttribute.PRESENCE == metaAttribute)
+        {
+            return "required";
+        }
+
+        return "";
+    }
+
+    public static long addedNoteNullValue()
+    {
+        return -9223372036854775808L;
+    }
+
+    public static long addedNoteMinValue()
+    {
+        return -9223372036854775807L;
+    }
+
+    public static long addedNoteMaxValue()
+    {
+        return 9223372036854775807L;
+    }
+
+    public EntryRecordEncoder addedNote(final long value)
+    {
+        buffer.putLong(offset + 16, value, BYTE_ORDER);
+        return this;
+    }
+
+
+    public static int recordId()
+    {
+        return 3;
+    }
+
+    public static String recordMetaAttribute(final MetaAttribute metaAttribute)
+    {
+        if (MetaAttribute.PRESENCE == metaAttribute)
+        {
+            return "required";
+        }
+
+        return "";
+    }
+
+    public static int recordHeaderLength()
+    {
+        return 4;
+    }
+
+    public EntryRecordEncoder putRecord(final DirectBuffer src, final int srcOffset, final int length)
+    {
+        if (length > 1073741824)
+        {
+            throw new IllegalStateException("length > maxValue for type: " + length);
+        }
+
+        final int headerLength = 4;
+        final int limit = parentMessage.limit();
+        parentMessage.limit(limit + headerLength + length);
+        buffer.putInt(limit, length, BYTE_ORDER);
+        buffer.putBytes(limit + headerLength, src, srcOffset, length);
+
+        return this;
+    }
+
+    public EntryRecordEncoder putRecord(final byte[] src, final int srcOffset, final int length)
+    {
+        if (length > 1073741824)
+        {
+            throw new IllegalStateException("length > maxValue for type: " + length);
+        }
+
+        final int headerLength = 4;
+        final int limit = parentMessage.limit();
+        parentMessage.limit(limit + headerLength + length);
+        buffer.putInt(limit, length, BYTE_ORDER);
+        buffer.putBytes(limit + headerLength, src, srcOffset, length);
+
+        return this;
+    }
+
+    public String toString()
+    {
+        if (null == buffer)
+        {
+            return "";
+        }
+
+        return appendTo(new StringBuilder()).toString();
+    }
+
+    public StringBuilder appendTo(final StringBuilder builder)
+    {
+        if (null == buffer)
+        {
+            return builder;
+        }
+
+        final EntryRecordDecoder decoder = new EntryRecordDecoder();
+        decoder.wrap(buffer, offset, BLOCK_LENGTH, SCHEMA_VERSION);
+
+        return decoder.appendTo(builder);
+    }
+}
--- /dev/null
+++ b/src/test/java/slateslip/protocol/coordination/next/NodeIdentityEncoder.java
@@ -0,0 +1,140 @@
+/* Generated SBE (Simple Binary Encoding) message codec. */
+package slateslip.protocol.coordination.next;
+
+import org.agrona.MutableDirectBuffer;
+
+@SuppressWarnings("all")
+public final class NodeIdentityEncoder
+{
+    public static final int SCHEMA_ID = 103;
+    public static final int SCHEMA_VERSION = 1;
+    public static final String SEMANTIC_VERSION = "1.0";
+    public static final int ENCODED_LENGTH = 12;
+    public static final java.nio.ByteOrder BYTE_ORDER = java.nio.ByteOrder.LITTLE_ENDIAN;
+
+    private int offset;
+    private MutableDirectBuffer buffer;
+
+    public NodeIdentityEncoder wrap(final MutableDirectBuffer buffer, final int offset)
+    {
+        if (buffer != this.buffer)
+        {
+            this.buffer = buffer;
+        }
+        this.offset = offset;
+
+        return this;
+    }
+
+    public MutableDirectBuffer buffer()
+    {
+        return buffer;
+    }
+
+    public int offset()
+    {
+        return offset;
+    }
+
+    public int encodedLength()
+    {
+        return ENCODED_LENGTH;
+    }
+
+    public int sbeSchemaId()
+    {
+        return SCHEMA_ID;
+    }
+
+    public int sbeSchemaVersion()
+    {
+        return SCHEMA_VERSION;
+    }
+
+    public static int ipv4EncodingOffset()
+    {
+        return 0;
+    }
+
+    public static int ipv4EncodingLength()
+    {
+        return 4;
+    }
+
+    public static int ipv4NullValue()
+    {
+        return -2147483648;
+    }
+
+    public static int ipv4MinValue()
+    {
+        return -2147483647;
+    }
+
+    public static int ipv4MaxValue()
+    {
+        return 2147483647;
+    }
+
+    public NodeIdentityEncoder ipv4(final int value)
+    {
+        buffer.putInt(offset + 0, value, BYTE_ORDER);
+        return this;
+    }
+
+
+    public static int diskIdEncodingOffset()
+    {
+        return 4;
+    }
+
+    public static int diskIdEncodingLength()
+    {
+        return 8;
+    }
+
+    public static long diskIdNullValue()
+    {
+        return -9223372036854775808L;
+    }
+
+    public static long diskIdMinValue()
+    {
+        return -9223372036854775807L;
+    }
+
+    public static long diskIdMaxValue()
+    {
+        return 9223372036854775807L;
+    }
+
+    public NodeIdentityEncoder diskId(final long value)
+    {
+        buffer.putLong(offset + 4, value, BYTE_ORDER);
+        return this;
+    }
+
+
+    public String toString()
+    {
+        if (null == buffer)
+        {
+            return "";
+        }
+
+        return appendTo(new StringBuilder()).toString();
+    }
+
+    public StringBuilder appendTo(final StringBuilder builder)
+    {
+        if (null == buffer)
+        {
+            return builder;
+        }
+
+        final NodeIdentityDecoder decoder = new NodeIdentityDecoder();
+        decoder.wrap(buffer, offset);
+
+        return decoder.appendTo(builder);
+    }
+}
--- /dev/null
+++ b/src/test/java/slateslip/protocol/coordination/next/PrepareDecoder.java
@@ -0,0 +1,405 @@
+/* Generated SBE (Simple Binary Encoding) message codec. */
+package slateslip.protocol.coordination.next;
+
+import org.agrona.MutableDirectBuffer;
+import org.agrona.DirectBuffer;
+
+@SuppressWarnings("all")
+public final class PrepareDecoder
+{
+    public static final int BLOCK_LENGTH = 33;
+    public static final int TEMPLATE_ID = 5;
+    public static final int SCHEMA_ID = 103;
+    public static final int SCHEMA_VERSION = 1;
+    public static final String SEMANTIC_VERSION = "1.0";
+    public static final java.nio.ByteOrder BYTE_ORDER = java.nio.ByteOrder.LITTLE_ENDIAN;
+
+    private final PrepareDecoder parentMessage = this;
+    private DirectBuffer buffer;
+    private int offset;
+    private int limit;
+    int actingBlockLength;
+    int actingVersion;
+
+    public int sbeBlockLength()
+    {
+        return BLOCK_LENGTH;
+    }
+
+    public int sbeTemplateId()
+    {
+        return TEMPLATE_ID;
+    }
+
+    public int sbeSchemaId()
+    {
+        return SCHEMA_ID;
+    }
+
+    public int sbeSchemaVersion()
+    {
+        return SCHEMA_VERSION;
+    }
+
+    public String sbeSemanticType()
+    {
+        return "";
+    }
+
+    public DirectBuffer buffer()
+    {
+        return buffer;
+    }
+
+    public int offset()
+    {
+        return offset;
+    }
+
+    public PrepareDecoder wrap(
+        final DirectBuffer buffer,
+        final int offset,
+        final int actingBlockLength,
+        final int actingVersion)
+    {
+        if (buffer != this.buffer)
+        {
+            this.buffer = buffer;
+        }
+        this.offset = offset;
+        this.actingBlockLength = actingBlockLength;
+        this.actingVersion = actingVersion;
+        limit(offset + actingBlockLength);
+
+        return this;
+    }
+
+    public PrepareDecoder wrapAndApplyHeader(
+        final DirectBuffer buffer,
+        final int offset,
+        final MessageHeaderDecoder headerDecoder)
+    {
+        headerDecoder.wrap(buffer, offset);
+
+        final int templateId = headerDecoder.templateId();
+        if (TEMPLATE_ID != templateId)
+        {
+            throw new IllegalStateException("Invalid TEMPLATE_ID: " + templateId);
+        }
+
+        return wrap(
+            buffer,
+            offset + MessageHeaderDecoder.ENCODED_LENGTH,
+            headerDecoder.blockLength(),
+            headerDecoder.version());
+    }
+
+    public PrepareDecoder sbeRewind()
+    {
+        return wrap(buffer, offset, actingBlockLength, actingVersion);
+    }
+
+    public int sbeDecodedLength()
+    {
+        final int currentLimit = limit();
+        sbeSkip();
+        final int decodedLength = encodedLength();
+        limit(currentLimit);
+
+        return decodedLength;
+    }
+
+    public int actingVersion()
+    {
+        return actingVersion;
+    }
+
+    public int encodedLength()
+    {
+        return limit - offset;
+    }
+
+    public int limit()
+    {
+        return limit;
+    }
+
+    public void limit(final int limit)
+    {
+        this.limit = limit;
+    }
+
+    public static int senderId()
+    {
+        return 1;
+    }
+
+    public static int senderSinceVersion()
+    {
+        return 0;
+    }
+
+    public static int senderEncodingOffset()
+    {
+        return 0;
+    }
+
+    public static int senderEncodingLength()
+    {
+        return 12;
+    }
+
+    public static String senderMetaAttribute(final MetaAttribute metaAttribute)
+    {
+        if (MetaAttribute.PRESENCE == metaAttribute)
+        {
+            return "required";
+        }
+
+        return "";
+    }
+
+    private final NodeIdentityDecoder sender = new NodeIdentityDecoder();
+
+    public NodeIdentityDecoder sender()
+    {
+        sender.wrap(buffer, offset + 0);
+        return sender;
+    }
+
+    public static int ballotId()
+    {
+        return 2;
+    }
+
+    public static int ballotSinceVersion()
+    {
+        return 0;
+    }
+
+    public static int ballotEncodingOffset()
+    {
+        return 12;
+    }
+
+    public static int ballotEncodingLength()
+    {
+        return 20;
+    }
+
+    public static String ballotMetaAttribute(final MetaAttribute metaAttribute)
+    {
+        if (MetaAttribute.PRESENCE == metaAttribute)
+        {
+            return "required";
+        }
+
+        return "";
+    }
+
+    private final BallotNumberDecoder ballot = new BallotNumberDecoder();
+
+    public BallotNumberDecoder ballot()
+    {
+        ballot.wrap(buffer, offset + 12);
+        return ballot;
+    }
+
+    public static int consentedId()
+    {
+        return 3;
+    }
+
+    public static int consentedSinceVersion()
+    {
+        return 0;
+    }
+
+    public static int consentedEncodingOffset()
+    {
+        return 32;
+    }
+
+    public static int consentedEncodingLength()
+    {
+        return 1;
+    }
+
+    public static String consentedMetaAttribute(final MetaAttribute metaAttribute)
+    {
+        if (MetaAttribute.PRESENCE == metaAttribute)
+        {
+            return "required";
+        }
+
+        return "";
+    }
+
+    public short consentedRaw()
+    {
+        return ((short)(buffer.getByte(offset + 32) & 0xFF));
+    }
+
+    public Flag consented()
+    {
+        return Flag.get(((short)(buffer.getByte(offset + 32) & 0xFF)));
+    }
+
+
+    public static int baseId()
+    {
+        return 4;
+    }
+
+    public static int baseSinceVersion()
+    {
+        return 0;
+    }
+
+    public static String baseMetaAttribute(final MetaAttribute metaAttribute)
+    {
+        if (MetaAttribute.PRESENCE == metaAttribute)
+        {
+            return "required";
+        }
+
+        return "";
+    }
+
+    public static int baseHeaderLength()
+    {
+        return 4;
+    }
+
+    public int baseLength()
+    {
+        final int limit = parentMessage.limit();
+        return (int)(buffer.getInt(limit, BYTE_ORDER) & 0xFFFF_FFFFL);
+    }
+
+    public int skipBase()
+    {
+        final int headerLength = 4;
+        final int limit = parentMessage.limit();
+        final int dataLength = (int)(buffer.getInt(limit, BYTE_ORDER) & 0xFFFF_FFFFL);
+        final int dataOffset = limit + headerLength;
+        parentMessage.limit(dataOffset + dataLength);
+
+        return dataLength;
+    }
+
+    public int getBase(final MutableDirectBuffer dst, final int dstOffset, final int length)
+    {
+        final int headerLength = 4;
+        final int limit = parentMessage.limit();
+        final int dataLength = (int)(buffer.getInt(limit, BYTE_ORDER) & 0xFFFF_FFFFL);
+        final int bytesCopied = Math.min(length, dataLength);
+        parentMessage.limit(limit + headerLength + dataLength);
+        buffer.getBytes(limit + headerLength, dst, dstOffset, bytesCopied);
+
+        return bytesCopied;
+    }
+
+    public int getBase(final byte[] dst, final int dstOffset, final int length)
+    {
+        final int headerLength = 4;
+        final int limit = parentMessage.limit();
+        final int dataLength = (int)(buffer.getInt(limit, BYTE_ORDER) & 0xFFFF_FFFFL);
+        final int bytesCopied = Math.min(length, dataLength);
+        parentMessage.limit(limit + headerLength + dataLength);
+        buffer.getBytes(limit + headerLength, dst, dstOffset, bytesCopied);
+
+        return bytesCopied;
+    }
+
+    public void wrapBase(final DirectBuffer wrapBuffer)
+    {
+        final int headerLength = 4;
+        final int limit = parentMessage.limit();
+        final int dataLength = (int)(buffer.getInt(limit, BYTE_ORDER) & 0xFFFF_FFFFL);
+        parentMessage.limit(limit + headerLength + dataLength);
+        wrapBuffer.wrap(buffer, limit + headerLength, dataLength);
+    }
+
+    public String toString()
+    {
+        if (null == buffer)
+        {
+            return "";
+        }
+
+        final PrepareDecoder decoder = new PrepareDecoder();
+        decoder.wrap(buffer, offset, actingBlockLength, actingVersion);
+
+        return decoder.appendTo(new StringBuilder()).toString();
+    }
+
+    public StringBuilder appendTo(final StringBuilder builder)
+    {
+        if (null == buffer)
+        {
+            return builder;
+        }
+
+        final int originalLimit = limit();
+        limit(offset + actingBlockLength);
+        builder.append("[Prepare](sbeTemplateId=");
+        builder.append(TEMPLATE_ID);
+        builder.append("|sbeSchemaId=");
+        builder.append(SCHEMA_ID);
+        builder.append("|sbeSchemaVersion=");
+        if (parentMessage.actingVersion != SCHEMA_VERSION)
+        {
+            builder.append(parentMessage.actingVersion);
+            builder.append('/');
+        }
+        builder.append(SCHEMA_VERSION);
+        builder.append("|sbeBlockLength=");
+        if (actingBlockLength != BLOCK_LENGTH)
+        {
+            builder.append(actingBlockLength);
+            builder.append('/');
+        }
+        builder.append(BLOCK_LENGTH);
+        builder.append("):");
+        builder.append("sender=");
+        final NodeIdentityDecoder sender = this.sender();
+        if (null != sender)
+        {
+            sender.appendTo(builder);
+        }
+        else
+        {
+            builder.append("null");
+        }
+        builder.append('|');
+        builder.append("ballot=");
+        final BallotNumberDecoder ballot = this.ballot();
+        if (null != ballot)
+        {
+            ballot.appendTo(builder);
+        }
+        else
+        {
+            builder.append("null");
+        }
+        builder.append('|');
+        builder.append("consented=");
+        builder.append(this.consented());
+        builder.append('|');
+        builder.append("base=");
+        builder.append(skipBase()).append(" bytes of raw data");
+
+        limit(originalLimit);
+
+        return builder;
+    }
+    
+    public PrepareDecoder sbeSkip()
+    {
+        sbeRewind();
+        skipBase();
+
+        return this;
+    }
+}
--- /dev/null
+++ b/src/test/java/slateslip/protocol/coordination/next/PromiseDecoder.java
@@ -0,0 +1,513 @@
+/* Generated SBE (Simple Binary Encoding) message codec. */
+package slateslip.protocol.coordination.next;
+
+import org.agrona.MutableDirectBuffer;
+import org.agrona.DirectBuffer;
+
+@SuppressWarnings("all")
+public final class PromiseDecoder
+{
+    public static final int BLOCK_LENGTH = 126;
+    public static final int TEMPLATE_ID = 6;
+    public static final int SCHEMA_ID = 103;
+    public static final int SCHEMA_VERSION = 1;
+    public static final String SEMANTIC_VERSION = "1.0";
+    public static final java.nio.ByteOrder BYTE_ORDER = java.nio.ByteOrder.LITTLE_ENDIAN;
+
+    private final PromiseDecoder parentMessage = this;
+    private DirectBuffer buffer;
+    private int offset;
+    private int limit;
+    int actingBlockLength;
+    int actingVersion;
+
+    public int sbeBlockLength()
+    {
+        return BLOCK_LENGTH;
+    }
+
+    public int sbeTemplateId()
+    {
+        return TEMPLATE_ID;
+    }
+
+    public int sbeSchemaId()
+    {
+        return SCHEMA_ID;
+    }
+
+    public int sbeSchemaVersion()
+    {
+        return SCHEMA_VERSION;
+    }
+
+    public String sbeSemanticType()
+    {
+        return "";
+    }
+
+    public DirectBuffer buffer()
+    {
+        return buffer;
+    }
+
+    public int offset()
+    {
+        return offset;
+    }
+
+    public PromiseDecoder wrap(
+        final DirectBuffer buffer,
+        final int offset,
+        final int actingBlockLength,
+        final int actingVersion)
+    {
+        if (buffer != this.buffer)
+        {
+            this.buffer = buffer;
+        }
+        this.offset = offset;
+        this.actingBlockLength = actingBlockLength;
+        this.actingVersion = actingVersion;
+        limit(offset + actingBlockLength);
+
+        return this;
+    }
+
+    public PromiseDecoder wrapAndApplyHeader(
+        final DirectBuffer buffer,
+        final int offset,
+        final MessageHeaderDecoder headerDecoder)
+    {
+        headerDecoder.wrap(buffer, offset);
+
+        final int templateId = headerDecoder.templateId();
+        if (TEMPLATE_ID != templateId)
+        {
+            throw new IllegalStateException("Invalid TEMPLATE_ID: " + templateId);
+        }
+
+        return wrap(
+            buffer,
+            offset + MessageHeaderDecoder.ENCODED_LENGTH,
+            headerDecoder.blockLength(),
+            headerDecoder.version());
+    }
+
+    public PromiseDecoder sbeRewind()
+    {
+        return wrap(buffer, offset, actingBlockLength, actingVersion);
+    }
+
+    public int sbeDecodedLength()
+    {
+        final int currentLimit = limit();
+        sbeSkip();
+        final int decodedLength = encodedLength();
+        limit(currentLimit);
+
+        return decodedLength;
+    }
+
+    public int actingVersion()
+    {
+        return actingVersion;
+    }
+
+    public int encodedLength()
+    {
+        return limit - offset;
+    }
+
+    public int limit()
+    {
+        return limit;
+    }
+
+    public void limit(final int limit)
+    {
+        this.limit = limit;
+    }
+
+    public static int senderId()
+    {
+        return 1;
+    }
+
+    public static int senderSinceVersion()
+    {
+        return 0;
+    }
+
+    public static int senderEncodingOffset()
+    {
+        return 0;
+    }
+
+    public static int senderEncodingLength()
+    {
+        return 12;
+    }
+
+    public static String senderMetaAttribute(final MetaAttribute metaAttribute)
+    {
+        if (MetaAttribute.PRESENCE == metaAttribute)
+        {
+            return "required";
+        }
+
+        return "";
+    }
+
+    private final NodeIdentityDecoder sender = new NodeIdentityDecoder();
+
+    public NodeIdentityDecoder sender()
+    {
+        sender.wrap(buffer, offset + 0);
+        return sender;
+    }
+
+    public static int baseEpochId()
+    {
+        return 2;
+    }
+
+    public static int baseEpochSinceVersion()
+    {
+        return 0;
+    }
+
+    public static int baseEpochEncodingOffset()
+    {
+        return 12;
+    }
+
+    public static int baseEpochEncodingLength()
+    {
+        return 8;
+    }
+
+    public static String baseEpochMetaAttribute(final MetaAttribute metaAttribute)
+    {
+        if (MetaAttribute.PRESENCE == metaAttribute)
+        {
+            return "required";
+        }
+
+        return "";
+    }
+
+    public static long baseEpochNullValue()
+    {
+        return -9223372036854775808L;
+    }
+
+    public static long baseEpochMinValue()
+    {
+        return -9223372036854775807L;
+    }
+
+    public static long baseEpochMaxValue()
+    {
+        return 9223372036854775807L;
+    }
+
+    public long baseEpoch()
+    {
+        return buffer.getLong(offset + 12, BYTE_ORDER);
+    }
+
+
+    public static int ballotId()
+    {
+        return 3;
+    }
+
+    public static int ballotSinceVersion()
+    {
+        return 0;
+    }
+
+    public static int ballotEncodingOffset()
+    {
+        return 20;
+    }
+
+    public static int ballotEncodingLength()
+    {
+        return 20;
+    }
+
+    public static String ballotMetaAttribute(final MetaAttribute metaAttribute)
+    {
+        if (MetaAttribute.PRESENCE == metaAttribute)
+        {
+            return "required";
+        }
+
+        return "";
+    }
+
+    private final BallotNumberDecoder ballot = new BallotNumberDecoder();
+
+    public BallotNumberDecoder ballot()
+    {
+        ballot.wrap(buffer, offset + 20);
+        return ballot;
+    }
+
+    public static int acceptedBallotId()
+    {
+        return 4;
+    }
+
+    public static int acceptedBallotSinceVersion()
+    {
+        return 0;
+    }
+
+    public static int acceptedBallotEncodingOffset()
+    {
+        return 40;
+    }
+
+    public static int acceptedBallotEncodingLength()
+    {
+        return 20;
+    }
+
+    public static String acceptedBallotMetaAttribute(final MetaAttribute metaAttribute)
+    {
+        if (MetaAttribute.PRESENCE == metaAttribute)
+        {
+            return "required";
+        }
+
+        return "";
+    }
+
+    private final BallotNumberDecoder acceptedBallot = new BallotNumberDecoder();
+
+    public BallotNumberDecoder acceptedBallot()
+    {
+        acceptedBallot.wrap(buffer, offset + 40);
+        return acceptedBallot;
+    }
+
+    public static int statusId()
+    {
+        return 5;
+    }
+
+    public static int statusSinceVersion()
+    {
+        return 0;
+    }
+
+    public static int statusEncodingOffset()
+    {
+        return 60;
+    }
+
+    public static int statusEncodingLength()
+    {
+        return 66;
+    }
+
+    public static String statusMetaAttribute(final MetaAttribute metaAttribute)
+    {
+        if (MetaAttribute.PRESENCE == metaAttribute)
+        {
+            return "required";
+        }
+
+        return "";
+    }
+
+    private final StatusReportDecoder status = new StatusReportDecoder();
+
+    public StatusReportDecoder status()
+    {
+        status.wrap(buffer, offset + 60);
+        return status;
+    }
+
+    public static int acceptedId()
+    {
+        return 6;
+    }
+
+    public static int acceptedSinceVersion()
+    {
+        return 0;
+    }
+
+    public static String acceptedMetaAttribute(final MetaAttribute metaAttribute)
+    {
+        if (MetaAttribute.PRESENCE == metaAttribute)
+        {
+            return "required";
+        }
+
+        return "";
+    }
+
+    public static int acceptedHeaderLength()
+    {
+        return 4;
+    }
+
+    public int acceptedLength()
+    {
+        final int limit = parentMessage.limit();
+        return (int)(buffer.getInt(limit, BYTE_ORDER) & 0xFFFF_FFFFL);
+    }
+
+    public int skipAccepted()
+    {
+        final int headerLength = 4;
+        final int limit = parentMessage.limit();
+        final int dataLength = (int)(buffer.getInt(limit, BYTE_ORDER) & 0xFFFF_FFFFL);
+        final int dataOffset = limit + headerLength;
+        parentMessage.limit(dataOffset + dataLength);
+
+        return dataLength;
+    }
+
+    public int getAccepted(final MutableDirectBuffer dst, final int dstOffset, final int length)
+    {
+        final int headerLength = 4;
+        final int limit = parentMessage.limit();
+        final int dataLength = (int)(buffer.getInt(limit, BYTE_ORDER) & 0xFFFF_FFFFL);
+        final int bytesCopied = Math.min(length, dataLength);
+        parentMessage.limit(limit + headerLength + dataLength);
+        buffer.getBytes(limit + headerLength, dst, dstOffset, bytesCopied);
+
+        return bytesCopied;
+    }
+
+    public int getAccepted(final byte[] dst, final int dstOffset, final int length)
+    {
+        final int headerLength = 4;
+        final int limit = parentMessage.limit();
+        final int dataLength = (int)(buffer.getInt(limit, BYTE_ORDER) & 0xFFFF_FFFFL);
+        final int bytesCopied = Math.min(length, dataLength);
+        parentMessage.limit(limit + headerLength + dataLength);
+        buffer.getBytes(limit + headerLength, dst, dstOffset, bytesCopied);
+
+        return bytesCopied;
+    }
+
+    public void wrapAccepted(final DirectBuffer wrapBuffer)
+    {
+        final int headerLength = 4;
+        final int limit = parentMessage.limit();
+        final int dataLength = (int)(buffer.getInt(limit, BYTE_ORDER) & 0xFFFF_FFFFL);
+        parentMessage.limit(limit + headerLength + dataLength);
+        wrapBuffer.wrap(buffer, limit + headerLength, dataLength);
+    }
+
+    public String toString()
+    {
+        if (null == buffer)
+        {
+            return "";
+        }
+
+        final PromiseDecoder decoder = new PromiseDecoder();
+        decoder.wrap(buffer, offset, actingBlockLength, actingVersion);
+
+        return decoder.appendTo(new StringBuilder()).toString();
+    }
+
+    public StringBuilder appendTo(final StringBuilder builder)
+    {
+        if (null == buffer)
+        {
+            return builder;
+        }
+
+        final int originalLimit = limit();
+        limit(offset + actingBlockLength);
+        builder.append("[Promise](sbeTemplateId=");
+        builder.append(TEMPLATE_ID);
+        builder.append("|sbeSchemaId=");
+        builder.append(SCHEMA_ID);
+        builder.append("|sbeSchemaVersion=");
+        if (parentMessage.actingVersion != SCHEMA_VERSION)
+        {
+            builder.append(parentMessage.actingVersion);
+            builder.append('/');
+        }
+        builder.append(SCHEMA_VERSION);
+        builder.append("|sbeBlockLength=");
+        if (actingBlockLength != BLOCK_LENGTH)
+        {
+            builder.append(actingBlockLength);
+            builder.append('/');
+        }
+        builder.append(BLOCK_LENGTH);
+        builder.append("):");
+        builder.append("sender=");
+        final NodeIdentityDecoder sender = this.sender();
+        if (null != sender)
+        {
+            sender.appendTo(builder);
+        }
+        else
+        {
+            builder.append("null");
+        }
+        builder.append('|');
+        builder.append("baseEpoch=");
+        builder.append(this.baseEpoch());
+        builder.append('|');
+        builder.append("ballot=");
+        final BallotNumberDecoder ballot = this.ballot();
+        if (null != ballot)
+        {
+            ballot.appendTo(builder);
+        }
+        else
+        {
+            builder.append("null");
+        }
+        builder.append('|');
+        builder.append("acceptedBallot=");
+        final BallotNumberDecoder acceptedBallot = this.acceptedBallot();
+        if (null != acceptedBallot)
+        {
+            acceptedBallot.appendTo(builder);
+        }
+        else
+        {
+            builder.append("null");
+        }
+        builder.append('|');
+        builder.append("status=");
+        final StatusReportDecoder status = this.status();
+        if (null != status)
+        {
+            status.appendTo(builder);
+        }
+        else
+        {
+            builder.append("null");
+        }
+        builder.append('|');
+        builder.append("accepted=");
+        builder.append(skipAccepted()).append(" bytes of raw data");
+
+        limit(originalLimit);
+
+        return builder;
+    }
+    
+    public PromiseDecoder sbeSkip()
+    {
+        sbeRewind();
+        skipAccepted();
+
+        return this;
+    }
+}
--- /dev/null
+++ b/src/test/java/slateslip/protocol/coordination/next/RefusedEncoder.java
@@ -0,0 +1,320 @@
+/* Generated SBE (Simple Binary Encoding) message codec. */
+package slateslip.protocol.coordination.next;
+
+import org.agrona.MutableDirectBuffer;
+
+@SuppressWarnings("all")
+public final class RefusedEncoder
+{
+    public static final int BLOCK_LENGTH = 61;
+    public static final int TEMPLATE_ID = 9;
+    public static final int SCHEMA_ID = 103;
+    public static final int SCHEMA_VERSION = 1;
+    public static final String SEMANTIC_VERSION = "1.0";
+    public static final java.nio.ByteOrder BYTE_ORDER = java.nio.ByteOrder.LITTLE_ENDIAN;
+
+    private final RefusedEncoder parentMessage = this;
+    private MutableDirectBuffer buffer;
+    private int offset;
+    private int limit;
+
+    public int sbeBlockLength()
+    {
+        return BLOCK_LENGTH;
+    }
+
+    public int sbeTemplateId()
+    {
+        return TEMPLATE_ID;
+    }
+
+    public int sbeSchemaId()
+    {
+        return SCHEMA_ID;
+    }
+
+    public int sbeSchemaVersion()
+    {
+        return SCHEMA_VERSION;
+    }
+
+    public String sbeSemanticType()
+    {
+        return "";
+    }
+
+    public MutableDirectBuffer buffer()
+    {
+        return buffer;
+    }
+
+    public int offset()
+    {
+        return offset;
+    }
+
+    public RefusedEncoder wrap(final MutableDirectBuffer buffer, final int offset)
+    {
+        if (buffer != this.buffer)
+        {
+            this.buffer = buffer;
+        }
+        this.offset = offset;
+        limit(offset + BLOCK_LENGTH);
+
+        return this;
+    }
+
+    public RefusedEncoder wrapAndApplyHeader(
+        final MutableDirectBuffer buffer, final int offset, final MessageHeaderEncoder headerEncoder)
+    {
+        headerEncoder
+            .wrap(buffer, offset)
+            .blockLength(BLOCK_LENGTH)
+            .templateId(TEMPLATE_ID)
+            .schemaId(SCHEMA_ID)
+            .version(SCHEMA_VERSION);
+
+        return wrap(buffer, offset + MessageHeaderEncoder.ENCODED_LENGTH);
+    }
+
+    public int encodedLength()
+    {
+        return limit - offset;
+    }
+
+    public int limit()
+    {
+        return limit;
+    }
+
+    public void limit(final int limit)
+    {
+        this.limit = limit;
+    }
+
+    public static int senderId()
+    {
+        return 1;
+    }
+
+    public static int senderSinceVersion()
+    {
+        return 0;
+    }
+
+    public static int senderEncodingOffset()
+    {
+        return 0;
+    }
+
+    public static int senderEncodingLength()
+    {
+        return 12;
+    }
+
+    public static String senderMetaAttribute(final MetaAttribute metaAttribute)
+    {
+        if (MetaAttribute.PRESENCE == metaAttribute)
+        {
+            return "required";
+        }
+
+        return "";
+    }
+
+    private final NodeIdentityEncoder sender = new NodeIdentityEncoder();
+
+    public NodeIdentityEncoder sender()
+    {
+        sender.wrap(buffer, offset + 0);
+        return sender;
+    }
+
+    public static int baseEpochId()
+    {
+        return 2;
+    }
+
+    public static int baseEpochSinceVersion()
+    {
+        return 0;
+    }
+
+    public static int baseEpochEncodingOffset()
+    {
+        return 12;
+    }
+
+    public static int baseEpochEncodingLength()
+    {
+        return 8;
+    }
+
+    public static String baseEpochMetaAttribute(final MetaAttribute metaAttribute)
+    {
+        if (MetaAttribute.PRESENCE == metaAttribute)
+        {
+            return "required";
+        }
+
+        return "";
+    }
+
+    public static long baseEpochNullValue()
+    {
+        return -9223372036854775808L;
+    }
+
+    public static long baseEpochMinValue()
+    {
+        return -9223372036854775807L;
+    }
+
+    public static long baseEpochMaxValue()
+    {
+        return 9223372036854775807L;
+    }
+
+    public RefusedEncoder baseEpoch(final long value)
+    {
+        buffer.putLong(offset + 12, value, BYTE_ORDER);
+        return this;
+    }
+
+
+    public static int ballotId()
+    {
+        return 3;
+    }
+
+    public static int ballotSinceVersion()
+    {
+        return 0;
+    }
+
+    public static int ballotEncodingOffset()
+    {
+        return 20;
+    }
+
+    public static int ballotEncodingLength()
+    {
+        return 20;
+    }
+
+    public static String ballotMetaAttribute(final MetaAttribute metaAttribute)
+    {
+        if (MetaAttribute.PRESENCE == metaAttribute)
+        {
+            return "required";
+        }
+
+        return "";
+    }
+
+    private final BallotNumberEncoder ballot = new BallotNumberEncoder();
+
+    public BallotNumberEncoder ballot()
+    {
+        ballot.wrap(buffer, offset + 20);
+        return ballot;
+    }
+
+    public static int promisedId()
+    {
+        return 4;
+    }
+
+    public static int promisedSinceVersion()
+    {
+        return 0;
+    }
+
+    public static int promisedEncodingOffset()
+    {
+        return 40;
+    }
+
+    public static int promisedEncodingLength()
+    {
+        return 20;
+    }
+
+    public static String promisedMetaAttribute(final MetaAttribute metaAttribute)
+    {
+        if (MetaAttribute.PRESENCE == metaAttribute)
+        {
+            return "required";
+        }
+
+        return "";
+    }
+
+    private final BallotNumberEncoder promised = new BallotNumberEncoder();
+
+    public BallotNumberEncoder promised()
+    {
+        promised.wrap(buffer, offset + 40);
+        return promised;
+    }
+
+    public static int primaryAliveId()
+    {
+        return 5;
+    }
+
+    public static int primaryAliveSinceVersion()
+    {
+        return 0;
+    }
+
+    public static int primaryAliveEncodingOffset()
+    {
+        return 60;
+    }
+
+    public static int primaryAliveEncodingLength()
+    {
+        return 1;
+    }
+
+    public static String primaryAliveMetaAttribute(final MetaAttribute metaAttribute)
+    {
+        if (MetaAttribute.PRESENCE == metaAttribute)
+        {
+            return "required";
+        }
+
+        return "";
+    }
+
+    public RefusedEncoder primaryAlive(final Flag value)
+    {
+        buffer.putByte(offset + 60, (byte)value.value());
+        return this;
+    }
+
+    public String toString()
+    {
+        if (null == buffer)
+        {
+            return "";
+        }
+
+        return appendTo(new StringBuilder()).toString();
+    }
+
+    public StringBuilder appendTo(final StringBuilder builder)
+    {
+        if (null == buffer)
+        {
+            return builder;
+        }
+
+        final RefusedDecoder decoder = new RefusedDecoder();
+        decoder.wrap(buffer, offset, BLOCK_LENGTH, SCHEMA_VERSION);
+
+        return decoder.appendTo(builder);
+    }
+}
--- /dev/null
+++ b/src/test/java/slateslip/protocol/coordination/next/TakeOverEncoder.java
@@ -0,0 +1,208 @@
+/* Generated SBE (Simple Binary Encoding) message codec. */
+package slateslip.protocol.coordination.next;
+
+import org.agrona.MutableDirectBuffer;
+
+@SuppressWarnings("all")
+public final class TakeOverEncoder
+{
+    public static final int BLOCK_LENGTH = 20;
+    public static final int TEMPLATE_ID = 13;
+    public static final int SCHEMA_ID = 103;
+    public static final int SCHEMA_VERSION = 1;
+    public static final String SEMANTIC_VERSION = "1.0";
+    public static final java.nio.ByteOrder BYTE_ORDER = java.nio.ByteOrder.LITTLE_ENDIAN;
+
+    private final TakeOverEncoder parentMessage = this;
+    private MutableDirectBuffer buffer;
+    private int offset;
+    private int limit;
+
+    public int sbeBlockLength()
+    {
+        return BLOCK_LENGTH;
+    }
+
+    public int sbeTemplateId()
+    {
+        return TEMPLATE_ID;
+    }
+
+    public int sbeSchemaId()
+    {
+        return SCHEMA_ID;
+    }
+
+    public int sbeSchemaVersion()
+    {
+        return SCHEMA_VERSION;
+    }
+
+    public String sbeSemanticType()
+    {
+        return "";
+    }
+
+    public MutableDirectBuffer buffer()
+    {
+        return buffer;
+    }
+
+    public int offset()
+    {
+        return offset;
+    }
+
+    public TakeOverEncoder wrap(final MutableDirectBuffer buffer, final int offset)
+    {
+        if (buffer != this.buffer)
+        {
+            this.buffer = buffer;
+        }
+        this.offset = offset;
+        limit(offset + BLOCK_LENGTH);
+
+        return this;
+    }
+
+    public TakeOverEncoder wrapAndApplyHeader(
+        final MutableDirectBuffer buffer, final int offset, final MessageHeaderEncoder headerEncoder)
+    {
+        headerEncoder
+            .wrap(buffer, offset)
+            .blockLength(BLOCK_LENGTH)
+            .templateId(TEMPLATE_ID)
+            .schemaId(SCHEMA_ID)
+            .version(SCHEMA_VERSION);
+
+        return wrap(buffer, offset + MessageHeaderEncoder.ENCODED_LENGTH);
+    }
+
+    public int encodedLength()
+    {
+        return limit - offset;
+    }
+
+    public int limit()
+    {
+        return limit;
+    }
+
+    public void limit(final int limit)
+    {
+        this.limit = limit;
+    }
+
+    public static int senderId()
+    {
+        return 1;
+    }
+
+    public static int senderSinceVersion()
+    {
+        return 0;
+    }
+
+    public static int senderEncodingOffset()
+    {
+        return 0;
+    }
+
+    public static int senderEncodingLength()
+    {
+        return 12;
+    }
+
+    public static String senderMetaAttribute(final MetaAttribute metaAttribute)
+    {
+        if (MetaAttribute.PRESENCE == metaAttribute)
+        {
+            return "required";
+        }
+
+        return "";
+    }
+
+    private final NodeIdentityEncoder sender = new NodeIdentityEncoder();
+
+    public NodeIdentityEncoder sender()
+    {
+        sender.wrap(buffer, offset + 0);
+        return sender;
+    }
+
+    public static int epochId()
+    {
+        return 2;
+    }
+
+    public static int epochSinceVersion()
+    {
+        return 0;
+    }
+
+    public static int epochEncodingOffset()
+    {
+        return 12;
+    }
+
+    public static int epochEncodingLength()
+    {
+        return 8;
+    }
+
+    public static String epochMetaAttribute(final MetaAttribute metaAttribute)
+    {
+        if (MetaAttribute.PRESENCE == metaAttribute)
+        {
+            return "required";
+        }
+
+        return "";
+    }
+
+    public static long epochNullValue()
+    {
+        return -9223372036854775808L;
+    }
+
+    public static long epochMinValue()
+    {
+        return -9223372036854775807L;
+    }
+
+    public static long epochMaxValue()
+    {
+        return 9223372036854775807L;
+    }
+
+    public TakeOverEncoder epoch(final long value)
+    {
+        buffer.putLong(offset + 12, value, BYTE_ORDER);
+        return this;
+    }
+
+
+    public String toString()
+    {
+        if (null == buffer)
+        {
+            return "";
+        }
+
+        return appendTo(new StringBuilder()).toString();
+    }
+
+    public StringBuilder appendTo(final StringBuilder builder)
+    {
+        if (null == buffer)
+        {
+            return builder;
+        }
+
+        final TakeOverDecoder decoder = new TakeOverDecoder();
+        decoder.wrap(buffer, offset, BLOCK_LENGTH, SCHEMA_VERSION);
+
+        return decoder.appendTo(builder);
+    }
+}
