Configuration: read, check and patch the operator's document, kept as sent

Cause: the control plane has to refuse every invalid configuration with its field named, and GET has to give back what was sent, with fields that this version does not know. Change: ConfigurationDocument over Avaje's JsonReader by hand: generated adapters name no field in their errors and do not keep an item's text. JsonSyntax checks the whole text first, since the library skips malformed values, escapes and trailing bytes unseen. Ruled out: recycled buffers of the library (two open readers share one and throw).

--- /dev/null
+++ b/src/main/java/slateslip/configuration/FieldReader.java
@@ -0,0 +1,161 @@
+package slateslip.configuration;
+
+import io.avaje.json.JsonReader;
+import io.avaje.json.stream.BufferRecycleStrategy;
+import io.avaje.json.stream.JsonStream;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Reads the fields of JSON objects by name. A value of another type is skipped and remembered as
+ * the problem of its field; {@code null} reads as a missing field. The text has to be well formed.
+ */
+final class FieldReader implements AutoCloseable {
+  /** JSON of a value that is missing. */
+  static final String NULL = "null";
+
+  /** Recycled buffers would be shared by a reader and one that is opened before it is closed. */
+  private static final JsonStream STREAMS =
+      JsonStream.builder().bufferRecycling(BufferRecycleStrategy.NO_RECYCLING).build();
+
+  private final JsonReader reader;
+  private String field = "";
+  private String problem;
+
+  FieldReader(byte[] json) {
+    reader = STREAMS.reader(json);
+  }
+
+  FieldReader(String json) {
+    reader = STREAMS.reader(json);
+  }
+
+  /** The first problem, with the name of its field; null if there is none. */
+  String problem() {
+    return problem;
+  }
+
+  /** Remembers a problem, unless there is an earlier one. */
+  void report(String fieldName, String reason) {
+    if (problem == null) {
+      problem = fieldName + " " + reason;
+    }
+  }
+
+  /** Opens an object; false if the value is of another type, which is skipped. */
+  boolean beginObject() {
+    if (!is(JsonReader.Token.BEGIN_OBJECT, "is not an object")) {
+      return false;
+    }
+    reader.beginObject();
+    return true;
+  }
+
+  /** Goes on to the next field of the open object; closes it if there is none. */
+  boolean nextField() {
+    if (reader.hasNextField()) {
+      field = reader.nextField();
+      return true;
+    }
+    reader.endObject();
+    return false;
+  }
+
+  /** Name of the field that is read next. */
+  String field() {
+    return field;
+  }
+
+  /** Opens an array; false if the value is of another type, which is skipped. */
+  boolean beginArray() {
+    if (!is(JsonReader.Token.BEGIN_ARRAY, "is not a list")) {
+      return false;
+    }
+    reader.beginArray();
+    return true;
+  }
+
+  /** Goes on to the next element of the open array; closes it if there is none. */
+  boolean nextElement() {
+    if (reader.hasNextElement()) {
+      return true;
+    }
+    reader.endArray();
+    return false;
+  }
+
+  /** A string; null if it is missing or of another type. */
+  String text() {
+    return is(JsonReader.Token.STRING, "is not a string") ? reader.readString() : null;
+  }
+
+  /** A number; the fallback if it is missing or of another type. */
+  double number(double fallback) {
+    return is(JsonReader.Token.NUMBER, "is not a number") ? reader.readDouble() : fallback;
+  }
+
+  /** A number of at least 0, rounded up; the fallback if it is missing or of another type. */
+  long count(long fallback) {
+    double number = number(fallback);
+    if (number < 0) {
+      report(field, "is below 0");
+      return fallback;
+    }
+    return (long) Math.ceil(number);
+  }
+
+  /** As {@link #count}, cut off at the largest {@code int}. */
+  int smallCount(int fallback) {
+    return (int) Math.min(Integer.MAX_VALUE, count(fallback));
+  }
+
+  /** A boolean; the fallback if it is missing or of another type. */
+  boolean flag(boolean fallback) {
+    return is(JsonReader.Token.BOOLEAN, "is neither true nor false")
+        ? reader.readBoolean()
+        : fallback;
+  }
+
+  /** A list of strings; empty if it is missing or of another type. */
+  List<String> texts() {
+    List<String> texts = new ArrayList<>();
+    if (!beginArray()) {
+      return texts;
+    }
+    while (nextElement()) {
+      String text = text();
+      if (text != null) {
+        texts.add(text);
+      }
+    }
+    return texts;
+  }
+
+  /** The value's JSON, as it stands in the text. */
+  String raw() {
+    return reader.isNullValue() ? NULL : reader.readRaw();
+  }
+
+  void skip() {
+    reader.skipValue();
+  }
+
+  @Override
+  public void close() {
+    reader.close();
+  }
+
+  private boolean is(JsonReader.Token expected, String otherwise) {
+    JsonReader.Token found = reader.currentToken();
+    if (found == expected) {
+      return true;
+    }
+    if (found == JsonReader.Token.NULL) {
+      reader.isNullValue();
+      return false;
+    }
+    report(field, otherwise);
+    reader.skipValue();
+    return false;
+  }
+}
--- /dev/null
+++ b/src/main/java/slateslip/configuration/JsonSyntax.java
@@ -0,0 +1,214 @@
+package slateslip.configuration;
+
+/**
+ * Checks that bytes are exactly one JSON value (RFC 8259) in UTF-8, with nothing behind it.
+ *
+ * <p>The JSON library skips what it does not need without looking at it closely; a document that is
+ * kept and handed out again must be well formed throughout.
+ */
+final class JsonSyntax {
+  /** Objects and arrays may be nested this deep; it bounds the stack of the readers. */
+  static final int MAX_DEPTH = 64;
+
+  private static final int FIRST_PRINTABLE = 0x20;
+  private static final int FIRST_NON_ASCII = 0x80;
+  private static final int UNICODE_ESCAPE_DIGITS = 4;
+
+  private final byte[] text;
+  private int position;
+  private String problem;
+
+  private JsonSyntax(byte[] text) {
+    this.text = text;
+  }
+
+  /** What is wrong and where; null if the bytes are well formed. */
+  static String problem(byte[] text) {
+    JsonSyntax syntax = new JsonSyntax(text);
+    if (syntax.value(0) && syntax.blanksToEnd()) {
+      return null;
+    }
+    return syntax.problem + " at byte " + syntax.position;
+  }
+
+  private boolean blanksToEnd() {
+    skipBlanks();
+    return position == text.length || fail("more bytes follow the document");
+  }
+
+  private boolean value(int depth) {
+    skipBlanks();
+    if (position == text.length) {
+      return fail("the document ends early");
+    }
+    return switch (text[position]) {
+      case '{' -> depth < MAX_DEPTH ? object(depth) : fail("nested too deep");
+      case '[' -> depth < MAX_DEPTH ? array(depth) : fail("nested too deep");
+      case '"' -> string();
+      case 't' -> word("true");
+      case 'f' -> word("false");
+      case 'n' -> word("null");
+      default -> number();
+    };
+  }
+
+  private boolean object(int depth) {
+    position++;
+    if (consumeAfterBlanks('}')) {
+      return true;
+    }
+    do {
+      skipBlanks();
+      if (!string() || !expect(':') || !value(depth + 1)) {
+        return false;
+      }
+    } while (consumeAfterBlanks(','));
+    return expect('}');
+  }
+
+  private boolean array(int depth) {
+    position++;
+    if (consumeAfterBlanks(']')) {
+      return true;
+    }
+    do {
+      if (!value(depth + 1)) {
+        return false;
+      }
+    } while (consumeAfterBlanks(','));
+    return expect(']');
+  }
+
+  private boolean string() {
+    if (!consume('"')) {
+      return fail("a string is expected");
+    }
+    while (position < text.length) {
+      int unit = text[position] & 0xff;
+      if (unit == '"') {
+        position++;
+        return true;
+      }
+      if (unit < FIRST_PRINTABLE) {
+        return fail("a control character in a string");
+      }
+      boolean taken = unit == '\\' ? escape() : unit < FIRST_NON_ASCII ? skipOne() : sequence(unit);
+      if (!taken) {
+        return false;
+      }
+    }
+    return fail("the document ends early");
+  }
+
+  private boolean skipOne() {
+    position++;
+    return true;
+  }
+
+  private boolean escape() {
+    position++;
+    if (position == text.length) {
+      return fail("the document ends early");
+    }
+    byte kind = text[position++];
+    if (kind != 'u') {
+      return "\"\\/bfnrt".indexOf(kind) >= 0 || fail("an unknown escape");
+    }
+    for (int digit = 0; digit < UNICODE_ESCAPE_DIGITS; digit++) {
+      if (position == text.length || Character.digit(text[position], 16) < 0) {
+        return fail("an incomplete unicode escape");
+      }
+      position++;
+    }
+    return true;
+  }
+
+  /** One character of two to four bytes of UTF-8. */
+  private boolean sequence(int lead) {
+    int following = lead >= 0xc2 && lead < 0xe0 ? 1 : lead >= 0xe0 && lead < 0xf0 ? 2 : 3;
+    if (lead < 0xc2 || lead > 0xf4 || position + following >= text.length) {
+      return fail("bytes that are not UTF-8");
+    }
+    int second = text[position + 1] & 0xff;
+    int lowest = lead == 0xe0 ? 0xa0 : lead == 0xf0 ? 0x90 : 0x80;
+    int highest = lead == 0xed ? 0x9f : lead == 0xf4 ? 0x8f : 0xbf;
+    if (second < lowest || second > highest) {
+      return fail("bytes that are not UTF-8");
+    }
+    for (int index = 2; index <= following; index++) {
+      if ((text[position + index] & 0xc0) != 0x80) {
+        return fail("bytes that are not UTF-8");
+      }
+    }
+    position += 1 + following;
+    return true;
+  }
+
+  private boolean number() {
+    consume('-');
+    if (!consume('0') && !digits()) {
+      return fail("a value is expected");
+    }
+    if (consume('.') && !digits()) {
+      return fail("digits are expected");
+    }
+    if (consume('e') || consume('E')) {
+      if (!consume('+')) {
+        consume('-');
+      }
+      return digits() || fail("digits are expected");
+    }
+    return true;
+  }
+
+  private boolean digits() {
+    int start = position;
+    while (position < text.length && text[position] >= '0' && text[position] <= '9') {
+      position++;
+    }
+    return position > start;
+  }
+
+  private boolean word(String word) {
+    for (int index = 0; index < word.length(); index++) {
+      if (!consume(word.charAt(index))) {
+        return fail("a value is expected");
+      }
+    }
+    return true;
+  }
+
+  private boolean expect(char character) {
+    return consumeAfterBlanks(character) || fail("'" + character + "' is expected");
+  }
+
+  private boolean consumeAfterBlanks(char character) {
+    skipBlanks();
+    return consume(character);
+  }
+
+  private boolean consume(char character) {
+    if (position < text.length && text[position] == character) {
+      position++;
+      return true;
+    }
+    return false;
+  }
+
+  private void skipBlanks() {
+    while (position < text.length && isBlank(text[position])) {
+      position++;
+    }
+  }
+
+  private static boolean isBlank(byte unit) {
+    return unit == ' ' || unit == '\n' || unit == '\r' || unit == '\t';
+  }
+
+  private boolean fail(String what) {
+    if (problem == null) {
+      problem = what;
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/src/test/java/slateslip/configuration/ConfigurationDocumentTest.java
@@ -0,0 +1,200 @@
+package slateslip.configuration;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.allOf;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.instanceOf;
+import static slateslip.configuration.ConfigurationSamples.ROUTE_CHAT;
+import static slateslip.configuration.ConfigurationSamples.ROUTE_LEDGER;
+import static slateslip.configuration.ConfigurationSamples.SERVICES;
+import static slateslip.configuration.ConfigurationSamples.WHOLE;
+import static slateslip.configuration.ConfigurationSamples.bytes;
+import static slateslip.configuration.ConfigurationSamples.invalid;
+import static slateslip.configuration.ConfigurationSamples.parsed;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+final class ConfigurationDocumentTest {
+  private static final ObjectMapper OTHER_LIBRARY = new ObjectMapper();
+
+  private static String whole(String routes, String services, String more) {
+    return "{\"version\":8,\"routes\":" + routes + ",\"services\":" + services + more + "}";
+  }
+
+  @Test
+  void everyFieldIsRead() {
+    FleetConfiguration configuration = parsed(WHOLE).configuration();
+    assertThat(configuration.version(), equalTo(7L));
+    assertThat(
+        configuration.routes().get(0),
+        equalTo(
+            new Route(
+                "chat",
+                "api.example",
+                "/chat/",
+                RouteKind.STREAMING,
+                8_000,
+                600,
+                0,
+                List.of(
+                    new Route.WeightedService("model-a", 90),
+                    new Route.WeightedService("model-b", 10)),
+                2,
+                false,
+                true,
+                true,
+                400)));
+    assertThat(configuration.routes().get(1).timeoutMillis(), equalTo(1_001L));
+    assertThat(
+        configuration.services(),
+        contains(
+            new Service("model-a", "/health", 360, new Service.Engine(64, 529_133, 5)),
+            new Service("model-b", "/health", 0, null)));
+    assertThat(configuration.limits(), equalTo(new IngressLimits(16_000, 4_000_000, 3_100, 15_100)));
+    assertThat(
+        configuration.tenants(),
+        contains(
+            new Tenant("crew", List.of("k1", "k2"), 1, true, 200, 171_442.25, 171_442),
+            new Tenant("office", List.of("k3"), -1, false, 0, 0, 0)));
+  }
+
+  @Test
+  void theDocumentIsGivenBackAsItWasSent() throws IOException {
+    byte[] again = parsed(WHOLE).toJson();
+    assertThat(OTHER_LIBRARY.readTree(again), equalTo(OTHER_LIBRARY.readTree(WHOLE)));
+    assertThat(
+        parsed(ConfigurationDocument.parse(again)).configuration(),
+        equalTo(parsed(WHOLE).configuration()));
+  }
+
+  @Test
+  void blanksAndEscapesMakeNoDifference() throws IOException {
+    String pretty =
+        OTHER_LIBRARY.writerWithDefaultPrettyPrinter().writeValueAsString(
+            OTHER_LIBRARY.readTree(WHOLE));
+    assertThat(parsed(pretty).configuration(), equalTo(parsed(WHOLE).configuration()));
+    String escaped = WHOLE.replace("chat", "\\u0063hat").replace("api_keys", "api\\u005fkeys");
+    assertThat(parsed(escaped).configuration(), equalTo(parsed(WHOLE).configuration()));
+  }
+
+  @Test
+  void nullIsAMissingField() {
+    String route = ROUTE_LEDGER.replace("}", ",\"traffic_split\":null,\"priority\":null}");
+    assertThat(parsed(whole("[" + route + "]", SERVICES, ",\"tenants\":null,\"limits\":null")).version(), equalTo(8L));
+  }
+
+  @Test
+  void weightsMayBeFractions() {
+    String route = ROUTE_CHAT.replace("90", "0.75").replace("\"weight\":10", "\"weight\":0.25");
+    FleetConfiguration configuration =
+        parsed(whole("[" + route + "]", SERVICES, "")).configuration();
+    List<Route.WeightedService> targets = configuration.routes().get(0).targets();
+    assertThat(targets.get(0).weight(), equalTo(3 * targets.get(1).weight() - 2));
+  }
+
+  @Test
+  void anUnknownKindPromisesLeast() {
+    String route = ROUTE_CHAT.replace("streaming", "bidirectional");
+    FleetConfiguration configuration =
+        parsed(whole("[" + route + "]", SERVICES, "")).configuration();
+    assertThat(configuration.routes().get(0).kind(), equalTo(RouteKind.NON_IDEMPOTENT));
+  }
+
+  @Test
+  void theVersionHasToBeAboveTheCurrentOne() {
+    assertThat(
+        ConfigurationDocument.parse(bytes(WHOLE), 6),
+        instanceOf(ConfigurationOutcome.Parsed.class));
+    assertThat(
+        invalid(ConfigurationDocument.parse(bytes(WHOLE), 7)),
+        containsString("version 7 is not above the current one, 7"));
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      quoteCharacter = '~',
+      value = {
+        "\"service\":\"model-b\"}|\"service\":\"model-z\"}|routes \"ledger\": service \"model-z\" is unknown",
+        "\"service\":\"model-a\",|\"service\":\"model-z\",|routes \"chat\": service \"model-z\" is unknown",
+        "/ledger/|/chat/|routes \"ledger\": hostname and path_prefix are those of route \"chat\"",
+        "\"weight\":90|\"weight\":-1|routes \"chat\": traffic_split has a weight below 0",
+        "\"weight\":90|\"weight\":\"x\"|routes \"chat\": weight is not a number",
+        "\"timeout_ms\":8000|\"timeout_ms\":0|routes \"chat\": timeout_ms is 0",
+        "\"timeout_ms\":8000|\"timeout_ms\":0.0|routes \"chat\": timeout_ms is 0",
+        "\"timeout_ms\":8000|\"timeout_ms\":-5|routes \"chat\": timeout_ms is below 0",
+        "\"timeout_ms\":8000|\"timeout_ms\":\"8000\"|routes \"chat\": timeout_ms is not a number",
+        "\"timeout_ms\":8000,|~~|routes \"chat\": timeout_ms is 0 or missing",
+        "/ledger/|/ledger|routes \"ledger\": path_prefix does not start and end with a slash",
+        "/ledger/|ledger/|routes \"ledger\": path_prefix does not start and end with a slash",
+        "\"hostname\":\"api.example\",|~~|routes \"chat\": hostname is missing",
+        ",\"service\":\"model-b\"}|}|routes \"ledger\": service is missing",
+        "\"name\":\"ledger\"|\"name\":\"chat\"|routes has two items of the name \"chat\"",
+        "\"name\":\"model-b\"|\"name\":\"model-a\"|services has two items of the name \"model-a\"",
+        "\"name\":\"office\"|\"name\":\"crew\"|tenants has two items of the name \"crew\"",
+        "\"k3\"|\"k1\"|tenants \"office\": api_keys shares a key with \"crew\"",
+        "\"name\":\"ledger\",|~~|routes has an item without a name",
+        "\"rate_per_s\":171442.25|\"rate_per_s\":-1|tenants \"crew\": rate_per_s is below 0",
+        "\"version\":7,|~~|version 0 is not above the current one, 0",
+        "\"version\":7|\"version\":7.5|version is not a whole number",
+        "\"version\":7|\"version\":-7|version -7 is not above the current one, 0",
+        "\"routes\"|\"route\"|routes is missing",
+        "\"services\"|\"service\"|services is missing",
+        "\"max_body_bytes\":4000000|\"max_body_bytes\":[]|limits: max_body_bytes is not a number",
+      })
+  void anInvalidDocumentIsRefusedWithItsField(String sent, String instead, String message) {
+    assertThat(WHOLE, containsString(sent));
+    int start = WHOLE.indexOf(sent);
+    String changed = WHOLE.substring(0, start) + instead + WHOLE.substring(start + sent.length());
+    assertThat(invalid(ConfigurationDocument.parse(bytes(changed))), containsString(message));
+  }
+
+  @Test
+  void weightsThatAddUpToZeroAreRefused() {
+    String changed = WHOLE.replace(":90}", ":0}").replace(":10}", ":0.0}");
+    assertThat(
+        invalid(ConfigurationDocument.parse(bytes(changed))),
+        containsString("routes \"chat\": traffic_split has weights that add up to 0"));
+    String empty = ROUTE_CHAT.replaceAll("\\[.*]", "[]");
+    assertThat(
+        invalid(ConfigurationDocument.parse(bytes(whole("[" + empty + "]", SERVICES, "")))),
+        allOf(containsString("routes \"chat\""), containsString("service")));
+  }
+
+  @Test
+  void oneServiceOfWeightZeroIsNoProblem() {
+    assertThat(parsed(WHOLE.replace(":10}", ":0}")).version(), equalTo(7L));
+  }
+
+  @Test
+  void bytesBehindTheDocumentAreRefused() {
+    for (String more : List.of("x", "{}", "]", "\0", WHOLE)) {
+      assertThat(
+          invalid(ConfigurationDocument.parse(bytes(WHOLE + more))),
+          containsString("more bytes follow the document"));
+    }
+    assertThat(parsed(WHOLE + " \r\n\t").version(), equalTo(7L));
+  }
+
+  @Test
+  void aDocumentOfAnotherTypeIsRefused() {
+    for (String document : List.of("", " ", "[]", "7", "null", "\"x\"", "true")) {
+      invalid(ConfigurationDocument.parse(bytes(document)));
+    }
+  }
+
+  @Test
+  void partsMayBeEmpty() {
+    FleetConfiguration configuration = parsed(whole("[]", "[]", "")).configuration();
+    assertThat(configuration.routes(), hasSize(0));
+    assertThat(configuration.limits(), equalTo(IngressLimits.DEFAULT));
+  }
+}
