Quota and retry budget: each data plane's part of fleet-wide limits

Cause: both limits hold over all data planes, which do not talk to each other. Retry budget: ratio of own requests plus an equal part of the slack, with margin.

--- /dev/null
+++ b/src/main/java/slateslip/routing/quota/TenantQuotas.java
@@ -0,0 +1,146 @@
+package slateslip.routing.quota;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import slateslip.configuration.Tenant;
+import slateslip.distribution.AgentShares;
+import slateslip.distribution.AgentShares.TenantShare;
+import slateslip.distribution.TenantDemand;
+
+/** Quotas of all tenants at one data plane. */
+public final class TenantQuotas {
+  /**
+   * Without news of its shares for this long a data plane falls back to the equal share where it had more.
+   * {@link ShareAllocator} counts on it.
+   */
+  public static final long SHARES_STALE_MICROS = 3_000_000;
+
+  /** Data planes that share the quotas as long as no control agent has told how many there are. */
+  public static final int AGENTS_UNKNOWN = 16;
+
+  private static final class State {
+    Tenant tenant;
+    QuotaWindow window;
+    long wanted;
+    long admitted;
+  }
+
+  private final QuotaBounds bounds;
+  private final long startMicros;
+  private final Map<String, State> states = new HashMap<>();
+  private final Map<String, Double> fractions = new HashMap<>();
+  private int agents = AGENTS_UNKNOWN;
+  private long sharesMicros;
+  private boolean stale;
+
+  /**
+   * Quotas of no tenant yet.
+   *
+   * @param startMicros start of the process
+   */
+  public TenantQuotas(QuotaBounds bounds, long startMicros) {
+    this.bounds = bounds;
+    this.startMicros = startMicros;
+  }
+
+  /** What a request counts as. */
+  public static long units(Tenant tenant, long promptTokens, long outputTokens) {
+    if (!tenant.countsTokens()) {
+      return 1;
+    }
+    boolean told = promptTokens >= 0 && outputTokens >= 0;
+    return told ? promptTokens + outputTokens : tenant.uncachedTokens();
+  }
+
+  /** Takes the tenants of another configuration. */
+  public void tenants(List<Tenant> tenants) {
+    List<String> names = tenants.stream().map(Tenant::name).toList();
+    states.keySet().retainAll(names);
+    for (Tenant tenant : tenants) {
+      State state = states.computeIfAbsent(tenant.name(), name -> new State());
+      state.tenant = tenant;
+      apply(state);
+    }
+  }
+
+  /** Takes this data plane's shares. */
+  public void shares(AgentShares shares, long nowMicros) {
+    agents = Math.max(1, shares.agents());
+    fractions.clear();
+    for (TenantShare share : shares.tenants()) {
+      fractions.put(share.tenant(), Math.min(1, Math.max(0, share.fraction())));
+    }
+    sharesMicros = nowMicros;
+    stale = false;
+    states.values().forEach(this::apply);
+  }
+
+  /** Data planes that share the limits. */
+  public int agents() {
+    return agents;
+  }
+
+  /** Counts the units as wanted, takes them if the quota has them, and says whether it had. */
+  public boolean take(Tenant tenant, long units, long nowMicros) {
+    checkStale(nowMicros);
+    State state = states.get(tenant.name());
+    if (state == null) {
+      return true;
+    }
+    state.wanted += units;
+    if (state.window != null && !state.window.take(units, nowMicros)) {
+      return false;
+    }
+    state.admitted += units;
+    return true;
+  }
+
+  /** Gives back the units of a request that was let in and that no backend ran. */
+  public void giveBack(Tenant tenant, long units) {
+    State state = states.get(tenant.name());
+    if (state != null && state.window != null) {
+      state.window.giveBack(units);
+    }
+  }
+
+  /** Microseconds until a request of these units would be let in. */
+  public long waitMicros(Tenant tenant, long units, long nowMicros) {
+    State state = states.get(tenant.name());
+    return state == null || state.window == null ? 0 : state.window.waitMicros(units, nowMicros);
+  }
+
+  /** What each tenant has asked for here since the start. */
+  public List<TenantDemand> demand() {
+    List<TenantDemand> demand = new ArrayList<>(states.size());
+    states.forEach(
+        (name, state) -> demand.add(new TenantDemand(name, state.wanted, state.admitted)));
+    return demand;
+  }
+
+  private void checkStale(long nowMicros) {
+    if (!stale && nowMicros - sharesMicros > SHARES_STALE_MICROS) {
+      stale = true;
+      states.values().forEach(this::apply);
+    }
+  }
+
+  private void apply(State state) {
+    Tenant tenant = state.tenant;
+    if (tenant.ratePerSecond() <= 0) {
+      state.window = null;
+      return;
+    }
+    if (state.window == null) {
+      state.window = new QuotaWindow(bounds, startMicros);
+    }
+    state.window.set(tenant.ratePerSecond(), tenant.burst(), fraction(tenant.name()));
+  }
+
+  private double fraction(String tenant) {
+    double equal = 1.0 / agents;
+    double given = fractions.getOrDefault(tenant, equal);
+    return stale ? Math.min(given, equal) : given;
+  }
+}
--- /dev/null
+++ b/src/main/java/slateslip/routing/retry/RetryBudget.java
@@ -0,0 +1,57 @@
+package slateslip.routing.retry;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * One data plane's part of the retry budget of one service.
+ *
+ * <p>The bound holds over all data planes without any talk between them: each keeps to the ratio of its own
+ * requests, and to an equal part of the slack. Both are kept with a margin, since arrivals at a backend are
+ * counted a little later than they are sent.
+ */
+public final class RetryBudget {
+  /** Part of the bound that is used; the rest covers what is counted in another window than here. */
+  private static final double MARGIN = 0.8;
+
+  /** Data planes that share the slack as long as no control agent has told how many there are. */
+  public static final int AGENTS_UNKNOWN = 16;
+
+  private final RetryBounds bounds;
+  private final Deque<Long> requests = new ArrayDeque<>();
+  private final Deque<Long> retries = new ArrayDeque<>();
+
+  /** A budget from which nothing has been spent. */
+  public RetryBudget(RetryBounds bounds) {
+    this.bounds = bounds;
+  }
+
+  /** Counts a request of a client. */
+  public void request(long nowMicros) {
+    requests.addLast(nowMicros);
+    slide(nowMicros);
+  }
+
+  /** Spends one retry if the budget has it, and says whether it had. */
+  public boolean spend(long nowMicros, int agents) {
+    slide(nowMicros);
+    double allowed = MARGIN * (bounds.ratio() * requests.size() + (double) bounds.slack() / agents);
+    if (retries.size() + 1 > allowed) {
+      return false;
+    }
+    retries.addLast(nowMicros);
+    return true;
+  }
+
+  private void slide(long nowMicros) {
+    long start = nowMicros - bounds.windowMicros();
+    dropBefore(requests, start);
+    dropBefore(retries, start);
+  }
+
+  private static void dropBefore(Deque<Long> times, long start) {
+    while (!times.isEmpty() && times.peekFirst() < start) {
+      times.removeFirst();
+    }
+  }
+}
