Agent: decoders, kept age, backoff and inspectable sockets can be used as a library

The data plane needs the agent's strict HTTP decoders with the operator's limits on headers, its learnt age of kept connections, its backoff and its check for unread bytes. They become public, with the limits as arguments whose defaults are the agent's; the inspectable socket gets a file of its own. The agent's behaviour is unchanged; its tests name the socket's class at its new place.

--- a/src/main/java/gatefront/net/Backends.java
+++ b/src/main/java/gatefront/net/Backends.java
@@ -14,7 +14,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
@@ -30,9 +29,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
-import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -205,14 +202,6 @@
         }
     }
 
-    /**
-     * Whether no socket could be opened to connect with, for the process has no descriptor left. Guards
-     * against waiting for ever: there is no channel to close then, and listeners are called elsewhere.
-     */
-    static boolean noSocket(ChannelFuture connecting) {
-        return connecting.isDone() && !connecting.isSuccess() && !connecting.channel().isRegistered();
-    }
-
     /** Makes room under the limit on sockets by closing the connection that has been idle for longest. */
     private boolean roomForOne() {
         if (connections < connectionsMost) {
@@ -347,7 +336,7 @@
             Connection fresh = new Connection(pool);
             ChannelFuture connecting = bootstrap.clone().handler(fresh)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, mostMs).connect(pool.address);
-            if (noSocket(connecting)) {
+            if (Inspectable.noSocket(connecting)) {
                 endIfNoneComesUp(Outcome.NEVER_SENT);
                 return;
             }
@@ -454,21 +443,6 @@
         }
     }
 
-    /** A socket that can be asked whether its peer has been silent. */
-    static class Inspectable extends NioSocketChannel {
-        /**
-         * Whether it is open with nothing unread. Guards against what has arrived since the loop last looked:
-         * a close, or bytes that would be taken for the next answer.
-         */
-        boolean silent() {
-            try {
-                return isActive() && javaChannel().read(ByteBuffer.allocate(1)) == 0;
-            } catch (IOException e) {
-                return false;
-            }
-        }
-    }
-
     /** One connection to a server. */
     private final class Connection extends ChannelInitializer<Inspectable> {
         private final Pool pool;
--- a/src/main/java/gatefront/net/Backoff.java
+++ b/src/main/java/gatefront/net/Backoff.java
@@ -7,7 +7,7 @@
  * half of each by chance. Guards against agents that were cut off in one moment and call again in step: at
  * the size of a fleet that is all calls of a second in some milliseconds.
  */
-final class Backoff {
+public final class Backoff {
     private final long least;
     private final long most;
     private final SplittableRandom random;
@@ -20,7 +20,7 @@
      * @param most any wait at the most, ms
      * @param seed for the chance; no two agents are to have the same
      */
-    Backoff(long least, long most, long seed) {
+    public Backoff(long least, long most, long seed) {
         this.least = least;
         this.most = most;
         this.random = new SplittableRandom(seed);
@@ -28,14 +28,14 @@
     }
 
     /** The next wait, ms: between a half of and all of its length. */
-    long next() {
+    public long next() {
         long now = wait - random.nextLong(wait / 2 + 1);
         wait = Math.min(2 * wait, most);
         return now;
     }
 
     /** A call was answered: the next wait is the first one again. */
-    void reset() {
+    public void reset() {
         wait = least;
     }
 }
--- a/src/main/java/gatefront/net/Decoders.java
+++ b/src/main/java/gatefront/net/Decoders.java
@@ -17,23 +17,25 @@
  * HTTP/1.1 as the agent reads it from either side: what the library would mend or overlook is an unreadable
  * message here, since two readers that mend differently see different messages in the same bytes.
  */
-final class Decoders {
+public final class Decoders {
     private static final int LINE_MAX = 4096;
     private static final int HEAD_MAX = 8192;
     /** How a body ends, where no length tells it. */
-    static final long NO_LENGTH = -1;
-    static final long CHUNKED = -2;
-    static final long UNCLEAR = -3;
+    public static final long NO_LENGTH = -1;
+    /** The body comes in chunks. */
+    public static final long CHUNKED = -2;
+    /** The headers contradict each other, or say nothing that can be read. */
+    public static final long UNCLEAR = -3;
 
     private Decoders() { }
 
-    private static HttpDecoderConfig strict() {
-        return new HttpDecoderConfig().setMaxInitialLineLength(LINE_MAX).setMaxHeaderSize(HEAD_MAX)
+    private static HttpDecoderConfig strict(int lineMost, int headMost) {
+        return new HttpDecoderConfig().setMaxInitialLineLength(lineMost).setMaxHeaderSize(headMost)
             .setAllowDuplicateContentLengths(false).setStrictLineParsing(true);
     }
 
     /** How a message's body ends: its length, {@link #CHUNKED}, {@link #NO_LENGTH} or {@link #UNCLEAR}. */
-    static long framing(HttpHeaders headers) {
+    public static long framing(HttpHeaders headers) {
         List<String> codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
         List<String> lengths = headers.getAll(HttpHeaderNames.CONTENT_LENGTH);
         if (codings.size() + lengths.size() > 1) {
@@ -46,7 +48,7 @@
     }
 
     /** A whole number written in digits alone, or the other value. */
-    static long digits(String text, long otherwise) {
+    public static long digits(String text, long otherwise) {
         if (text == null || text.isEmpty() || text.length() > 18) {
             return otherwise;
         }
@@ -68,15 +70,20 @@
     }
 
     /** What the application sends. */
-    static final class Requests extends HttpRequestDecoder {
+    public static final class Requests extends HttpRequestDecoder {
         private boolean atStart = true;
 
         Requests() {
-            super(strict());
+            this(LINE_MAX, HEAD_MAX);
+        }
+
+        /** With limits on the bytes of the request line and of the headers. */
+        public Requests(int lineMost, int headMost) {
+            super(strict(lineMost, headMost));
         }
 
         /** Whether a request has begun to come. */
-        boolean begun() {
+        public boolean begun() {
             return !atStart;
         }
 
@@ -106,17 +113,23 @@
     }
 
     /** What servers and discovery send. */
-    static final class Responses extends HttpResponseDecoder {
+    public static final class Responses extends HttpResponseDecoder {
         private boolean atStart = true;
         /** Whether the status line has been read, and the rest is to be read as strictly as in requests. */
         private boolean strict;
+        private boolean noBody;
 
         Responses() {
-            super(strict());
+            this(LINE_MAX, HEAD_MAX);
+        }
+
+        /** With limits on the bytes of the status line and of the headers. */
+        public Responses(int lineMost, int headMost) {
+            super(strict(lineMost, headMost));
         }
 
         /** Whether bytes have come that belong to no message yet. */
-        boolean leftover() {
+        public boolean leftover() {
             return actualReadableBytes() > 0;
         }
 
@@ -159,12 +172,17 @@
             return strict;
         }
 
+        /** Whether the next answer has no body whatever its headers say, as one to HEAD. */
+        public void expectNoBody(boolean none) {
+            noBody = none;
+        }
+
         /** Asked at the end of the headers. Without a length the body of a 200 ends with its connection. */
         @Override
         protected boolean isContentAlwaysEmpty(HttpMessage message) {
             int status = ((HttpResponse) message).status().code();
             strict &= status != 200 || framing(message.headers()) != NO_LENGTH;
-            return super.isContentAlwaysEmpty(message);
+            return noBody || super.isContentAlwaysEmpty(message);
         }
 
         @Override
--- a/src/main/java/gatefront/net/Discovery.java
+++ b/src/main/java/gatefront/net/Discovery.java
@@ -187,7 +187,7 @@
             return;
         }
         ChannelFuture connecting = bootstrap.connect(address);
-        if (Backends.noSocket(connecting)) {
+        if (Inspectable.noSocket(connecting)) {
             channel = null;
             failed(mine, "no socket");
             return;
--- a/src/main/java/gatefront/net/KeptAge.java
+++ b/src/main/java/gatefront/net/KeptAge.java
@@ -7,7 +7,7 @@
  * idle connections in silence, long before the servers would close them: nothing shows until a request is
  * written, and then it may have run. What has been learnt fades, for the network may change.
  */
-final class KeptAge {
+public final class KeptAge {
     /** The youngest class of ages ends here, each further one at twice the age of the one before. */
     private static final long YOUNGEST_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
     private static final int CLASSES = 12;
@@ -24,20 +24,20 @@
     private long limitNanos;
 
     /** With the age that is never exceeded. */
-    KeptAge(long mostNanos, long now) {
+    public KeptAge(long mostNanos, long now) {
         this.mostNanos = mostNanos;
         this.limitNanos = mostNanos;
         this.fadedAt = now;
     }
 
     /** With another age that is never exceeded; what was learnt stays. */
-    void limitTo(long most) {
+    public void limitTo(long most) {
         mostNanos = most;
         judge();
     }
 
     /** A connection that had idled for so long was used, and broke at once or did not. */
-    void used(long idleNanos, boolean broke, long now) {
+    public void used(long idleNanos, boolean broke, long now) {
         fade(now);
         int at = 0;
         while (at < CLASSES - 1 && idleNanos >= from(at + 1)) {
@@ -49,7 +49,7 @@
     }
 
     /** Forgets with time. */
-    void fade(long now) {
+    public void fade(long now) {
         double factor = Math.pow(0.5, (now - fadedAt) / HALF_LIFE_NANOS);
         fadedAt = now;
         for (int i = 0; i < CLASSES; i++) {
@@ -60,7 +60,7 @@
     }
 
     /** From this age on a connection is not used again. */
-    long limitNanos() {
+    public long limitNanos() {
         return limitNanos;
     }
 
--- a/src/test/java/gatefront/net/DescriptorsTest.java
+++ b/src/test/java/gatefront/net/DescriptorsTest.java
@@ -61,7 +61,7 @@
             if (left.getAndIncrement() < 0) {
                 throw new ChannelException("too many open files");
             }
-            return new Backends.Inspectable();
+            return new Inspectable();
         })).sync().getNow();
         for (int i = 0; i <= 2 * EACH; i++) {
             loop.submit(() -> {
--- a/src/test/java/gatefront/net/LateConnectionsTest.java
+++ b/src/test/java/gatefront/net/LateConnectionsTest.java
@@ -33,7 +33,7 @@
     private static final long DIAL_MICROS = 400_000;
 
     /** A socket that connects only when the test says so. */
-    private static final class Held extends Backends.Inspectable {
+    private static final class Held extends Inspectable {
         private SocketAddress to;
 
         @Override
@@ -70,7 +70,7 @@
         ((ObjectNode) config.get("settings").get("caps")).put("dial-timeout-us", dialMicros);
         backends = loop.submit(() -> new Backends(loop, Config.of(config), 10, new Tally(), () -> {
             if (dials++ >= late) {
-                return new Backends.Inspectable();
+                return new Inspectable();
             }
             held.add(new Held());
             return held.get(held.size() - 1);
