--- /dev/null
+++ b/src/main/java/slateslip/coordination/PeerStatus.java
@@ -0,0 +1,37 @@
+package slateslip.coordination;
+
+/**
+ * What a node tells of itself.
+ *
+ * @param decidedEpoch epoch of the newest decided view that it knows
+ * @param acceptedLater whether it has accepted a view after that one
+ * @param received tenure whose installation it has received last
+ * @param receivedSequence last record received
+ * @param durable tenure whose installation it has on disk
+ * @param durableSequence last record that it has on disk
+ * @param committedSequence records that it knows to be committed
+ * @param diskHealthy whether its disk takes writes within the bound
+ */
+public record PeerStatus(
+    long decidedEpoch,
+    boolean acceptedLater,
+    Tenure received,
+    long receivedSequence,
+    Tenure durable,
+    long durableSequence,
+    long committedSequence,
+    boolean diskHealthy) {
+
+  /** The same with newer news of the disk. */
+  PeerStatus withDurable(Tenure tenure, long sequence) {
+    return new PeerStatus(
+        decidedEpoch,
+        acceptedLater,
+        received,
+        receivedSequence,
+        tenure,
+        sequence,
+        committedSequence,
+        diskHealthy);
+  }
+}
