Data plane: clients' requests are read whole and strictly, answers written in order

Change: ingress on one event loop with the agent's strict decoders and the operator's limits (431, 413, 408, 400 plainly), pipelining in order, client close seen, streams begun with the first event and broken off so that they cannot look complete. X-Credential and the headers that only the data plane may set are dropped.

--- /dev/null
+++ b/src/main/java/slateslip/dataplane/ingress/ClientConnection.java
@@ -0,0 +1,312 @@
+package slateslip.dataplane.ingress;
+
+import gatefront.net.Decoders;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import slateslip.dataplane.HeaderNames;
+
+/**
+ * One client connection: reads requests whole, has them answered one after the other. What is no request is
+ * answered with an error in its turn, and the connection ends.
+ */
+final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
+  /** What a connection is at, as far as its time is limited. */
+  enum Phase {
+    /** No byte of a next request has come. */
+    RESTING,
+    /** A head has begun to come. */
+    READING_HEAD,
+    /** A body has begun to come. */
+    READING_BODY,
+    /** An answer is owed, or waits to be. */
+    ANSWERING,
+    /** The last answer is being written or read. */
+    CLOSING
+  }
+
+  /** Requests read ahead behind the one being answered, before reading pauses. */
+  private static final int AHEAD_MOST = 16;
+
+  /** How long a connection with unread bytes is kept after its last answer, so that no reset overtakes it. */
+  private static final long LINGER_MILLIS = 500;
+
+  private record Asked(ClientRequest request, HttpResponseStatus error, boolean keepAlive) {}
+
+  private final ClientIngress ingress;
+  private final SocketChannel channel;
+  private final Decoders.Requests decoder;
+  private final Deque<Asked> ahead = new ArrayDeque<>();
+  private ClientExchange current;
+  private HttpRequest head;
+  private ByteBuf body = Unpooled.EMPTY_BUFFER;
+  private int heldBytes;
+  private int currentBytes;
+  private boolean deaf;
+  private Phase phase = Phase.RESTING;
+  private long phaseSince = System.nanoTime();
+
+  ClientConnection(ClientIngress ingress, SocketChannel channel, Decoders.Requests decoder) {
+    this.ingress = ingress;
+    this.channel = channel;
+    this.decoder = decoder;
+  }
+
+  Channel channel() {
+    return channel;
+  }
+
+  Phase phase() {
+    return phase;
+  }
+
+  /** How long it has been in its phase; in {@link Phase#READING_BODY}, since the last bytes. */
+  long phaseNanos() {
+    return System.nanoTime() - phaseSince;
+  }
+
+  boolean owes(ClientExchange exchange) {
+    return current == exchange;
+  }
+
+  boolean isLastAnswer(boolean keepAlive) {
+    return !keepAlive || ingress.endsConnections();
+  }
+
+  private void enter(Phase next) {
+    phase = next;
+    phaseSince = System.nanoTime();
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext context) {
+    ingress.opened(this);
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    ingress.closed(this);
+    deaf = true;
+    ahead.clear();
+    body = Unpooled.EMPTY_BUFFER;
+    ingress.release(heldBytes);
+    heldBytes = 0;
+    ClientExchange left = current;
+    current = null;
+    if (left != null) {
+      ingress.listener().clientGone(left);
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    context.close();
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext context) {
+    if (current != null && channel.isWritable()) {
+      ingress.listener().clientWritable(current);
+    }
+  }
+
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) {
+    if (phase == Phase.RESTING && decoder.begun()) {
+      enter(Phase.READING_HEAD);
+    }
+    context.fireChannelReadComplete();
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
+    if (deaf) {
+      return;
+    }
+    if (part.decoderResult().isFailure()) {
+      refuse(statusOf(part.decoderResult().cause()));
+      return;
+    }
+    if (part instanceof HttpRequest request) {
+      beginRequest(request);
+    }
+    if (part instanceof HttpContent content && !deaf) {
+      addBody(content.content());
+    }
+    if (part instanceof LastHttpContent && !deaf) {
+      endRequest();
+    }
+  }
+
+  private static HttpResponseStatus statusOf(Throwable cause) {
+    boolean tooLong =
+        cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
+    return tooLong
+        ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+        : HttpResponseStatus.BAD_REQUEST;
+  }
+
+  private void beginRequest(HttpRequest request) {
+    head = request;
+    long length = Decoders.framing(request.headers());
+    HttpResponseStatus refusal =
+        RequestHead.refusal(request, length, ingress.limits().maxBodyBytes());
+    if (refusal != null) {
+      refuse(refusal);
+      return;
+    }
+    if (length > 0 || length == Decoders.CHUNKED) {
+      enterUnlessAnswering(Phase.READING_BODY);
+      body = Unpooled.buffer(length > 0 ? (int) length : 1024);
+      sayContinue(request);
+    }
+  }
+
+  private void enterUnlessAnswering(Phase next) {
+    if (current == null && ahead.isEmpty()) {
+      enter(next);
+    }
+  }
+
+  private void sayContinue(HttpRequest request) {
+    if (HttpUtil.is100ContinueExpected(request) && current == null && ahead.isEmpty()) {
+      channel.writeAndFlush(
+          new DefaultFullHttpResponse(
+              HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+    }
+  }
+
+  private void addBody(ByteBuf bytes) {
+    int count = bytes.readableBytes();
+    if (count == 0) {
+      return;
+    }
+    if (body.readableBytes() + count > ingress.limits().maxBodyBytes()) {
+      refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+    } else if (!ingress.reserve(count)) {
+      refuse(HttpResponseStatus.SERVICE_UNAVAILABLE);
+    } else {
+      heldBytes += count;
+      body.writeBytes(bytes);
+      enterUnlessAnswering(Phase.READING_BODY);
+    }
+  }
+
+  private void endRequest() {
+    byte[] bytes = ByteBufUtil.getBytes(body);
+    body = Unpooled.EMPTY_BUFFER;
+    HttpHeaders headers = new DefaultHttpHeaders().set(head.headers());
+    HeaderNames.removeHopByHop(headers);
+    HeaderNames.removeOwn(headers);
+    var facts = RequestHead.facts(head, bytes.length);
+    var request = new ClientRequest(head.method(), head.uri(), headers, bytes, facts);
+    ask(new Asked(request, null, HttpUtil.isKeepAlive(head)));
+  }
+
+  /** Answers what is no request with an error in its turn; nothing more is read. */
+  private void refuse(HttpResponseStatus status) {
+    deaf = true;
+    body = Unpooled.EMPTY_BUFFER;
+    ask(new Asked(null, status, false));
+  }
+
+  private void ask(Asked asked) {
+    ahead.add(asked);
+    if (ahead.size() >= AHEAD_MOST) {
+      channel.config().setAutoRead(false);
+    }
+    takeNext();
+  }
+
+  private void takeNext() {
+    if (current != null || ahead.isEmpty() || !channel.isActive()) {
+      return;
+    }
+    Asked asked = ahead.poll();
+    channel.config().setAutoRead(true);
+    enter(Phase.ANSWERING);
+    ClientRequest request = asked.request;
+    currentBytes = request == null ? 0 : request.body().length;
+    String attemptId = request == null ? "" : request.facts().attemptId();
+    boolean headOnly = request != null && request.method().equals(HttpMethod.HEAD);
+    current = new ClientExchange(this, attemptId, asked.keepAlive, headOnly);
+    if (request == null) {
+      boolean full = asked.error.equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
+      current.answer(asked.error, full ? ClientIngress.RETRY_AFTER_MICROS : 0);
+    } else {
+      ingress.listener().requestArrived(request, current);
+    }
+  }
+
+  /** After the last byte of an answer has been written to the channel. */
+  void finish(ClientExchange exchange, ChannelFuture written, boolean last) {
+    if (current != exchange) {
+      return;
+    }
+    current = null;
+    heldBytes -= currentBytes;
+    ingress.release(currentBytes);
+    currentBytes = 0;
+    if (last) {
+      closeAfter(written);
+    } else if (ahead.isEmpty()) {
+      enter(decoder.begun() ? Phase.READING_HEAD : Phase.RESTING);
+    } else {
+      channel.eventLoop().execute(this::takeNext);
+    }
+  }
+
+  private void closeAfter(ChannelFuture written) {
+    boolean unread = deaf || decoder.begun();
+    deaf = true;
+    ahead.clear();
+    enter(Phase.CLOSING);
+    written.addListener(unread ? done -> linger() : ChannelFutureListener.CLOSE);
+  }
+
+  private void linger() {
+    channel.shutdownOutput();
+    channel.eventLoop().schedule(() -> channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  void breakOff() {
+    deaf = true;
+    current = null;
+    ahead.clear();
+    enter(Phase.CLOSING);
+    channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+  }
+
+  /** Its request took too long to come. */
+  void timeOut() {
+    refuse(HttpResponseStatus.REQUEST_TIMEOUT);
+  }
+
+  /** Closes it, as nothing is owed. */
+  void close() {
+    deaf = true;
+    channel.close();
+  }
+}
--- /dev/null
+++ b/src/main/java/slateslip/dataplane/ingress/ClientIngress.java
@@ -0,0 +1,194 @@
+package slateslip.dataplane.ingress;
+
+import gatefront.net.Decoders;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import slateslip.configuration.IngressLimits;
+
+/** Listens for clients, and keeps their connections within time, number and memory. On the event loop. */
+public final class ClientIngress {
+  /** When a client that found no memory should come back. */
+  static final long RETRY_AFTER_MICROS = 250_000;
+
+  private static final int ACCEPT_BACKLOG = 1024;
+  private static final long SWEEP_MILLIS = 200;
+
+  /** Part of the heap that bodies of requests may take. */
+  private static final int BODIES_PART = 5;
+
+  /** From this part of the room on each answer is the last of its connection. */
+  private static final double PRESSED_PART = 0.8;
+
+  private final IngressListener listener;
+  private final int connectionsMost;
+  private final Channel server;
+  private final Set<ClientConnection> connections = new LinkedHashSet<>();
+  private IngressLimits limits = IngressLimits.DEFAULT;
+  private long reservedBytes;
+  private boolean leaving;
+
+  /** Listens; called from outside the loop. */
+  public ClientIngress(
+      EventLoop loop, InetSocketAddress address, int connectionsMost, IngressListener listener)
+      throws IOException {
+    this.listener = listener;
+    this.connectionsMost = connectionsMost;
+    ChannelFuture bound =
+        new ServerBootstrap()
+            .group(loop)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    open(channel);
+                  }
+                })
+            .bind(address)
+            .awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      throw new IOException("cannot listen on " + address + ": " + bound.cause().getMessage());
+    }
+    this.server = bound.channel();
+    loop.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private void open(SocketChannel channel) {
+    int headerBytes = limits.maxHeaderBytes();
+    Decoders.Requests decoder = new Decoders.Requests(headerBytes, headerBytes);
+    ClientConnection connection = new ClientConnection(this, channel, decoder);
+    channel.pipeline().addLast(decoder, new HttpResponseEncoder(), connection);
+  }
+
+  /** Where it listens. */
+  public InetSocketAddress address() {
+    return (InetSocketAddress) server.localAddress();
+  }
+
+  /** Limits that hold from now on; connections that are open keep their limit on headers. */
+  public void apply(IngressLimits next) {
+    limits = next;
+  }
+
+  IngressLimits limits() {
+    return limits;
+  }
+
+  IngressListener listener() {
+    return listener;
+  }
+
+  /** How many connections there are. */
+  public int size() {
+    return connections.size();
+  }
+
+  /** Bytes of answers that wait for their clients to read on. */
+  public long pendingBytes() {
+    long bytes = 0;
+    for (ClientConnection connection : connections) {
+      bytes += connection.channel().unsafe().outboundBuffer() == null
+          ? 0
+          : connection.channel().unsafe().outboundBuffer().totalPendingWriteBytes();
+    }
+    return bytes;
+  }
+
+  /** From now on each answer is the last of its connection. */
+  public void leave() {
+    leaving = true;
+  }
+
+  boolean endsConnections() {
+    return leaving || connections.size() >= PRESSED_PART * connectionsMost;
+  }
+
+  /** Closes connections on which no request is under way. */
+  public void closeResting() {
+    for (ClientConnection connection : List.copyOf(connections)) {
+      if (connection.phase() == ClientConnection.Phase.RESTING) {
+        connection.close();
+      }
+    }
+  }
+
+  /** Takes no further connections. */
+  public void stopListening() {
+    server.close();
+  }
+
+  boolean reserve(int bytes) {
+    if (reservedBytes + bytes > Runtime.getRuntime().maxMemory() / BODIES_PART) {
+      return false;
+    }
+    reservedBytes += bytes;
+    return true;
+  }
+
+  void release(int bytes) {
+    reservedBytes -= bytes;
+  }
+
+  void opened(ClientConnection connection) {
+    connections.add(connection);
+    limitAccepting();
+  }
+
+  void closed(ClientConnection connection) {
+    connections.remove(connection);
+    limitAccepting();
+  }
+
+  private void limitAccepting() {
+    server.config().setAutoRead(connections.size() < connectionsMost);
+  }
+
+  private void sweep() {
+    for (ClientConnection connection : List.copyOf(connections)) {
+      sweep(connection);
+    }
+  }
+
+  private void sweep(ClientConnection connection) {
+    long millis = TimeUnit.NANOSECONDS.toMillis(connection.phaseNanos());
+    switch (connection.phase()) {
+      case RESTING -> {
+        if (millis >= limits.idleTimeoutMillis()) {
+          connection.close();
+        }
+      }
+      case READING_HEAD -> {
+        if (millis >= limits.headerTimeoutMillis()) {
+          connection.timeOut();
+        }
+      }
+      case READING_BODY -> {
+        if (millis >= limits.idleTimeoutMillis()) {
+          connection.timeOut();
+        }
+      }
+      case CLOSING -> {
+        if (millis >= limits.headerTimeoutMillis()) {
+          connection.channel().close();
+        }
+      }
+      case ANSWERING -> {}
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/slateslip/dataplane/ingress/ClientRequest.java
@@ -0,0 +1,18 @@
+package slateslip.dataplane.ingress;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import slateslip.routing.RequestFacts;
+
+/**
+ * A client's request, read whole.
+ *
+ * @param method as sent
+ * @param uri path and query as sent
+ * @param headers those that a backend may receive; what concerns one connection or is the data plane's to set is
+ *     left out
+ * @param body whole body; empty if there is none
+ * @param facts what the request says of itself
+ */
+public record ClientRequest(
+    HttpMethod method, String uri, HttpHeaders headers, byte[] body, RequestFacts facts) {}
--- /dev/null
+++ b/src/main/java/slateslip/dataplane/ingress/RequestHead.java
@@ -0,0 +1,134 @@
+package slateslip.dataplane.ingress;
+
+import gatefront.net.Decoders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import slateslip.dataplane.HeaderNames;
+import slateslip.routing.RequestFacts;
+import slateslip.routing.RequestFacts.PromptPart;
+
+/** Checks the head of a request and reads what it says of itself. */
+final class RequestHead {
+  /** Headers of which a second one would let two readers see two requests. */
+  private static final List<CharSequence> AT_MOST_ONCE =
+      List.of(
+          HttpHeaderNames.HOST,
+          HeaderNames.ATTEMPT_ID,
+          HeaderNames.DEADLINE_MS,
+          HeaderNames.CREDENTIAL,
+          HeaderNames.LAST_EVENT_ID,
+          HeaderNames.MODEL,
+          HeaderNames.TOKEN_USAGE,
+          HeaderNames.PROMPT_PREFIX);
+
+  private static final int HEX_RADIX = 16;
+  private static final int HEX_DIGITS_OF_LONG = 16;
+  private static final int PROMPT_PARTS_MOST = 256;
+
+  private RequestHead() {}
+
+  /**
+   * Why this request is not taken.
+   *
+   * @param length as {@link Decoders#framing} tells it
+   * @return null if it is well-formed and its body is not too long
+   */
+  static HttpResponseStatus refusal(HttpRequest head, long length, long maxBodyBytes) {
+    if (!head.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
+      return HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED;
+    }
+    if (length == Decoders.UNCLEAR || head.method().equals(HttpMethod.CONNECT)) {
+      return HttpResponseStatus.BAD_REQUEST;
+    }
+    if (length > maxBodyBytes) {
+      return HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE;
+    }
+    String expected = head.headers().get(HttpHeaderNames.EXPECT);
+    if (expected != null && !expected.equalsIgnoreCase("100-continue")) {
+      return HttpResponseStatus.EXPECTATION_FAILED;
+    }
+    return isWellFormed(head) ? null : HttpResponseStatus.BAD_REQUEST;
+  }
+
+  private static boolean isWellFormed(HttpRequest head) {
+    HttpHeaders headers = head.headers();
+    if (!head.uri().startsWith("/") || !isVisible(head.uri())) {
+      return false;
+    }
+    if (headers.get(HttpHeaderNames.HOST, "").isEmpty()) {
+      return false;
+    }
+    for (CharSequence name : AT_MOST_ONCE) {
+      if (headers.getAll(name).size() > 1) {
+        return false;
+      }
+    }
+    for (Map.Entry<String, String> header : headers) {
+      if (hasControlCharacter(header.getValue())) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private static boolean isVisible(String text) {
+    return text.chars().allMatch(character -> character > ' ' && character < 0x7f);
+  }
+
+  private static boolean hasControlCharacter(String text) {
+    return text.chars()
+        .anyMatch(character -> character < ' ' && character != '\t' || character == 0x7f);
+  }
+
+  /** What a well-formed request says of itself; numbers that cannot be read count as not given. */
+  static RequestFacts facts(HttpRequest head, int bodyBytes) {
+    HttpHeaders headers = head.headers();
+    String usage = headers.get(HeaderNames.TOKEN_USAGE);
+    int comma = usage == null ? -1 : usage.indexOf(',');
+    int query = head.uri().indexOf('?');
+    return new RequestFacts(
+        headers.get(HeaderNames.ATTEMPT_ID, ""),
+        headers.get(HttpHeaderNames.HOST),
+        query < 0 ? head.uri() : head.uri().substring(0, query),
+        headers.get(HeaderNames.CREDENTIAL),
+        Decoders.digits(headers.get(HeaderNames.DEADLINE_MS), 0),
+        comma < 0 ? -1 : Decoders.digits(usage.substring(0, comma).trim(), -1),
+        comma < 0 ? -1 : Decoders.digits(usage.substring(comma + 1).trim(), -1),
+        promptParts(headers.get(HeaderNames.PROMPT_PREFIX)),
+        Decoders.digits(headers.get(HeaderNames.LAST_EVENT_ID), -1),
+        headers.get(HeaderNames.MODEL, ""),
+        bodyBytes);
+  }
+
+  private static List<PromptPart> promptParts(String text) {
+    if (text == null || text.isBlank()) {
+      return List.of();
+    }
+    List<PromptPart> parts = new ArrayList<>();
+    for (String part : text.split(",", PROMPT_PARTS_MOST)) {
+      int colon = part.indexOf(':');
+      long tokens = colon < 0 ? -1 : Decoders.digits(part.substring(colon + 1).trim(), -1);
+      if (tokens < 0 || tokens > Integer.MAX_VALUE) {
+        return List.of();
+      }
+      try {
+        parts.add(new PromptPart(partId(part.substring(0, colon).trim()), (int) tokens));
+      } catch (NumberFormatException unreadable) {
+        return List.of();
+      }
+    }
+    return List.copyOf(parts);
+  }
+
+  private static long partId(String hex) {
+    int from = Math.max(0, hex.length() - HEX_DIGITS_OF_LONG);
+    return Long.parseUnsignedLong(hex.substring(from), HEX_RADIX);
+  }
+}
--- /dev/null
+++ b/src/main/java/slateslip/dataplane/ingress/package-info.java
@@ -0,0 +1,2 @@
+/** Client connections: requests are read whole here, and answers written. */
+package slateslip.dataplane.ingress;
