Data plane: connections to backends, attempts, and streams cut into whole events

A pool per backend incarnation and address: one request a connection, most recently used first, idle time as the backend states it and as KeptAge learns it, a second dial beside a late one. An answer counts only with the id of its request; a surplus answer to an earlier one is passed over and its connection not used again. A success counts only with a stamp and whole. Streams hold back partial events; one whose end is told by its connection alone is broken.

--- /dev/null
+++ b/src/main/java/slateslip/dataplane/backend/AnswerReader.java
@@ -0,0 +1,249 @@
+package slateslip.dataplane.backend;
+
+import gatefront.net.Decoders;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import slateslip.dataplane.HeaderNames;
+import slateslip.dataplane.stream.EventSplitter;
+import slateslip.routing.RouterInput.AttemptOutcome;
+import slateslip.routing.RouterInput.BackendLoad;
+
+/**
+ * Turns what arrives on a backend connection into the outcome of its attempt. An answer counts only if it carries
+ * the id of the request, and a success only with a stamp and whole.
+ */
+final class AnswerReader extends SimpleChannelInboundHandler<HttpObject> {
+  /** Longest answer that is no stream; it is collected whole before it goes on. */
+  private static final int BODY_BYTES_MOST = 16 << 20;
+
+  /** Answers to earlier requests that are passed over before a connection counts as broken. */
+  private static final int SURPLUS_MOST = 2;
+
+  private static final String EVENT_STREAM = "text/event-stream";
+
+  private final BackendConnection connection;
+  private final Decoders.Responses decoder;
+  private HttpResponse head;
+  private ByteBuf body = Unpooled.EMPTY_BUFFER;
+  private EventSplitter splitter;
+
+  /** The answer that is coming in belongs to an earlier request. */
+  private boolean surplus;
+
+  private int surplusCount;
+
+  AnswerReader(BackendConnection connection, Decoders.Responses decoder) {
+    this.connection = connection;
+    this.decoder = decoder;
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
+    BackendAttempt attempt = connection.attempt;
+    if (attempt == null) {
+      connection.pool.forget(connection);
+      context.close();
+      return;
+    }
+    if (!read(attempt, part)) {
+      attempt.pool().forget(connection);
+      attempt.broken();
+    }
+  }
+
+  /** Takes a part of an answer; false if it can be none of this attempt's. */
+  private boolean read(BackendAttempt attempt, HttpObject part) {
+    if (part.decoderResult().isFailure() || !attempt.isWritten()) {
+      connection.badAnswer();
+      return false;
+    }
+    if (part instanceof HttpResponse response && !begin(attempt, response)) {
+      return false;
+    }
+    if (part instanceof HttpContent content && !add(attempt, content)) {
+      connection.badAnswer();
+      return false;
+    }
+    if (part instanceof LastHttpContent && !attempt.isEnded()) {
+      return finish(attempt);
+    }
+    return true;
+  }
+
+  private boolean begin(BackendAttempt attempt, HttpResponse response) {
+    head = response;
+    int status = response.status().code();
+    if (status < HttpResponseStatus.OK.code()) {
+      return status != HttpResponseStatus.SWITCHING_PROTOCOLS.code();
+    }
+    HttpHeaders headers = response.headers();
+    surplus = !belongsTo(attempt, headers);
+    if (surplus) {
+      connection.surplusAnswer();
+      return ++surplusCount <= SURPLUS_MOST;
+    }
+    long length = Decoders.framing(headers);
+    if (length == Decoders.UNCLEAR || length > BODY_BYTES_MOST) {
+      connection.badAnswer();
+      return false;
+    }
+    connection.learnKeepTime(headers);
+    if (isStream(response)) {
+      splitter = new EventSplitter();
+      attempt.streamBegan(answer(Unpooled.EMPTY_BUFFER));
+    } else {
+      body = Unpooled.buffer(Math.max(0, (int) length));
+    }
+    return true;
+  }
+
+  private static boolean belongsTo(BackendAttempt attempt, HttpHeaders headers) {
+    String expected = attempt.request().attemptId();
+    return expected.isEmpty() || expected.equals(headers.get(HeaderNames.ATTEMPT_ID));
+  }
+
+  private static boolean isStream(HttpResponse response) {
+    String type = response.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
+    return response.status().codeClass() == HttpStatusClass.SUCCESS
+        && type.regionMatches(true, 0, EVENT_STREAM, 0, EVENT_STREAM.length())
+        && response.headers().contains(HeaderNames.RESPONSE_STAMP);
+  }
+
+  private boolean add(BackendAttempt attempt, HttpContent content) {
+    if (surplus) {
+      return true;
+    }
+    if (splitter != null) {
+      return splitter.feed(content.content(), attempt::event);
+    }
+    if (body.readableBytes() + content.content().readableBytes() > BODY_BYTES_MOST) {
+      return false;
+    }
+    if (content.content().isReadable()) {
+      body.writeBytes(content.content());
+    }
+    return true;
+  }
+
+  private boolean finish(BackendAttempt attempt) {
+    if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+      return true;
+    }
+    if (surplus) {
+      surplus = false;
+      return true;
+    }
+    boolean endToldByClose = Decoders.framing(head.headers()) == Decoders.NO_LENGTH;
+    if (splitter != null && (splitter.hasPartialEvent() || endToldByClose)) {
+      connection.badAnswer();
+      return false;
+    }
+    AttemptOutcome.Kind kind = kind(attempt);
+    if (kind == AttemptOutcome.Kind.BROKEN) {
+      connection.badAnswer();
+      return false;
+    }
+    BackendAnswer whole = splitter == null ? answer(body) : null;
+    var outcome = new AttemptOutcome(kind, head.status().code());
+    var result = new AttemptResult(outcome, load(head.headers()), whole);
+    boolean reusable = isReusable();
+    reset();
+    attempt.end(result, reusable);
+    return true;
+  }
+
+  private void reset() {
+    head = null;
+    body = Unpooled.EMPTY_BUFFER;
+    splitter = null;
+  }
+
+  private boolean isReusable() {
+    return surplusCount == 0
+        && Decoders.framing(head.headers()) != Decoders.NO_LENGTH
+        && HttpUtil.isKeepAlive(head)
+        && !decoder.leftover();
+  }
+
+  private AttemptOutcome.Kind kind(BackendAttempt attempt) {
+    HttpHeaders headers = head.headers();
+    int status = head.status().code();
+    if (head.status().codeClass() == HttpStatusClass.SUCCESS) {
+      boolean probe = attempt.request().attemptId().isEmpty();
+      return probe || headers.contains(HeaderNames.RESPONSE_STAMP)
+          ? AttemptOutcome.Kind.SUCCESS
+          : AttemptOutcome.Kind.BROKEN;
+    }
+    if (status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
+      boolean other = !attempt.pool().backendId.equals(headers.get(HeaderNames.INSTANCE_ID));
+      return other ? AttemptOutcome.Kind.OTHER_INSTANCE : AttemptOutcome.Kind.NOT_EXECUTED;
+    }
+    return headers.contains(HeaderNames.NOT_EXECUTED)
+        ? AttemptOutcome.Kind.NOT_EXECUTED
+        : AttemptOutcome.Kind.ERROR_ANSWER;
+  }
+
+  private BackendAnswer answer(ByteBuf bytes) {
+    HttpHeaders headers = new DefaultHttpHeaders().set(head.headers());
+    HeaderNames.removeHopByHop(headers);
+    headers.remove(HeaderNames.BACKEND_LOAD);
+    byte[] copy = ByteBufUtil.getBytes(bytes);
+    long framing = Decoders.framing(head.headers());
+    long length = copy.length == 0 && framing > 0 ? framing : copy.length;
+    return new BackendAnswer(head.status(), headers, copy, length);
+  }
+
+  private static BackendLoad load(HttpHeaders headers) {
+    String text = headers.get(HeaderNames.BACKEND_LOAD);
+    if (text == null) {
+      return null;
+    }
+    String[] parts = text.split(",");
+    if (parts.length != 3) {
+      return null;
+    }
+    long running = Decoders.digits(parts[0].trim(), -1);
+    long waiting = Decoders.digits(parts[1].trim(), -1);
+    long slots = Decoders.digits(parts[2].trim(), -1);
+    boolean readable = running >= 0 && waiting >= 0 && slots >= 0;
+    return readable ? new BackendLoad((int) running, (int) waiting, (int) slots) : null;
+  }
+
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) {
+    if (connection.attempt != null && splitter != null) {
+      connection.attempt.pause();
+    }
+    context.fireChannelReadComplete();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    connection.pool.forget(connection);
+    if (connection.attempt != null) {
+      connection.attempt.broken();
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    // before the close: an answer whose length is told by the end of its connection is not whole then
+    if (connection.attempt != null) {
+      connection.attempt.broken();
+    }
+    context.close();
+  }
+}
--- /dev/null
+++ b/src/main/java/slateslip/dataplane/backend/BackendAttempt.java
@@ -0,0 +1,267 @@
+package slateslip.dataplane.backend;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import slateslip.dataplane.HeaderNames;
+import slateslip.dataplane.stream.StreamEvent;
+import slateslip.routing.RouterInput.AttemptOutcome;
+
+/** One request on its way to one backend. */
+public final class BackendAttempt {
+  /** How long a connection may take to come up. */
+  private static final int CONNECT_MILLIS = 600;
+
+  /** After this a second one is dialled beside it: a lost opening packet is sent again only after seconds. */
+  private static final int CONNECT_LATE_MILLIS = 60;
+
+  /** A kept connection that breaks so soon after a write was dead before it. */
+  private static final long AT_ONCE_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
+
+  private final BackendPools pools;
+  private final BackendPool pool;
+  private final OutgoingRequest request;
+  private final AttemptListener listener;
+  private final long startedNanos = System.nanoTime();
+  private final Set<Channel> dialling = new HashSet<>();
+  private BackendConnection connection;
+  private long idledNanos = -1;
+  private boolean written;
+  private boolean started;
+  private boolean ended;
+  private Future<?> timer;
+  private long lastEventNanos;
+
+  BackendAttempt(
+      BackendPools pools, BackendPool pool, OutgoingRequest request, AttemptListener listener) {
+    this.pools = pools;
+    this.pool = pool;
+    this.request = request;
+    this.listener = listener;
+  }
+
+  OutgoingRequest request() {
+    return request;
+  }
+
+  /** Whether the whole request has left. */
+  boolean isWritten() {
+    return written;
+  }
+
+  boolean isEnded() {
+    return ended;
+  }
+
+  BackendPool pool() {
+    return pool;
+  }
+
+  void start() {
+    if (pool == null || pool.isRetired()) {
+      end(AttemptOutcome.Kind.NOT_SENT);
+      return;
+    }
+    if (request.firstEventTimeoutMicros() > 0) {
+      timer =
+          pools
+              .loop()
+              .schedule(this::timeOut, request.firstEventTimeoutMicros(), TimeUnit.MICROSECONDS);
+    }
+    BackendConnection kept = pool.take(pools.keptAge().limitNanos());
+    if (kept != null) {
+      idledNanos = kept.idleNanos();
+      pools.metrics().reused++;
+      write(kept);
+    } else {
+      connect();
+    }
+  }
+
+  private void connect() {
+    pool.connecting(this);
+    dial(CONNECT_MILLIS);
+    if (!ended) {
+      pools
+          .loop()
+          .schedule(this::dialAgain, CONNECT_LATE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void dialAgain() {
+    if (!ended && connection == null) {
+      dial(CONNECT_MILLIS - CONNECT_LATE_MILLIS);
+    }
+  }
+
+  private void dial(int timeoutMillis) {
+    BackendConnection fresh = new BackendConnection(pool, pools.metrics());
+    ChannelFuture connecting = pools.dial(pool, fresh, timeoutMillis);
+    if (connecting == null) {
+      endIfNoneComesUp();
+      return;
+    }
+    dialling.add(connecting.channel());
+    connecting.addListener(done -> dialled(fresh, connecting));
+  }
+
+  private void dialled(BackendConnection fresh, ChannelFuture connecting) {
+    dialling.remove(connecting.channel());
+    if (!connecting.isSuccess()) {
+      endIfNoneComesUp();
+    } else if (ended || connection != null) {
+      pool.keep(fresh);
+    } else {
+      pool.connected(this);
+      write(fresh);
+    }
+  }
+
+  private void endIfNoneComesUp() {
+    if (connection == null && dialling.isEmpty()) {
+      end(AttemptOutcome.Kind.NOT_SENT);
+    }
+  }
+
+  private void write(BackendConnection to) {
+    connection = to;
+    to.attempt = this;
+    to.decoder.expectNoBody(request.method().equals(HttpMethod.HEAD));
+    var message =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            request.method(),
+            request.uri(),
+            Unpooled.wrappedBuffer(request.body()));
+    message.headers().set(request.headers());
+    boolean bodiless =
+        request.body().length == 0
+            && (request.method().equals(HttpMethod.GET) || request.method().equals(HttpMethod.HEAD));
+    if (!bodiless) {
+      message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
+    }
+    if (request.deadlineMillis() > 0) {
+      long passed = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos);
+      message.headers().set(HeaderNames.DEADLINE_MS, Math.max(1, request.deadlineMillis() - passed));
+    }
+    to.channel
+        .writeAndFlush(message)
+        .addListener(
+            done -> {
+              written |= done.isSuccess();
+              if (!done.isSuccess()) {
+                end(AttemptOutcome.Kind.NOT_SENT); // its last byte never left, so it cannot have begun
+              }
+            });
+  }
+
+  /** The head of a stream has come. */
+  void streamBegan(BackendAnswer head) {
+    listener.streamBegan(head);
+  }
+
+  /** A whole event has come. */
+  void event(StreamEvent event) {
+    if (ended) {
+      return;
+    }
+    lastEventNanos = System.nanoTime();
+    if (!started) {
+      started = true;
+      cancelTimer();
+      watchSilence(request.silenceTimeoutMicros());
+    }
+    listener.event(event);
+  }
+
+  private void watchSilence(long micros) {
+    if (micros > 0) {
+      timer = pools.loop().schedule(this::checkSilence, micros, TimeUnit.MICROSECONDS);
+    }
+  }
+
+  private void checkSilence() {
+    long silentMicros = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - lastEventNanos);
+    long leftMicros = request.silenceTimeoutMicros() - silentMicros;
+    if (leftMicros <= 0 && connection.channel.config().isAutoRead()) {
+      timeOut();
+    } else {
+      watchSilence(Math.max(leftMicros, 1_000));
+    }
+  }
+
+  /** What had come has been told. */
+  void pause() {
+    if (!ended) {
+      listener.pause();
+    }
+  }
+
+  /** Stops or goes on reading; a backend that is not read from is held up. */
+  public void setReading(boolean reading) {
+    if (!ended && connection != null) {
+      connection.channel.config().setAutoRead(reading);
+    }
+  }
+
+  private void timeOut() {
+    end(written ? AttemptOutcome.Kind.TIMEOUT : AttemptOutcome.Kind.NOT_SENT);
+  }
+
+  /** The connection has ended under the attempt, or what came is no answer. */
+  void broken() {
+    end(written ? AttemptOutcome.Kind.BROKEN : AttemptOutcome.Kind.NOT_SENT);
+  }
+
+  /** Stops it and closes its connection. */
+  public void cancel() {
+    end(AttemptOutcome.Kind.CANCELLED);
+  }
+
+  private void end(AttemptOutcome.Kind kind) {
+    end(AttemptResult.without(kind), false);
+  }
+
+  void end(AttemptResult result, boolean reusable) {
+    if (ended) {
+      return;
+    }
+    ended = true;
+    cancelTimer();
+    if (idledNanos >= 0) {
+      long now = System.nanoTime();
+      boolean atOnce =
+          result.outcome().kind() == AttemptOutcome.Kind.BROKEN
+              && now - startedNanos < AT_ONCE_NANOS;
+      pools.keptAge().used(idledNanos, atOnce, now);
+    }
+    if (pool != null) {
+      pool.connected(this);
+    }
+    if (connection != null) {
+      connection.attempt = null;
+      if (reusable) {
+        connection.channel.config().setAutoRead(true);
+        pool.keep(connection);
+      } else {
+        connection.channel.close();
+      }
+    }
+    pools.loop().execute(() -> listener.ended(result));
+  }
+
+  private void cancelTimer() {
+    if (timer != null) {
+      timer.cancel(false);
+      timer = null;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/slateslip/dataplane/backend/ProbeListener.java
@@ -0,0 +1,49 @@
+package slateslip.dataplane.backend;
+
+import java.util.function.Consumer;
+import slateslip.dataplane.HeaderNames;
+import slateslip.dataplane.stream.StreamEvent;
+import slateslip.routing.RouterInput.ProbeOutcome;
+
+/** Reads a health probe's outcome from that of its attempt. */
+final class ProbeListener implements AttemptListener {
+  private final String backendId;
+  private final Consumer<ProbeResult> then;
+
+  ProbeListener(String backendId, Consumer<ProbeResult> then) {
+    this.backendId = backendId;
+    this.then = then;
+  }
+
+  @Override
+  public void streamBegan(BackendAnswer head) {}
+
+  @Override
+  public void event(StreamEvent event) {}
+
+  @Override
+  public void pause() {}
+
+  @Override
+  public void ended(AttemptResult result) {
+    then.accept(new ProbeResult(outcome(result), result.load()));
+  }
+
+  private ProbeOutcome outcome(AttemptResult result) {
+    BackendAnswer answer = result.answer();
+    if (answer != null) {
+      String instance = answer.headers().get(HeaderNames.INSTANCE_ID);
+      if (instance != null && !instance.equals(backendId)) {
+        return ProbeOutcome.OTHER_INSTANCE;
+      }
+    }
+    return switch (result.outcome().kind()) {
+      case SUCCESS -> ProbeOutcome.HEALTHY;
+      case ERROR_ANSWER -> ProbeOutcome.UNHEALTHY;
+      case NOT_EXECUTED -> ProbeOutcome.FULL;
+      case OTHER_INSTANCE -> ProbeOutcome.OTHER_INSTANCE;
+      case TIMEOUT, CANCELLED -> ProbeOutcome.TIMEOUT;
+      case NOT_SENT, BROKEN -> ProbeOutcome.UNREACHABLE;
+    };
+  }
+}
--- /dev/null
+++ b/src/main/java/slateslip/dataplane/stream/EventSplitter.java
@@ -0,0 +1,101 @@
+package slateslip.dataplane.stream;
+
+import gatefront.net.Decoders;
+import io.netty.buffer.ByteBuf;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.function.Consumer;
+
+/** Cuts the bytes of a {@code text/event-stream} into whole events; keeps back what is not whole. */
+public final class EventSplitter {
+  /** Longest event; a stream with a longer one is broken. */
+  public static final int EVENT_BYTES_MOST = 1 << 20;
+
+  private static final int FIRST_BYTES = 256;
+  private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+
+  private byte[] pending = new byte[FIRST_BYTES];
+  private int length;
+
+  /** Start of the line that is coming in. */
+  private int lineStart;
+
+  /** Whether something but empty lines has come since the last event. */
+  private boolean hasContent;
+
+  private long id = StreamEvent.NO_ID;
+
+  /**
+   * Takes bytes and hands out the events that are whole with them.
+   *
+   * @return false if an event is too long: nothing more can be read of this stream
+   */
+  public boolean feed(ByteBuf bytes, Consumer<StreamEvent> events) {
+    while (bytes.isReadable()) {
+      byte next = bytes.readByte();
+      if (length == EVENT_BYTES_MOST) {
+        return false;
+      }
+      append(next);
+      if (next == '\n') {
+        endLine(events);
+      }
+    }
+    return true;
+  }
+
+  /** Whether bytes of an event that is not whole are kept back. */
+  public boolean hasPartialEvent() {
+    return length > 0;
+  }
+
+  private void append(byte next) {
+    if (length == pending.length) {
+      pending = Arrays.copyOf(pending, 2 * length);
+    }
+    pending[length++] = next;
+  }
+
+  private void endLine(Consumer<StreamEvent> events) {
+    int end = length - 1;
+    if (end > lineStart && pending[end - 1] == '\r') {
+      end--;
+    }
+    if (end > lineStart) {
+      hasContent = true;
+      readId(end);
+      lineStart = length;
+    } else if (hasContent) {
+      StreamEvent event = new StreamEvent(id, Arrays.copyOf(pending, length));
+      reset();
+      events.accept(event);
+    } else {
+      reset(); // an empty line between events says nothing
+    }
+  }
+
+  private void reset() {
+    length = 0;
+    lineStart = 0;
+    hasContent = false;
+    id = StreamEvent.NO_ID;
+  }
+
+  private void readId(int end) {
+    int valueStart = lineStart + ID_FIELD.length;
+    if (valueStart > end || !isIdLine()) {
+      return;
+    }
+    String value = new String(pending, valueStart, end - valueStart, StandardCharsets.US_ASCII);
+    id = Decoders.digits(value.trim(), StreamEvent.NO_ID);
+  }
+
+  private boolean isIdLine() {
+    for (int i = 0; i < ID_FIELD.length; i++) {
+      if (pending[lineStart + i] != ID_FIELD[i]) {
+        return false;
+      }
+    }
+    return true;
+  }
+}
