Data plane: the router's decisions are carried out, streams go on at another backend

RouterDriver feeds the router in order and wakes it; Forwarder holds requests under way; AttemptRelay passes whole answers and events on, drops events that the client has had, and breaks off what does not go on. The agent's scripted peer is shared, so it and what it offers are public.

--- /dev/null
+++ b/src/main/java/slateslip/dataplane/forwarding/AttemptRelay.java
@@ -0,0 +1,132 @@
+package slateslip.dataplane.forwarding;
+
+import slateslip.dataplane.DataPlaneMetrics;
+import slateslip.dataplane.HeaderNames;
+import slateslip.dataplane.backend.AttemptListener;
+import slateslip.dataplane.backend.AttemptResult;
+import slateslip.dataplane.backend.BackendAnswer;
+import slateslip.dataplane.backend.BackendAttempt;
+import slateslip.dataplane.ingress.ClientExchange;
+import slateslip.dataplane.stream.StreamEvent;
+import slateslip.routing.RouterInput;
+import slateslip.routing.RouterInput.AttemptOutcome;
+
+/** Passes one attempt's answer on to the client, and tells the router how the attempt went. */
+final class AttemptRelay implements AttemptListener {
+  private final ForwardedRequest forwarded;
+  private final int number;
+  private final RouterDriver driver;
+  private final DataPlaneMetrics metrics;
+  private final Runnable whenEnded;
+  private BackendAnswer streamHead;
+
+  AttemptRelay(
+      ForwardedRequest forwarded,
+      int number,
+      RouterDriver driver,
+      DataPlaneMetrics metrics,
+      Runnable whenEnded) {
+    this.forwarded = forwarded;
+    this.number = number;
+    this.driver = driver;
+    this.metrics = metrics;
+    this.whenEnded = whenEnded;
+  }
+
+  @Override
+  public void streamBegan(BackendAnswer head) {
+    streamHead = head;
+  }
+
+  @Override
+  public void event(StreamEvent event) {
+    ClientExchange exchange = forwarded.exchange;
+    if (exchange.isEnded() || !takesStream()) {
+      return;
+    }
+    if (event.id() != StreamEvent.NO_ID && event.id() <= forwarded.lastEventId) {
+      return; // the client has had it from the attempt before
+    }
+    beginStream();
+    exchange.event(event.bytes());
+    metrics.events++;
+    if (event.id() != StreamEvent.NO_ID) {
+      forwarded.lastEventId = event.id();
+    }
+  }
+
+  /** Whether this attempt's events are those that the client gets. */
+  private boolean takesStream() {
+    boolean otherStreams = forwarded.attempts.containsKey(forwarded.streamingAttempt);
+    return forwarded.streamingAttempt == number || !otherStreams;
+  }
+
+  private void beginStream() {
+    if (forwarded.streamingAttempt == number) {
+      return;
+    }
+    forwarded.streamingAttempt = number;
+    if (!forwarded.exchange.isBegun()) {
+      removeOwnId(forwarded, streamHead);
+      forwarded.exchange.beginStream(streamHead.status(), streamHead.headers());
+    } else {
+      metrics.resumed++;
+    }
+    driver.feed(new RouterInput.AttemptStarted(forwarded.id, number));
+  }
+
+  @Override
+  public void pause() {
+    forwarded.exchange.flush();
+    BackendAttempt attempt = forwarded.attempts.get(number);
+    if (attempt != null && !forwarded.exchange.isEnded() && !forwarded.exchange.isWritable()) {
+      attempt.setReading(false);
+    }
+  }
+
+  @Override
+  public void ended(AttemptResult result) {
+    forwarded.attempts.remove(number);
+    AttemptOutcome outcome = result.outcome();
+    if (outcome.kind() == AttemptOutcome.Kind.SUCCESS) {
+      passOn(result);
+    } else if (outcome.kind() == AttemptOutcome.Kind.ERROR_ANSWER) {
+      forwarded.failures.put(number, result.answer());
+    } else {
+      forwarded.exchange.flush();
+    }
+    driver.feed(
+        new RouterInput.AttemptEnded(
+            forwarded.id, number, outcome, result.load(), forwarded.lastEventId));
+    whenEnded.run();
+  }
+
+  private void passOn(AttemptResult result) {
+    ClientExchange exchange = forwarded.exchange;
+    if (exchange.isEnded()) {
+      return;
+    }
+    if (streamHead != null && takesStream()) {
+      beginStream();
+      exchange.endStream();
+    } else if (streamHead == null && !exchange.isBegun()) {
+      relay(forwarded, result.answer());
+    } else {
+      exchange.breakOff(); // a whole answer where a stream was to go on
+    }
+  }
+
+  /** Passes a whole answer on. */
+  static void relay(ForwardedRequest forwarded, BackendAnswer answer) {
+    removeOwnId(forwarded, answer);
+    forwarded.exchange.relay(
+        answer.status(), answer.headers(), answer.body(), answer.contentLength());
+  }
+
+  /** Takes away an attempt id that the client did not send. */
+  private static void removeOwnId(ForwardedRequest forwarded, BackendAnswer answer) {
+    if (forwarded.request.facts().attemptId().isEmpty()) {
+      answer.headers().remove(HeaderNames.ATTEMPT_ID);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/slateslip/dataplane/forwarding/Forwarder.java
@@ -0,0 +1,237 @@
+package slateslip.dataplane.forwarding;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.LongSupplier;
+import slateslip.configuration.RoutingTable;
+import slateslip.dataplane.DataPlaneMetrics;
+import slateslip.dataplane.HeaderNames;
+import slateslip.dataplane.backend.BackendAttempt;
+import slateslip.dataplane.backend.BackendPools;
+import slateslip.dataplane.backend.OutgoingRequest;
+import slateslip.dataplane.backend.ProbeResult;
+import slateslip.dataplane.ingress.ClientExchange;
+import slateslip.dataplane.ingress.ClientRequest;
+import slateslip.dataplane.ingress.IngressListener;
+import slateslip.distribution.AgentShares;
+import slateslip.distribution.BackendSession;
+import slateslip.routing.RequestRouter;
+import slateslip.routing.RouterInput;
+import slateslip.routing.RouterOutput;
+
+/** Holds the requests that are under way, and carries out the router's outputs for them. On the event loop. */
+public final class Forwarder implements IngressListener {
+  private static final int ATTEMPT_ID_DIGITS = 16;
+
+  private final BackendPools pools;
+  private final DataPlaneMetrics metrics;
+  private final RouterDriver driver;
+  private final SplittableRandom random;
+  private final Map<Long, ForwardedRequest> open = new HashMap<>();
+  private final Map<ClientExchange, ForwardedRequest> byExchange = new HashMap<>();
+  private long nextId = 1;
+
+  /** For this router, whose clock is {@code microClock}. */
+  public Forwarder(
+      EventLoop loop,
+      RequestRouter router,
+      LongSupplier microClock,
+      BackendPools pools,
+      DataPlaneMetrics metrics,
+      long seed) {
+    this.pools = pools;
+    this.metrics = metrics;
+    this.random = new SplittableRandom(seed);
+    this.driver = new RouterDriver(router, loop, microClock, this::carryOut);
+  }
+
+  /** How many requests are under way. */
+  public int openRequests() {
+    return open.size();
+  }
+
+  /** Another configuration is in force. */
+  public void tableChanged(RoutingTable table) {
+    pools.tableChanged(table);
+    driver.feed(new RouterInput.TableChanged(table));
+  }
+
+  /** The whole list of registered backends. */
+  public void backendsChanged(List<BackendSession> backends) {
+    pools.backendsChanged(backends);
+    driver.feed(new RouterInput.BackendsChanged(backends));
+  }
+
+  /** This data plane's share of the fleet-wide limits. */
+  public void sharesChanged(AgentShares shares) {
+    pools.agentsChanged(shares.agents());
+    driver.feed(new RouterInput.SharesChanged(shares));
+  }
+
+  /** The process is leaving. */
+  public void leave() {
+    driver.feed(new RouterInput.Leaving());
+  }
+
+  /** Breaks off all answers that are owed; for the very end. */
+  public void breakOffAll() {
+    for (ForwardedRequest forwarded : List.copyOf(open.values())) {
+      forwarded.exchange.breakOff();
+      List.copyOf(forwarded.attempts.values()).forEach(BackendAttempt::cancel);
+    }
+  }
+
+  @Override
+  public void requestArrived(ClientRequest request, ClientExchange exchange) {
+    metrics.requests++;
+    String sent = request.facts().attemptId();
+    String attemptId = sent.isEmpty() ? drawAttemptId() : sent;
+    var forwarded = new ForwardedRequest(nextId++, request, exchange, attemptId);
+    open.put(forwarded.id, forwarded);
+    byExchange.put(exchange, forwarded);
+    driver.feed(new RouterInput.RequestArrived(forwarded.id, request.facts()));
+    forgetIfDone(forwarded);
+  }
+
+  private String drawAttemptId() {
+    String digits = Long.toHexString(random.nextLong());
+    return "0".repeat(ATTEMPT_ID_DIGITS - digits.length()) + digits;
+  }
+
+  @Override
+  public void clientGone(ClientExchange exchange) {
+    ForwardedRequest forwarded = byExchange.get(exchange);
+    if (forwarded == null) {
+      return;
+    }
+    metrics.clientsGone++;
+    driver.feed(new RouterInput.ClientGone(forwarded.id));
+    forgetIfDone(forwarded);
+  }
+
+  @Override
+  public void clientWritable(ClientExchange exchange) {
+    ForwardedRequest forwarded = byExchange.get(exchange);
+    if (forwarded != null) {
+      forwarded.attempts.values().forEach(attempt -> attempt.setReading(true));
+    }
+  }
+
+  private void forgetIfDone(ForwardedRequest forwarded) {
+    if (forwarded.isDone()) {
+      open.remove(forwarded.id);
+      byExchange.remove(forwarded.exchange);
+    }
+  }
+
+  private void carryOut(RouterOutput output) {
+    if (output instanceof RouterOutput.SendAttempt send) {
+      send(send);
+    } else if (output instanceof RouterOutput.Answer answer) {
+      answer(answer);
+    } else if (output instanceof RouterOutput.RelayError relay) {
+      relayError(relay);
+    } else if (output instanceof RouterOutput.Break end) {
+      breakOff(end.request());
+    } else if (output instanceof RouterOutput.CancelAttempt cancel) {
+      cancel(cancel);
+    } else if (output instanceof RouterOutput.Probe probe) {
+      pools.probe(probe.backendId(), result -> probed(probe.backendId(), result));
+    }
+  }
+
+  private void probed(String backendId, ProbeResult result) {
+    driver.feed(new RouterInput.ProbeEnded(backendId, result.outcome(), result.load()));
+  }
+
+  private void send(RouterOutput.SendAttempt send) {
+    ForwardedRequest forwarded = open.get(send.request());
+    if (forwarded == null) {
+      throw new IllegalStateException("attempt for a request that is over: " + send);
+    }
+    var relay =
+        new AttemptRelay(
+            forwarded, send.attempt(), driver, metrics, () -> forgetIfDone(forwarded));
+    BackendAttempt attempt = pools.send(send.backendId(), outgoing(forwarded, send), relay);
+    forwarded.attempts.put(send.attempt(), attempt);
+  }
+
+  private static OutgoingRequest outgoing(
+      ForwardedRequest forwarded, RouterOutput.SendAttempt send) {
+    ClientRequest request = forwarded.request;
+    HttpHeaders headers = new DefaultHttpHeaders().set(request.headers());
+    headers.set(HeaderNames.ATTEMPT_ID, forwarded.attemptId);
+    headers.set(HeaderNames.TARGET_INSTANCE, send.backendId());
+    if (send.tenant() != null) {
+      headers.set(HeaderNames.TENANT, send.tenant());
+    }
+    if (send.priority() != RouterOutput.NO_PRIORITY) {
+      headers.set(HeaderNames.PRIORITY, send.priority());
+    }
+    if (send.resumeAfter() != RouterOutput.AS_SENT) {
+      headers.set(HeaderNames.LAST_EVENT_ID, send.resumeAfter());
+    }
+    return new OutgoingRequest(
+        request.method(),
+        request.uri(),
+        headers,
+        request.body(),
+        forwarded.attemptId,
+        send.deadlineMillis(),
+        send.firstEventTimeoutMicros(),
+        0);
+  }
+
+  private void answer(RouterOutput.Answer answer) {
+    ForwardedRequest forwarded = open.get(answer.request());
+    if (forwarded == null) {
+      return;
+    }
+    if (forwarded.exchange.isBegun()) {
+      breakOff(answer.request());
+      return;
+    }
+    metrics.ownAnswers++;
+    HttpResponseStatus status = HttpResponseStatus.valueOf(answer.status());
+    forwarded.exchange.answer(status, answer.retryAfterMicros());
+    forgetIfDone(forwarded);
+  }
+
+  private void relayError(RouterOutput.RelayError relay) {
+    ForwardedRequest forwarded = open.get(relay.request());
+    if (forwarded == null) {
+      return;
+    }
+    if (forwarded.exchange.isBegun()) {
+      breakOff(relay.request());
+      return;
+    }
+    AttemptRelay.relay(forwarded, forwarded.failures.get(relay.attempt()));
+    forgetIfDone(forwarded);
+  }
+
+  private void breakOff(long request) {
+    ForwardedRequest forwarded = open.get(request);
+    if (forwarded == null) {
+      return;
+    }
+    metrics.brokenOff++;
+    forwarded.exchange.breakOff();
+    forgetIfDone(forwarded);
+  }
+
+  private void cancel(RouterOutput.CancelAttempt cancel) {
+    ForwardedRequest forwarded = open.get(cancel.request());
+    BackendAttempt attempt =
+        forwarded == null ? null : forwarded.attempts.get(cancel.attempt());
+    if (attempt != null) {
+      attempt.cancel();
+    }
+  }
+}
--- a/src/test/java/gatefront/net/Peer.java
+++ b/src/test/java/gatefront/net/Peer.java
@@ -15,45 +15,45 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /** A small peer on a loopback port that does with each message what the test's script says. */
-final class Peer implements Closeable {
+public final class Peer implements Closeable {
     /** What to do with a message; returning without an answer leaves the peer silent. */
-    interface Script {
+    public interface Script {
         void handle(Message message, Socket socket) throws Exception;
     }
 
     /** One HTTP message as it stood on the wire. */
-    record Message(String first, Map<String, String> headers, byte[] body) {
-        String header(String name) {
+    public record Message(String first, Map<String, String> headers, byte[] body) {
+        public String header(String name) {
             return headers.get(name);
         }
 
-        int status() {
+        public int status() {
             return Integer.parseInt(first.split(" ")[1]);
         }
 
-        String target() {
+        public String target() {
             return first.split(" ")[1];
         }
 
-        String text() {
+        public String text() {
             return new String(body, StandardCharsets.ISO_8859_1);
         }
     }
 
-    final ServerSocket listener;
+    public final ServerSocket listener;
     /** All requests but health checks, in the order of their arrival. */
-    final List<Message> requests = new CopyOnWriteArrayList<>();
-    final List<Socket> sockets = new CopyOnWriteArrayList<>();
+    public final List<Message> requests = new CopyOnWriteArrayList<>();
+    public final List<Socket> sockets = new CopyOnWriteArrayList<>();
     /** Connections that the other side has ended. */
-    final List<Socket> ended = new CopyOnWriteArrayList<>();
+    public final List<Socket> ended = new CopyOnWriteArrayList<>();
     private final Script script;
 
-    Peer(Script script) throws IOException {
+    public Peer(Script script) throws IOException {
         this(0, script);
     }
 
     /** One at this port, where another has been before. */
-    Peer(int port, Script script) throws IOException {
+    public Peer(int port, Script script) throws IOException {
         this.script = script;
         this.listener = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
         daemon(() -> {
@@ -65,7 +65,7 @@
         });
     }
 
-    String address() {
+    public String address() {
         return "127.0.0.1:" + listener.getLocalPort();
     }
 
@@ -95,11 +95,11 @@
     }
 
     /** Something that runs on a thread of its own and may fail when its sockets close. */
-    interface Task {
+    public interface Task {
         void run() throws Exception;
     }
 
-    static Thread daemon(Task task) {
+    public static Thread daemon(Task task) {
         Thread thread = new Thread(() -> {
             try {
                 task.run();
@@ -112,25 +112,25 @@
         return thread;
     }
 
-    static void write(Socket socket, String text) throws IOException {
+    public static void write(Socket socket, String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
         socket.getOutputStream().flush();
     }
 
     /** An answer with a body. */
-    static void answer(Socket socket, int status, String headers, String body) throws IOException {
+    public static void answer(Socket socket, int status, String headers, String body) throws IOException {
         write(socket, "HTTP/1.1 " + status + " X\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n"
             + body);
     }
 
     /** Ends a connection with a reset. */
-    static void reset(Socket socket) throws IOException {
+    public static void reset(Socket socket) throws IOException {
         socket.setSoLinger(true, 0);
         socket.close();
     }
 
     /** Reads one message; EOFException where the connection ends first. */
-    static Message read(InputStream in) throws IOException {
+    public static Message read(InputStream in) throws IOException {
         String first = line(in);
         Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
         for (String line = line(in); !line.isEmpty(); line = line(in)) {
--- /dev/null
+++ b/src/test/java/slateslip/dataplane/BackendsTest.java
@@ -0,0 +1,247 @@
+package slateslip.dataplane;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
+import static slateslip.routing.RouterInput.AttemptOutcome.Kind.BROKEN;
+import static slateslip.routing.RouterInput.AttemptOutcome.Kind.ERROR_ANSWER;
+import static slateslip.routing.RouterInput.AttemptOutcome.Kind.NOT_EXECUTED;
+import static slateslip.routing.RouterInput.AttemptOutcome.Kind.NOT_SENT;
+import static slateslip.routing.RouterInput.AttemptOutcome.Kind.OTHER_INSTANCE;
+import static slateslip.routing.RouterInput.AttemptOutcome.Kind.SUCCESS;
+import static slateslip.routing.RouterInput.AttemptOutcome.Kind.TIMEOUT;
+
+import gatefront.net.Peer;
+import java.io.IOException;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import slateslip.dataplane.Stage.Answer;
+import slateslip.dataplane.backend.ProbeResult;
+import slateslip.routing.RouterInput;
+import slateslip.routing.RouterInput.AttemptOutcome;
+import slateslip.routing.RouterInput.BackendLoad;
+import slateslip.routing.RouterInput.ProbeOutcome;
+
+/** Backends that misbehave, and the connections that are kept to them. */
+class BackendsTest {
+  private Stage stage;
+
+  @BeforeEach
+  void open() throws IOException {
+    stage = new Stage();
+  }
+
+  @AfterEach
+  void close() throws IOException {
+    stage.close();
+  }
+
+  private Peer good() throws IOException {
+    return stage.backend((message, socket) -> Stage.serve(message, socket, "", "good"));
+  }
+
+  private void awaitEnds(AttemptOutcome.Kind... expected) {
+    Stage.await(() -> stage.router.ends().size() >= expected.length);
+    assertThat(stage.router.ends(), is(List.of(expected)));
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "\u0000\u0001\u0002 no answer at all",
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Stamp: s\r\nContent-Length: 9\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Stamp: s\r\nContent-Length: 99999999999\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Stamp: s\r\nContent-Length: -5\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nContent-Length: 4\r\n\r\nfake",
+        "HTTP/1.1 200 OK\r\nX-Response-Stamp: s\r\nContent-Length: 4\r\n\r\nfake",
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Response-Stamp: s\r\nContent-Length: 4\r\n\r\nfake",
+        "HTTP/1.1 +200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Stamp: s\r\nContent-Length: 4\r\n\r\nfake",
+        "HTTP/1.1 101 Switching Protocols\r\nX-Attempt-Id: a1\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfa",
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Stamp: s\r\nContent-Length: 4\r\n"
+            + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      })
+  void neverServesWhatIsNoWholeStampedAnswer(String bytes) throws IOException {
+    stage.backend(
+        (message, socket) -> {
+          Peer.write(socket, bytes);
+          socket.close();
+        });
+    good();
+    assertThat(stage.call("a1").body(), is("good"));
+    awaitEnds(BROKEN, SUCCESS);
+  }
+
+  @Test
+  void doesNotRepeatWhatMayHaveRun() throws IOException {
+    stage.router.repeatable = false;
+    stage.backend((message, socket) -> Peer.reset(socket));
+    Peer second = good();
+    assertThat(stage.call("a1").status(), is(502));
+    awaitEnds(BROKEN);
+    assertThat(second.requests.size(), is(0));
+  }
+
+  @Test
+  void tellsOfADeadPortThatNothingWasSent() throws IOException {
+    stage.router.repeatable = false;
+    stage.deadBackend();
+    good();
+    assertThat(stage.call("a1").body(), is("good"));
+    awaitEnds(NOT_SENT, SUCCESS);
+  }
+
+  @Test
+  void tellsWhatABackendDidNotRun() throws IOException {
+    stage.router.repeatable = false;
+    stage.backend(
+        (message, socket) ->
+            Peer.answer(socket, 503, Stage.idOf(message) + "X-Not-Executed: 1\r\n", ""));
+    stage.backend(
+        (message, socket) ->
+            Peer.answer(socket, 421, Stage.idOf(message) + "X-Instance-Id: i-9\r\n", ""));
+    good();
+    assertThat(stage.call("a1").body(), is("good"));
+    awaitEnds(NOT_EXECUTED, OTHER_INSTANCE, SUCCESS);
+  }
+
+  @Test
+  void relaysAFailureUnchanged() throws IOException {
+    stage.backend(
+        (message, socket) ->
+            Peer.answer(socket, 500, Stage.stamped(message) + "X-Why: w\r\n", "broken inside"));
+    Answer answer = stage.call("a1");
+    assertThat(answer.status(), is(500));
+    assertThat(answer.body(), is("broken inside"));
+    assertThat(answer.header("X-Why"), is("w"));
+    awaitEnds(ERROR_ANSWER);
+  }
+
+  @Test
+  void passesOverAnAnswerToAnEarlierRequest() throws IOException {
+    stage.router.repeatable = false;
+    Peer backend =
+        stage.backend(
+            (message, socket) -> {
+              Peer.answer(socket, 200, "X-Attempt-Id: old\r\nX-Response-Stamp: s\r\n", "old");
+              Stage.serve(message, socket, "Keep-Alive: timeout=5\r\n", "mine");
+            });
+    assertThat(stage.call("a1").body(), is("mine"));
+    assertThat(stage.call("a2").body(), is("mine"));
+    assertThat(backend.sockets.size(), is(2)); // a connection with surplus answers is not used again
+    stage.onLoop(() -> assertThat(stage.metrics.surplusAnswers, is(2L)));
+  }
+
+  @Test
+  void reusesAConnectionThatIsKept() throws IOException {
+    Peer backend =
+        stage.backend((message, socket) -> Stage.serve(message, socket, "Keep-Alive: timeout=60\r\n", "x"));
+    stage.call("a1");
+    stage.call("a2");
+    stage.call("a3");
+    assertThat(backend.sockets.size(), is(1));
+  }
+
+  @Test
+  void doesNotReuseAConnectionThatItsBackendEnds() throws IOException {
+    Peer backend =
+        stage.backend(
+            (message, socket) ->
+                Stage.serve(message, socket, "Keep-Alive: timeout=60\r\nConnection: close\r\n", "x"));
+    stage.call("a1");
+    stage.call("a2");
+    assertThat(backend.sockets.size(), is(2));
+  }
+
+  @Test
+  void doesNotReuseAConnectionWithBytesBehindItsAnswer() throws IOException {
+    Peer backend =
+        stage.backend(
+            (message, socket) ->
+                Peer.write(
+                    socket,
+                    "HTTP/1.1 200 OK\r\n"
+                        + Stage.stamped(message)
+                        + "Keep-Alive: timeout=60\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 200 OK\r\n"));
+    assertThat(stage.call("a1").body(), is("x"));
+    assertThat(stage.call("a2").body(), is("x"));
+    assertThat(backend.sockets.size(), is(2));
+  }
+
+  @Test
+  void doesNotUseAConnectionThatHasBeenClosed() throws IOException {
+    stage.router.repeatable = false;
+    Peer backend =
+        stage.backend(
+            (message, socket) -> {
+              Stage.serve(message, socket, "Keep-Alive: timeout=60\r\n", "x");
+              socket.close();
+            });
+    stage.call("a1");
+    Stage.await(() -> backend.ended.size() == 1);
+    assertThat(stage.call("a2").body(), is("x"));
+    awaitEnds(SUCCESS, SUCCESS);
+  }
+
+  @Test
+  void givesUpOnASilentBackendInTime() throws IOException {
+    stage.router.firstEventTimeoutMicros = 1_000;
+    Peer silent = stage.backend((message, socket) -> {});
+    assertThat(stage.call("a1").status(), is(502));
+    awaitEnds(TIMEOUT);
+    Stage.await(() -> silent.ended.size() == 1);
+  }
+
+  @Test
+  void sendsNothingNewToABackendThatDrains() throws IOException {
+    stage.router.repeatable = false;
+    Peer backend =
+        stage.backend((message, socket) -> Stage.serve(message, socket, "Keep-Alive: timeout=60\r\n", "x"));
+    stage.call("a1");
+    stage.onLoop(() -> stage.pools.backendsChanged(List.of()));
+    Stage.await(() -> backend.ended.size() == 1); // nothing is kept for it
+    assertThat(stage.call("a2").status(), is(502));
+    awaitEnds(SUCCESS, NOT_SENT);
+  }
+
+  @Test
+  void tellsTheLoadOfABackend() throws IOException {
+    stage.backend(
+        (message, socket) -> Stage.serve(message, socket, "X-Backend-Load: 3, 1, 8\r\n", "x"));
+    Answer answer = stage.call("a1");
+    assertThat(answer.headers().containsKey("X-Backend-Load"), is(false));
+    awaitEnds(SUCCESS);
+    RouterInput.AttemptEnded ended =
+        (RouterInput.AttemptEnded) stage.router.inputs.get(stage.router.inputs.size() - 1);
+    assertThat(ended.load(), is(new BackendLoad(3, 1, 8)));
+  }
+
+  @Test
+  void readsWhatAProbeFinds() throws Exception {
+    stage.backend((message, socket) -> Peer.answer(socket, 200, "X-Instance-Id: b-1\r\n", ""));
+    stage.backend((message, socket) -> Peer.answer(socket, 503, "X-Instance-Id: b-2\r\n", ""));
+    stage.backend(
+        (message, socket) -> Peer.answer(socket, 503, "X-Not-Executed: 1\r\n", ""));
+    stage.backend((message, socket) -> Peer.answer(socket, 200, "X-Instance-Id: b-9\r\n", ""));
+    stage.deadBackend();
+    List<ProbeOutcome> outcomes = new java.util.concurrent.CopyOnWriteArrayList<>();
+    for (int i = 1; i <= 5; i++) {
+      int known = outcomes.size();
+      String id = "b-" + i;
+      stage.onLoop(() -> stage.pools.probe(id, (ProbeResult result) -> outcomes.add(result.outcome())));
+      Stage.await(() -> outcomes.size() > known);
+    }
+    assertThat(
+        outcomes,
+        contains(
+            ProbeOutcome.HEALTHY,
+            ProbeOutcome.UNHEALTHY,
+            ProbeOutcome.FULL,
+            ProbeOutcome.OTHER_INSTANCE,
+            ProbeOutcome.UNREACHABLE));
+  }
+}
--- /dev/null
+++ b/src/test/java/slateslip/dataplane/ClientsTest.java
@@ -0,0 +1,233 @@
+package slateslip.dataplane;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.nullValue;
+
+import gatefront.net.Peer;
+import java.io.IOException;
+import java.net.Socket;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import slateslip.configuration.IngressLimits;
+import slateslip.dataplane.Stage.Answer;
+import slateslip.routing.RouterInput;
+
+/** Clients of every manner: what goes on to a backend, and what is turned away. */
+class ClientsTest {
+  private static final String HEAD = "POST /a/b HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a1\r\n";
+
+  private Stage stage;
+
+  @BeforeEach
+  void open() throws IOException {
+    stage = new Stage();
+  }
+
+  @AfterEach
+  void close() throws IOException {
+    stage.close();
+  }
+
+  private Peer echo() throws IOException {
+    return stage.backend(
+        (message, socket) -> Stage.serve(message, socket, "X-Other: 1\r\n", message.text()));
+  }
+
+  private Answer send(String bytes) throws IOException {
+    Socket socket = stage.dial();
+    Peer.write(socket, bytes);
+    return Answer.read(socket.getInputStream());
+  }
+
+  @Test
+  void passesMethodTargetBodyAndHeadersOn() throws IOException {
+    Peer backend = echo();
+    stage.router.tenant = "t-1";
+    stage.router.priority = 3;
+    Answer answer =
+        send(Stage.request("a1", "X-Model: m\r\nX-Credential: secret\r\nX-Custom: c\r\n", "body"));
+    assertThat(answer.status(), is(200));
+    assertThat(answer.body(), is("body"));
+    assertThat(answer.header("X-Response-Stamp"), is("s1"));
+    assertThat(answer.header("X-Attempt-Id"), is("a1"));
+    assertThat(answer.header("X-Other"), is("1"));
+    Peer.Message got = backend.requests.get(0);
+    assertThat(got.first(), is("POST /a/b?q=1 HTTP/1.1"));
+    assertThat(got.header("Host"), is("h.example"));
+    assertThat(got.header("X-Custom"), is("c"));
+    assertThat(got.header("X-Model"), is("m"));
+    assertThat(got.header("X-Attempt-Id"), is("a1"));
+    assertThat(got.header("X-Target-Instance"), is("b-1"));
+    assertThat(got.header("X-Tenant"), is("t-1"));
+    assertThat(got.header("Priority"), is("3"));
+    assertThat(got.header("X-Credential"), is(nullValue()));
+    assertThat(Integer.parseInt(got.header("X-Deadline-Ms")), lessThanOrEqualTo(8000));
+  }
+
+  @Test
+  void dropsWhatOnlyTheDataPlaneMaySay() throws IOException {
+    Peer backend = echo();
+    String forged =
+        "X-Tenant: other\r\nX-Target-Instance: b-9\r\nPriority: 0\r\nKeep-Alive: timeout=9\r\n"
+            + "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\n";
+    assertThat(send(Stage.request("a1", forged, "")).status(), is(200));
+    Peer.Message got = backend.requests.get(0);
+    assertThat(got.header("X-Tenant"), is(nullValue()));
+    assertThat(got.header("X-Target-Instance"), is("b-1"));
+    assertThat(got.header("Priority"), is(nullValue()));
+    assertThat(got.header("Keep-Alive"), is(nullValue()));
+    assertThat(got.header("Connection"), is(nullValue()));
+    assertThat(got.header("X-Hop"), is(nullValue()));
+  }
+
+  @Test
+  void keepsWhatConnectionMayNotTakeAway() throws IOException {
+    Peer backend = echo();
+    String headers = "Connection: X-Attempt-Id, Host\r\n";
+    assertThat(send(Stage.request("a1", headers, "")).status(), is(200));
+    assertThat(backend.requests.get(0).header("X-Attempt-Id"), is("a1"));
+    assertThat(backend.requests.get(0).header("Host"), is("h.example"));
+  }
+
+  @Test
+  void passesAChunkedBodyOnWithItsLength() throws IOException {
+    Peer backend = echo();
+    Answer answer =
+        send(HEAD + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    assertThat(answer.body(), is("abcde"));
+    assertThat(backend.requests.get(0).header("Content-Length"), is("5"));
+    assertThat(backend.requests.get(0).header("Transfer-Encoding"), is(nullValue()));
+  }
+
+  @Test
+  void drawsAnIdForARequestWithoutOneAndTakesItAwayAgain() throws IOException {
+    Peer backend = echo();
+    Answer answer = send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+    assertThat(answer.status(), is(200));
+    assertThat(answer.header("X-Attempt-Id"), is(nullValue()));
+    assertThat(backend.requests.get(0).header("X-Attempt-Id").length(), is(16));
+  }
+
+  @Test
+  void answersPipelinedRequestsInTheirOrder() throws IOException {
+    echo();
+    Socket socket = stage.dial();
+    Peer.write(
+        socket,
+        Stage.request("a1", "", "one") + Stage.request("a2", "", "two") + Stage.request("a3", "", "3"));
+    for (String expected : List.of("one", "two", "3")) {
+      assertThat(Answer.read(socket.getInputStream()).body(), is(expected));
+    }
+  }
+
+  @Test
+  void keepsAConnectionAndEndsOneThatAsksForIt() throws IOException {
+    echo();
+    Socket socket = stage.dial();
+    Peer.write(socket, Stage.request("a1", "", "one"));
+    assertThat(Answer.read(socket.getInputStream()).header("Connection"), is(nullValue()));
+    Peer.write(socket, Stage.request("a2", "Connection: close\r\n", "two"));
+    assertThat(Answer.read(socket.getInputStream()).header("Connection"), is("close"));
+    assertThat(socket.getInputStream().read(), is(-1));
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "\u0016\u0003\u0001 no request at all\r\n\r\n",
+        "POST /a b HTTP/1.1\r\nHost: h\r\n\r\n",
+        "POST a HTTP/1.1\r\nHost: h\r\n\r\n",
+        "POST /a HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
+        "POST /a HTTP/1.1\r\nHost: h\r\nHost: g\r\nContent-Length: 0\r\n\r\n",
+        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n",
+        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: +1\r\n\r\na",
+        "POST /a HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\nX-Attempt-Id: b\r\nContent-Length: 0\r\n\r\n",
+        "POST /a HTTP/1.1\r\nHost: h\r\nno colon\r\n\r\n",
+      })
+  void turnsAwayWhatCanBeReadInTwoWays(String bytes) throws IOException {
+    Peer backend = echo();
+    Socket socket = stage.dial();
+    Peer.write(socket, bytes);
+    assertThat(Answer.read(socket.getInputStream()).status(), is(400));
+    assertThat(socket.getInputStream().read(), is(-1));
+    assertThat(backend.requests, is(empty()));
+  }
+
+  @Test
+  void answersWhatCameBeforeGarbageFirst() throws IOException {
+    echo();
+    Socket socket = stage.dial();
+    Peer.write(socket, Stage.request("a1", "", "one") + "garbage\r\n\r\n");
+    assertThat(Answer.read(socket.getInputStream()).body(), is("one"));
+    assertThat(Answer.read(socket.getInputStream()).status(), is(400));
+  }
+
+  @Test
+  void holdsToTheLimitsOfTheConfiguration() throws IOException {
+    Peer backend = echo();
+    stage.limits(new IngressLimits(512, 10, 3_000, 15_000));
+    String longHeader = "X-Long: " + "x".repeat(600) + "\r\n";
+    assertThat(send(HEAD + longHeader + "Content-Length: 0\r\n\r\n").status(), is(431));
+    assertThat(send(HEAD + "Content-Length: 11\r\n\r\n").status(), is(413));
+    assertThat(send(HEAD + "Content-Length: 99999999999999\r\n\r\n").status(), is(413));
+    String chunks = "6\r\nabcdef\r\n6\r\nabcdef\r\n0\r\n\r\n";
+    assertThat(send(HEAD + "Transfer-Encoding: chunked\r\n\r\n" + chunks).status(), is(413));
+    assertThat(backend.requests, is(empty()));
+    assertThat(send(HEAD + "Content-Length: 10\r\n\r\n0123456789").status(), is(200));
+  }
+
+  @Test
+  void givesUpOnAHeadThatDoesNotComeWhole() throws IOException {
+    stage.limits(new IngressLimits(512, 10, 1, 15_000));
+    assertThat(send("POST /a HT").status(), is(408));
+  }
+
+  @Test
+  void endsAConnectionThatRestsTooLong() throws IOException {
+    stage.limits(new IngressLimits(512, 10, 1_000, 1));
+    assertThat(stage.dial().getInputStream().read(), is(-1));
+  }
+
+  @Test
+  void cancelsTheAttemptOfAClientThatHasGone() throws IOException {
+    Peer backend = stage.backend((message, socket) -> {});
+    Socket socket = stage.dial();
+    Peer.write(socket, Stage.request("a1", "", ""));
+    Stage.await(() -> backend.requests.size() == 1);
+    socket.close();
+    Stage.await(() -> backend.ended.size() == 1);
+    Stage.await(() -> stage.router.got(RouterInput.ClientGone.class));
+    Stage.await(() -> stage.router.ends().size() == 1);
+    assertThat(
+        stage.router.ends(), contains(RouterInput.AttemptOutcome.Kind.CANCELLED));
+    stage.onLoop(() -> assertThat(stage.forwarder.openRequests(), is(0)));
+  }
+
+  @Test
+  void answersHeadWithoutABody() throws IOException {
+    stage.backend(
+        (message, socket) ->
+            Peer.write(
+                socket,
+                "HTTP/1.1 200 OK\r\n" + Stage.stamped(message) + "Content-Length: 7\r\n\r\n"));
+    Socket socket = stage.dial();
+    Peer.write(socket, "HEAD /a HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a1\r\n\r\n");
+    List<String> head = Answer.readHead(socket.getInputStream());
+    assertThat(head.get(0), equalTo("HTTP/1.1 200 OK"));
+    assertThat(head.stream().anyMatch("content-length: 7"::equalsIgnoreCase), is(true));
+    Peer.write(socket, "HEAD /a HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a2\r\n\r\n");
+    assertThat(Answer.readHead(socket.getInputStream()).get(0), equalTo("HTTP/1.1 200 OK"));
+  }
+}
--- /dev/null
+++ b/src/test/java/slateslip/dataplane/PlainRouter.java
@@ -0,0 +1,104 @@
+package slateslip.dataplane;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import slateslip.distribution.BackendSession;
+import slateslip.routing.RequestRouter;
+import slateslip.routing.RouterInput;
+import slateslip.routing.RouterInput.AttemptOutcome;
+import slateslip.routing.RouterOutput;
+
+/** A router with the plainest decisions: backends in the order listed, one attempt after the other. */
+final class PlainRouter implements RequestRouter {
+  /** Every input, in order. */
+  final List<RouterInput> inputs = new ArrayList<>();
+
+  /** Backends that one request is sent to at most. */
+  int attemptsMost = 3;
+
+  /** Whether broken attempts are repeated, and streams taken up. */
+  boolean repeatable = true;
+
+  long firstEventTimeoutMicros;
+  String tenant;
+  int priority = RouterOutput.NO_PRIORITY;
+
+  private final Map<Long, Integer> attempts = new HashMap<>();
+  private final Map<Long, RequestFactsAndState> requests = new HashMap<>();
+  private List<BackendSession> backends = List.of();
+
+  private static final class RequestFactsAndState {
+    long deadlineMillis;
+    boolean started;
+  }
+
+  @Override
+  public synchronized List<RouterOutput> handle(long nowMicros, RouterInput input) {
+    inputs.add(input);
+    if (input instanceof RouterInput.BackendsChanged changed) {
+      backends = changed.backends();
+    } else if (input instanceof RouterInput.RequestArrived arrived) {
+      RequestFactsAndState state = new RequestFactsAndState();
+      state.deadlineMillis = arrived.facts().deadlineMillis();
+      requests.put(arrived.request(), state);
+      return next(arrived.request(), RouterOutput.AS_SENT);
+    } else if (input instanceof RouterInput.AttemptStarted started) {
+      requests.get(started.request()).started = true;
+    } else if (input instanceof RouterInput.ClientGone gone) {
+      return List.of(
+          new RouterOutput.CancelAttempt(gone.request(), attempts.get(gone.request()) - 1));
+    } else if (input instanceof RouterInput.AttemptEnded ended) {
+      return ended(ended);
+    }
+    return List.of();
+  }
+
+  private List<RouterOutput> ended(RouterInput.AttemptEnded ended) {
+    AttemptOutcome outcome = ended.outcome();
+    return switch (outcome.kind()) {
+      case SUCCESS, CANCELLED -> List.of();
+      case ERROR_ANSWER -> List.of(new RouterOutput.RelayError(ended.request(), ended.attempt()));
+      case NOT_EXECUTED, OTHER_INSTANCE, NOT_SENT -> next(ended.request(), RouterOutput.AS_SENT);
+      case BROKEN, TIMEOUT ->
+          repeatable ? next(ended.request(), ended.lastEventId()) : giveUp(ended.request());
+    };
+  }
+
+  private List<RouterOutput> next(long request, long resumeAfter) {
+    int attempt = attempts.merge(request, 1, Integer::sum) - 1;
+    if (attempt >= Math.min(attemptsMost, backends.size())) {
+      return giveUp(request);
+    }
+    return List.of(
+        new RouterOutput.SendAttempt(
+            request,
+            attempt,
+            backends.get(attempt).id(),
+            requests.get(request).deadlineMillis,
+            firstEventTimeoutMicros,
+            priority,
+            tenant,
+            resumeAfter));
+  }
+
+  private List<RouterOutput> giveUp(long request) {
+    return requests.get(request).started
+        ? List.of(new RouterOutput.Break(request))
+        : List.of(new RouterOutput.Answer(request, 502, 0));
+  }
+
+  /** How the attempts ended, in order. */
+  synchronized List<AttemptOutcome.Kind> ends() {
+    return inputs.stream()
+        .filter(RouterInput.AttemptEnded.class::isInstance)
+        .map(input -> ((RouterInput.AttemptEnded) input).outcome().kind())
+        .toList();
+  }
+
+  /** Whether an input of this kind has come. */
+  synchronized boolean got(Class<? extends RouterInput> kind) {
+    return inputs.stream().anyMatch(kind::isInstance);
+  }
+}
--- /dev/null
+++ b/src/test/java/slateslip/dataplane/Stage.java
@@ -0,0 +1,260 @@
+package slateslip.dataplane;
+
+import gatefront.net.Inspectable;
+import gatefront.net.Peer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
+import slateslip.configuration.IngressLimits;
+import slateslip.dataplane.backend.BackendPools;
+import slateslip.dataplane.forwarding.Forwarder;
+import slateslip.dataplane.ingress.ClientIngress;
+import slateslip.distribution.BackendSession;
+import slateslip.routing.RequestRouter;
+
+/** The path of requests on loopback ports, between scripted clients and scripted backends. */
+final class Stage implements Closeable {
+  static final int GENEROUS_MILLIS = 20_000;
+  private static final int CONNECTIONS = 200;
+  private static final String STAMP = "X-Response-Stamp: s1\r\n";
+
+  final PlainRouter router = new PlainRouter();
+  final DataPlaneMetrics metrics = new DataPlaneMetrics();
+  final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  final EventLoop loop = group.next();
+  final BackendPools pools = new BackendPools(loop, CONNECTIONS, metrics, Inspectable::new);
+  final Forwarder forwarder;
+  final ClientIngress ingress;
+  final List<Peer> backends = new ArrayList<>();
+  private final List<BackendSession> sessions = new ArrayList<>();
+  private final List<Socket> clients = new ArrayList<>();
+
+  Stage() throws IOException {
+    this(null);
+  }
+
+  /** With a router of the test's own. */
+  Stage(RequestRouter other) throws IOException {
+    RequestRouter decides = other == null ? router : other;
+    forwarder =
+        new Forwarder(loop, decides, () -> System.nanoTime() / 1_000, pools, metrics, 1);
+    InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    ingress = new ClientIngress(loop, any, CONNECTIONS, forwarder);
+  }
+
+  /** Adds a backend, {@code b-1} and so on. */
+  Peer backend(Peer.Script script) throws IOException {
+    Peer peer = new Peer(script);
+    backends.add(peer);
+    listed(peer.address());
+    return peer;
+  }
+
+  /** Lists a backend at an address where nobody listens. */
+  void deadBackend() throws IOException {
+    Peer peer = new Peer((message, socket) -> {});
+    peer.close();
+    listed(peer.address());
+  }
+
+  private void listed(String address) {
+    String id = "b-" + (sessions.size() + 1);
+    sessions.add(new BackendSession(id, "svc", address, "z", "v1", 4, false, 0, 1));
+    list(List.copyOf(sessions));
+  }
+
+  /** Makes these the backends that are registered. */
+  void list(List<BackendSession> backendSessions) {
+    onLoop(() -> forwarder.backendsChanged(backendSessions));
+  }
+
+  /** All backends as listed so far. */
+  List<BackendSession> sessions() {
+    return List.copyOf(sessions);
+  }
+
+  void limits(IngressLimits limits) {
+    onLoop(() -> ingress.apply(limits));
+  }
+
+  void onLoop(Runnable task) {
+    loop.submit(task).syncUninterruptibly();
+  }
+
+  /** Bytes of answers that wait for their clients to read on. */
+  long bufferedForClients() {
+    long[] bytes = new long[1];
+    onLoop(() -> bytes[0] = ingress.pendingBytes());
+    return bytes[0];
+  }
+
+  Socket dial() throws IOException {
+    Socket socket = new Socket(ingress.address().getAddress(), ingress.address().getPort());
+    socket.setSoTimeout(GENEROUS_MILLIS);
+    clients.add(socket);
+    return socket;
+  }
+
+  static String request(String id, String headers, String body) {
+    return "POST /a/b?q=1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: "
+        + id
+        + "\r\nX-Deadline-Ms: 8000\r\n"
+        + headers
+        + "Content-Length: "
+        + body.length()
+        + "\r\n\r\n"
+        + body;
+  }
+
+  /** Sends a plain request on a new connection and reads the whole answer. */
+  Answer call(String id) throws IOException {
+    Socket socket = dial();
+    Peer.write(socket, request(id, "", "body"));
+    return Answer.read(socket.getInputStream());
+  }
+
+  /** A backend's success with the id of the request. */
+  static void serve(Peer.Message message, Socket socket, String headers, String body)
+      throws IOException {
+    Peer.answer(socket, 200, stamped(message) + headers, body);
+  }
+
+  static String stamped(Peer.Message message) {
+    return idOf(message) + STAMP;
+  }
+
+  static String idOf(Peer.Message message) {
+    return "X-Attempt-Id: " + message.header("X-Attempt-Id") + "\r\n";
+  }
+
+  /** The head of a backend's stream. */
+  static void beginStream(Peer.Message message, Socket socket) throws IOException {
+    Peer.write(
+        socket,
+        "HTTP/1.1 200 OK\r\n"
+            + stamped(message)
+            + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+  }
+
+  static void chunk(Socket socket, String text) throws IOException {
+    Peer.write(socket, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+  }
+
+  static void lastChunk(Socket socket) throws IOException {
+    Peer.write(socket, "0\r\n\r\n");
+  }
+
+  static String event(int id) {
+    return "id: " + id + "\ndata: piece " + id + "\n\n";
+  }
+
+  static void await(BooleanSupplier condition) {
+    long end = System.nanoTime() + 1_000_000L * GENEROUS_MILLIS;
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > end) {
+        throw new AssertionError("waited in vain");
+      }
+      Thread.onSpinWait();
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    for (Socket client : clients) {
+      client.close();
+    }
+    for (Peer backend : backends) {
+      backend.close();
+    }
+    group.shutdownGracefully(0, 0, java.util.concurrent.TimeUnit.MILLISECONDS).syncUninterruptibly();
+  }
+
+  /**
+   * An answer as a client reads it.
+   *
+   * @param complete whether its end has come as its head said
+   */
+  record Answer(int status, Map<String, String> headers, String body, boolean complete) {
+    String header(String name) {
+      return headers.get(name);
+    }
+
+    /** Reads one answer; what has no end is read to the end of the connection. */
+    static Answer read(InputStream in) throws IOException {
+      String first = line(in);
+      Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+      for (String line = line(in); !line.isEmpty(); line = line(in)) {
+        int colon = line.indexOf(':');
+        headers.put(line.substring(0, colon), line.substring(colon + 1).trim());
+      }
+      int status = Integer.parseInt(first.split(" ")[1]);
+      if ("chunked".equals(headers.get("Transfer-Encoding"))) {
+        StringBuilder body = new StringBuilder();
+        boolean complete = readChunks(in, body);
+        return new Answer(status, headers, body.toString(), complete);
+      }
+      int length = Integer.parseInt(headers.getOrDefault("Content-Length", "0"));
+      byte[] body = in.readNBytes(length);
+      return new Answer(
+          status, headers, new String(body, StandardCharsets.ISO_8859_1), body.length == length);
+    }
+
+    private static boolean readChunks(InputStream in, StringBuilder body) {
+      try {
+        while (true) {
+          String chunk = readChunk(in);
+          if (chunk.isEmpty()) {
+            return true;
+          }
+          body.append(chunk);
+        }
+      } catch (IOException ended) {
+        return false;
+      }
+    }
+
+    /** Reads one chunk; empty for the last. */
+    static String readChunk(InputStream in) throws IOException {
+      int length = Integer.parseInt(line(in), 16);
+      byte[] bytes = in.readNBytes(length);
+      if (bytes.length < length || !line(in).isEmpty()) {
+        throw new IOException("cut inside a chunk");
+      }
+      return new String(bytes, StandardCharsets.ISO_8859_1);
+    }
+
+    /** Reads the lines of a head. */
+    static List<String> readHead(InputStream in) throws IOException {
+      List<String> lines = new ArrayList<>();
+      for (String line = line(in); !line.isEmpty(); line = line(in)) {
+        lines.add(line);
+      }
+      return lines;
+    }
+
+    private static String line(InputStream in) throws IOException {
+      ByteArrayOutputStream line = new ByteArrayOutputStream();
+      for (int next = in.read(); next != '\n'; next = in.read()) {
+        if (next < 0) {
+          throw new IOException("ended");
+        }
+        line.write(next);
+      }
+      return line.toString(StandardCharsets.ISO_8859_1).stripTrailing();
+    }
+  }
+}
