Data plane: subscription to control agents

A state machine: streams to up to three agents, nearest first, one active; versions only rise, older sessions bring nothing back, an incomplete list only adds, silence is found after 700 ms, and a pause of its own is not taken for silence. What was learnt stays while all agents are away.

--- /dev/null
+++ b/src/main/java/slateslip/dataplane/subscription/Subscription.java
@@ -0,0 +1,348 @@
+package slateslip.dataplane.subscription;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import slateslip.configuration.ConfigurationDocument;
+import slateslip.configuration.ConfigurationOutcome;
+import slateslip.distribution.TenantDemand;
+import slateslip.distribution.ToControl;
+import slateslip.distribution.ToDataPlane;
+
+/**
+ * Keeps streams to up to three control agents, one of them active: it carries configurations, sessions and shares,
+ * the others heartbeats. A state machine without sockets, clocks or threads.
+ *
+ * <p>Versions of the configuration only rise. What was learnt last stays while no control agent can be reached.
+ */
+public final class Subscription {
+  /** Streams that are kept. */
+  private static final int STREAMS = 3;
+
+  /** A stream on which nothing came for so long is dead; agents send heartbeats several times a second. */
+  private static final long SILENT_MILLIS = 700;
+
+  /** How long a stream may take to come up. */
+  private static final long DIAL_MILLIS = 1_000;
+
+  /** By how much the active agent may lag behind another's configuration. */
+  private static final long BEHIND_MILLIS = 200;
+
+  /** How long a preferred agent has to be good before it takes over from one that is good as well. */
+  private static final long PREFERRED_MILLIS = 3_000;
+
+  /** Two ticks that are further apart mean that this process was held up, not that its peers were silent. */
+  private static final long HELD_UP_MILLIS = 300;
+
+  private static final long DEMAND_MILLIS = 250;
+
+  private final DataPlaneIdentity identity;
+  private final Map<String, ControlStream> streams = new LinkedHashMap<>();
+  private final SessionTable sessions = new SessionTable();
+  private final Set<String> seeds = new LinkedHashSet<>();
+  private List<SubscriptionOutput> outputs = new ArrayList<>();
+  private ConfigurationDocument document;
+  private boolean listed;
+  private ControlStream active;
+  private long behindSinceMillis = Long.MAX_VALUE;
+  private long lastTickMillis;
+  private long lastDemandMillis;
+
+  /** A subscription that knows nothing yet. */
+  public Subscription(DataPlaneIdentity identity, List<String> seeds) {
+    this.identity = identity;
+    this.seeds.addAll(seeds);
+  }
+
+  /** Version of the configuration in force; 0 if none. */
+  public long configurationVersion() {
+    return document == null ? 0 : document.version();
+  }
+
+  /** Whether a configuration and a list of backends have come. */
+  public boolean isReady() {
+    return document != null && listed;
+  }
+
+  /**
+   * Takes one input.
+   *
+   * @param nowMillis steady clock, in milliseconds
+   * @return what the host has to do, in order
+   */
+  public List<SubscriptionOutput> handle(long nowMillis, SubscriptionInput input) {
+    outputs = new ArrayList<>();
+    if (input instanceof SubscriptionInput.Connected connected) {
+      connected(nowMillis, connected.agent());
+    } else if (input instanceof SubscriptionInput.Disconnected disconnected) {
+      disconnected(nowMillis, disconnected.agent());
+    } else if (input instanceof SubscriptionInput.Received received) {
+      received(nowMillis, received);
+    } else if (input instanceof SubscriptionInput.SeedsChanged changed) {
+      seeds.clear();
+      seeds.addAll(changed.agents());
+    } else if (input instanceof SubscriptionInput.Tick tick) {
+      tick(nowMillis, tick.demand());
+    }
+    return outputs;
+  }
+
+  // ---- streams ----
+
+  private void connected(long now, String agent) {
+    ControlStream stream = streams.get(agent);
+    if (stream == null || stream.state != ControlStream.State.DIALLING) {
+      outputs.add(new SubscriptionOutput.Close(agent));
+      return;
+    }
+    stream.opened(now);
+    subscribe(stream, false);
+  }
+
+  private void disconnected(long now, String agent) {
+    ControlStream stream = streams.get(agent);
+    if (stream == null) {
+      return;
+    }
+    stream.closed(now);
+    if (stream == active) {
+      active = null;
+      chooseActive(now);
+    }
+  }
+
+  private void close(long now, ControlStream stream) {
+    outputs.add(new SubscriptionOutput.Close(stream.agent));
+    disconnected(now, stream.agent);
+  }
+
+  private void subscribe(ControlStream stream, boolean asActive) {
+    send(
+        stream,
+        new ToControl.Subscribe(
+            identity.node(), identity.incarnation(), identity.zone(), configurationVersion(), asActive));
+  }
+
+  private void send(ControlStream stream, ToControl message) {
+    outputs.add(new SubscriptionOutput.Send(stream.agent, message));
+  }
+
+  private void tick(long now, List<TenantDemand> demand) {
+    forgiveIfHeldUp(now);
+    sessions.expire(now);
+    for (ControlStream stream : List.copyOf(streams.values())) {
+      closeIfDead(now, stream);
+    }
+    dial(now);
+    closeSuperfluous(now);
+    chooseActive(now);
+    tellDemand(now, demand);
+  }
+
+  private void forgiveIfHeldUp(long now) {
+    long passed = now - lastTickMillis;
+    if (passed > HELD_UP_MILLIS) {
+      streams.values().forEach(stream -> stream.heardMillis = Math.max(stream.heardMillis, now));
+    }
+    lastTickMillis = now;
+  }
+
+  private void closeIfDead(long now, ControlStream stream) {
+    long silent = now - stream.heardMillis;
+    boolean dead =
+        stream.isOpen() && silent > SILENT_MILLIS
+            || stream.state == ControlStream.State.DIALLING && silent > DIAL_MILLIS;
+    if (dead) {
+      close(now, stream);
+    }
+  }
+
+  /** Opens streams: to three agents, and to a preferred one in place of another. */
+  private void dial(long now) {
+    Set<String> candidates = candidates();
+    streams.values().removeIf(
+        stream -> stream.state == ControlStream.State.CLOSED && !candidates.contains(stream.agent));
+    candidates.forEach(agent -> streams.computeIfAbsent(agent, this::newStream));
+    List<ControlStream> wanted =
+        streams.values().stream().sorted(Comparator.comparingLong(stream -> stream.rank)).toList();
+    long inUse = streams.values().stream().filter(stream -> stream.state != ControlStream.State.CLOSED).count();
+    int place = 0;
+    for (ControlStream stream : wanted) {
+      boolean preferred = place++ < STREAMS;
+      boolean due = stream.state == ControlStream.State.CLOSED && now >= stream.notBeforeMillis;
+      if (due && (inUse < STREAMS || preferred && inUse == STREAMS)) {
+        stream.dialled(now);
+        inUse++;
+        outputs.add(new SubscriptionOutput.Dial(stream.agent));
+      }
+    }
+  }
+
+  private Set<String> candidates() {
+    Set<String> candidates = new LinkedHashSet<>(seeds);
+    for (ControlStream stream : streams.values()) {
+      if (stream.isOpen()) {
+        candidates.add(stream.agent);
+      }
+      if (stream.isCurrent()) {
+        candidates.addAll(stream.heartbeat.controlAgents());
+      }
+    }
+    return candidates;
+  }
+
+  private ControlStream newStream(String agent) {
+    return new ControlStream(agent, identity.rank(agent), identity.incarnation() + agent.hashCode());
+  }
+
+  private void closeSuperfluous(long now) {
+    List<ControlStream> open =
+        new ArrayList<>(streams.values().stream().filter(ControlStream::isOpen).toList());
+    if (open.size() <= STREAMS) {
+      return;
+    }
+    open.sort(Comparator.comparingLong(stream -> stream.rank));
+    for (int i = open.size() - 1; i >= 0; i--) {
+      if (open.get(i) != active) {
+        close(now, open.get(i));
+        return;
+      }
+    }
+  }
+
+  // ---- the active stream ----
+
+  private void chooseActive(long now) {
+    ControlStream best = best(now);
+    if (best == null || best == active) {
+      behindSinceMillis = Long.MAX_VALUE;
+      return;
+    }
+    if (active == null || !active.isCurrent() && best.isCurrent()) {
+      activate(best);
+    } else if (best.configurationVersion() > Math.max(configurationVersion(), active.configurationVersion())) {
+      behindSinceMillis = Math.min(behindSinceMillis, now);
+      if (now - behindSinceMillis >= BEHIND_MILLIS) {
+        activate(best);
+      }
+    } else if (best.rank < active.rank && now - best.goodSinceMillis >= PREFERRED_MILLIS) {
+      activate(best);
+    }
+  }
+
+  /** The open stream that knows most, with the lowest rank of those; null if no heartbeat has come. */
+  private ControlStream best(long now) {
+    ControlStream best = null;
+    for (ControlStream stream : streams.values()) {
+      boolean eligible = stream.isOpen() && stream.heartbeat != null;
+      if (eligible && (best == null || isBetter(stream, best))) {
+        best = stream;
+      }
+    }
+    return best;
+  }
+
+  private boolean isBetter(ControlStream one, ControlStream other) {
+    if (one.isCurrent() != other.isCurrent()) {
+      return one.isCurrent();
+    }
+    long known = configurationVersion();
+    long oneVersion = Math.max(known, one.configurationVersion());
+    long otherVersion = Math.max(known, other.configurationVersion());
+    return oneVersion == otherVersion ? one.rank < other.rank : oneVersion > otherVersion;
+  }
+
+  private void activate(ControlStream stream) {
+    if (active != null && active.isOpen()) {
+      subscribe(active, false);
+    }
+    active = stream;
+    behindSinceMillis = Long.MAX_VALUE;
+    subscribe(stream, true);
+    outputs.add(new SubscriptionOutput.Report("active control agent: " + stream.agent));
+  }
+
+  private void tellDemand(long now, List<TenantDemand> demand) {
+    if (active != null && now - lastDemandMillis >= DEMAND_MILLIS) {
+      lastDemandMillis = now;
+      send(active, new ToControl.Demand(demand));
+    }
+  }
+
+  // ---- messages ----
+
+  private void received(long now, SubscriptionInput.Received received) {
+    ControlStream stream = streams.get(received.agent());
+    if (stream == null || !stream.isOpen()) {
+      return;
+    }
+    stream.heardMillis = now;
+    ToDataPlane message = received.message();
+    if (message instanceof ToDataPlane.Heartbeat heartbeat) {
+      stream.heartbeat(now, heartbeat);
+      chooseActive(now);
+    } else if (message instanceof ToDataPlane.ConfigurationSnapshot snapshot) {
+      take(stream, snapshot);
+    } else if (message instanceof ToDataPlane.ConfigurationPatch patch) {
+      take(stream, patch);
+    } else if (stream == active) {
+      fromActive(now, stream, message);
+    }
+  }
+
+  private void fromActive(long now, ControlStream stream, ToDataPlane message) {
+    if (message instanceof ToDataPlane.SessionSnapshot snapshot) {
+      boolean changed = sessions.snapshot(now, snapshot.complete(), snapshot.sessions());
+      tookSessions(stream, snapshot.revision(), changed || !listed);
+      listed = true;
+    } else if (message instanceof ToDataPlane.SessionDelta delta) {
+      boolean changed = sessions.delta(now, delta.changed(), delta.gone());
+      tookSessions(stream, delta.revision(), changed);
+    } else if (message instanceof ToDataPlane.Shares shares) {
+      outputs.add(new SubscriptionOutput.Share(shares.shares()));
+    }
+  }
+
+  private void tookSessions(ControlStream stream, long revision, boolean changed) {
+    if (changed) {
+      outputs.add(new SubscriptionOutput.ListBackends(sessions.all()));
+    }
+    stream.sessionRevision = revision;
+    acknowledge(stream);
+  }
+
+  private void acknowledge(ControlStream stream) {
+    send(stream, new ToControl.Acknowledge(configurationVersion(), stream.sessionRevision));
+  }
+
+  private void take(ControlStream stream, ToDataPlane.ConfigurationSnapshot snapshot) {
+    if (snapshot.version() > configurationVersion()) {
+      apply(ConfigurationDocument.parse(snapshot.document(), configurationVersion()));
+    }
+    acknowledge(stream);
+  }
+
+  private void take(ControlStream stream, ToDataPlane.ConfigurationPatch patch) {
+    if (patch.toVersion() <= configurationVersion()) {
+      acknowledge(stream);
+    } else if (patch.fromVersion() == configurationVersion() && document != null) {
+      apply(document.patched(patch.patch()));
+      acknowledge(stream);
+    } else {
+      subscribe(stream, stream == active); // says which version is here, so that a whole one comes
+    }
+  }
+
+  private void apply(ConfigurationOutcome outcome) {
+    if (outcome instanceof ConfigurationOutcome.Parsed parsed) {
+      document = parsed.document();
+      outputs.add(new SubscriptionOutput.Configure(document.configuration()));
+    } else if (outcome instanceof ConfigurationOutcome.Invalid invalid) {
+      outputs.add(new SubscriptionOutput.Report("configuration not usable: " + invalid.message()));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/slateslip/dataplane/subscription/SubscriptionClient.java
@@ -0,0 +1,170 @@
+package slateslip.dataplane.subscription;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import slateslip.distribution.TenantDemand;
+import slateslip.distribution.ToDataPlane;
+import slateslip.protocol.Decoded;
+import slateslip.protocol.Framing;
+import slateslip.protocol.distribution.DistributionCodec;
+
+/** Carries out what a {@link Subscription} asks for: TCP streams to control agents. On the event loop. */
+public final class SubscriptionClient {
+  /** What is learnt. */
+  public interface Listener {
+    /** What the subscription asks to put into force or to log. */
+    void learnt(SubscriptionOutput output);
+  }
+
+  private static final long TICK_MILLIS = 100;
+  private static final int CONNECT_MILLIS = 1_000;
+
+  private final EventLoop loop;
+  private final Subscription subscription;
+  private final int port;
+  private final Supplier<List<TenantDemand>> demand;
+  private final Listener listener;
+  private final DistributionCodec codec = new DistributionCodec();
+  private final Map<String, Channel> channels = new HashMap<>();
+
+  /**
+   * A client that does nothing before {@link #start}.
+   *
+   * @param port at which control agents listen for data planes
+   * @param demand of tenants since the start of the process
+   */
+  public SubscriptionClient(
+      EventLoop loop,
+      Subscription subscription,
+      int port,
+      Supplier<List<TenantDemand>> demand,
+      Listener listener) {
+    this.loop = loop;
+    this.subscription = subscription;
+    this.port = port;
+    this.demand = demand;
+    this.listener = listener;
+  }
+
+  /** Begins to connect. */
+  public void start() {
+    loop.scheduleWithFixedDelay(
+        () -> feed(new SubscriptionInput.Tick(demand.get())),
+        0,
+        TICK_MILLIS,
+        TimeUnit.MILLISECONDS);
+  }
+
+  /** Other control agents are named by the settings. */
+  public void seedsChanged(List<String> seeds) {
+    feed(new SubscriptionInput.SeedsChanged(seeds));
+  }
+
+  private void feed(SubscriptionInput input) {
+    long nowMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    for (SubscriptionOutput output : subscription.handle(nowMillis, input)) {
+      carryOut(output);
+    }
+  }
+
+  private void carryOut(SubscriptionOutput output) {
+    if (output instanceof SubscriptionOutput.Dial dial) {
+      dial(dial.agent());
+    } else if (output instanceof SubscriptionOutput.Close close) {
+      Channel channel = channels.remove(close.agent());
+      if (channel != null) {
+        channel.close();
+      }
+    } else if (output instanceof SubscriptionOutput.Send send) {
+      Channel channel = channels.get(send.agent());
+      if (channel != null) {
+        channel.writeAndFlush(Framing.frame(channel.alloc(), codec.encode(send.message())));
+      }
+    } else {
+      listener.learnt(output);
+    }
+  }
+
+  private void dial(String agent) {
+    ChannelFuture connecting =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+            .handler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    Framing.addDecoder(channel.pipeline());
+                    channel.pipeline().addLast(new Messages(agent));
+                  }
+                })
+            .connect(new InetSocketAddress(agent, port));
+    Channel channel = connecting.channel();
+    channels.put(agent, channel);
+    connecting.addListener(
+        done -> {
+          if (done.isSuccess() && channels.get(agent) == channel) {
+            feed(new SubscriptionInput.Connected(agent));
+          } else if (!done.isSuccess()) {
+            ended(agent, channel);
+          }
+        });
+  }
+
+  /** A channel has ended; told once, and not of one that the subscription has closed. */
+  private void ended(String agent, Channel channel) {
+    if (channels.remove(agent, channel)) {
+      feed(new SubscriptionInput.Disconnected(agent));
+    }
+  }
+
+  private final class Messages extends SimpleChannelInboundHandler<ByteBuf> {
+    private final String agent;
+
+    Messages(String agent) {
+      this.agent = agent;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
+      if (channels.get(agent) != context.channel()) {
+        return;
+      }
+      Decoded<ToDataPlane> decoded = codec.decodeToDataPlane(frame);
+      if (decoded instanceof Decoded.Message<ToDataPlane> message) {
+        feed(new SubscriptionInput.Received(agent, message.value()));
+      } else if (decoded instanceof Decoded.Malformed<ToDataPlane> malformed) {
+        listener.learnt(
+            new SubscriptionOutput.Report("message of " + agent + ": " + malformed.reason()));
+        context.close();
+      }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+      ended(agent, context.channel());
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      context.close();
+    }
+  }
+}
