Data plane: the process, its readiness, metrics and its end in order

One event loop owns all parts. Ready once a configuration and backends have come. SIGHUP and a changed settings file change the control agents that are tried first.

--- /dev/null
+++ b/src/main/java/slateslip/dataplane/DataPlane.java
@@ -0,0 +1,177 @@
+package slateslip.dataplane;
+
+import gatefront.net.Inspectable;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.jboss.logging.Logger;
+import slateslip.configuration.FleetConfiguration;
+import slateslip.configuration.RoutingTable;
+import slateslip.dataplane.backend.BackendPools;
+import slateslip.dataplane.forwarding.Forwarder;
+import slateslip.dataplane.ingress.ClientIngress;
+import slateslip.dataplane.status.MetricsText;
+import slateslip.dataplane.status.StatusServer;
+import slateslip.dataplane.subscription.DataPlaneIdentity;
+import slateslip.dataplane.subscription.Subscription;
+import slateslip.dataplane.subscription.SubscriptionClient;
+import slateslip.dataplane.subscription.SubscriptionOutput;
+import slateslip.routing.FleetRouter;
+import slateslip.settings.NodeSettings;
+
+/** One data plane process: its parts, wired on one event loop that owns them all. */
+public final class DataPlane {
+  private static final Logger LOG = Logger.getLogger(DataPlane.class);
+
+  /** Descriptors that the settings keep for files, and those for listeners, control agents and the runtime. */
+  private static final int DESCRIPTORS_RESERVED = 264;
+
+  /** Where the settings name no limit. */
+  private static final int DESCRIPTORS_DEFAULT = 1_024;
+
+  private final NodeSettings settings;
+  private final DataPlaneMetrics metrics = new DataPlaneMetrics();
+  private final EventLoopGroup group;
+  private final EventLoop loop;
+  private final BackendPools pools;
+  private final Forwarder forwarder;
+  private final ClientIngress ingress;
+  private final StatusServer status;
+  private final Subscription subscription;
+  private final SubscriptionClient client;
+  private final CountDownLatch ended = new CountDownLatch(1);
+  private boolean leaving;
+
+  private DataPlane(NodeSettings settings) throws IOException {
+    this.settings = settings;
+    SplittableRandom random = new SplittableRandom();
+    group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    loop = group.next();
+    pools = new BackendPools(loop, connectionsMost(), metrics, Inspectable::new);
+    FleetRouter router = new FleetRouter(settings.zone(), random.nextLong());
+    forwarder =
+        new Forwarder(loop, router, DataPlane::nowMicros, pools, metrics, random.nextLong());
+    DataPlaneIdentity identity =
+        new DataPlaneIdentity(
+            settings.node(),
+            random.nextLong(),
+            settings.zone(),
+            settings.ip().getHostAddress());
+    subscription = new Subscription(identity, seeds(settings));
+    client =
+        new SubscriptionClient(
+            loop, subscription, settings.ports().first(), List::of, this::learnt);
+    status =
+        new StatusServer(loop, settings.readyListen(), this::isReady, this::metricsText);
+    ingress = new ClientIngress(loop, settings.frontListen(), connectionsMost(), forwarder);
+  }
+
+  /**
+   * Starts a data plane; it listens when this returns.
+   *
+   * @throws IOException if an address cannot be listened on
+   */
+  public static DataPlane start(NodeSettings settings) throws IOException {
+    DataPlane dataPlane = new DataPlane(settings);
+    dataPlane.loop.execute(dataPlane.client::start);
+    LOG.infof("%s listens on %s", settings.node(), dataPlane.ingress.address());
+    return dataPlane;
+  }
+
+  /** Connections on either side. */
+  private int connectionsMost() {
+    int descriptors = settings.limits().maxFileDescriptors();
+    int usable = descriptors > 0 ? descriptors : DESCRIPTORS_DEFAULT;
+    return Math.max(1, (usable - DESCRIPTORS_RESERVED) / 2);
+  }
+
+  private static List<String> seeds(NodeSettings settings) {
+    return settings.seeds().stream().map(seed -> seed.getAddress().getHostAddress()).toList();
+  }
+
+  private static long nowMicros() {
+    return System.nanoTime() / 1_000;
+  }
+
+  private boolean isReady() {
+    return subscription.isReady() && !leaving;
+  }
+
+  private String metricsText() {
+    return MetricsText.of(
+        metrics,
+        forwarder.openRequests(),
+        ingress.size(),
+        pools.connections(),
+        subscription.configurationVersion());
+  }
+
+  private void learnt(SubscriptionOutput output) {
+    if (output instanceof SubscriptionOutput.Configure configure) {
+      configure(configure.configuration());
+    } else if (output instanceof SubscriptionOutput.ListBackends list) {
+      forwarder.backendsChanged(list.backends());
+    } else if (output instanceof SubscriptionOutput.Share share) {
+      forwarder.sharesChanged(share.shares());
+    } else if (output instanceof SubscriptionOutput.Report report) {
+      LOG.info(report.line());
+    }
+  }
+
+  private void configure(FleetConfiguration configuration) {
+    ingress.apply(configuration.limits());
+    forwarder.tableChanged(new RoutingTable(configuration));
+    LOG.infof("configuration %d in force", configuration.version());
+  }
+
+  /** Takes over what may change while it runs: the control agents that the settings name. */
+  public void settingsChanged(NodeSettings changed) {
+    loop.execute(() -> client.seedsChanged(seeds(changed)));
+  }
+
+  /** Where clients connect. */
+  public InetSocketAddress address() {
+    return ingress.address();
+  }
+
+  /** Where readiness is asked. */
+  public InetSocketAddress statusAddress() {
+    return status.address();
+  }
+
+  /** Leaves in order, within the grace period; returns when all is done. */
+  public void stop() {
+    loop.execute(
+        () -> {
+          if (!leaving) {
+            leaving = true;
+            LOG.infof("leaving with %d requests open", forwarder.openRequests());
+            long graceMillis = settings.bounds().gracePeriodMillis();
+            new Departure(loop, ingress, forwarder, graceMillis, this::end).begin();
+          }
+        });
+    awaitEnd();
+  }
+
+  private void end() {
+    group
+        .shutdownGracefully(0, 200, TimeUnit.MILLISECONDS)
+        .addListener(done -> ended.countDown());
+  }
+
+  /** Waits until it has ended. */
+  public void awaitEnd() {
+    try {
+      ended.await();
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/slateslip/dataplane/SettingsWatch.java
@@ -0,0 +1,72 @@
+package slateslip.dataplane;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.jboss.logging.Logger;
+import slateslip.settings.NodeSettings;
+import slateslip.settings.SettingsOutcome;
+
+/** Reads the settings file again when it has changed or when it is told to. A file that is not usable changes nothing. */
+final class SettingsWatch {
+  private static final Logger LOG = Logger.getLogger(SettingsWatch.class);
+  private static final long LOOK_MILLIS = 2_000;
+
+  private final Path file;
+  private final Consumer<NodeSettings> changed;
+  private FileTime modified;
+
+  SettingsWatch(Path file, Consumer<NodeSettings> changed) {
+    this.file = file;
+    this.changed = changed;
+    this.modified = modifiedTime();
+  }
+
+  /** Looks at the file every now and then, on a thread of its own. */
+  void start() {
+    Thread thread = new Thread(this::lookForEver, "settings");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private void lookForEver() {
+    try {
+      while (true) {
+        TimeUnit.MILLISECONDS.sleep(LOOK_MILLIS);
+        look();
+      }
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Reads the file if it has another time than before. */
+  synchronized void look() {
+    FileTime now = modifiedTime();
+    if (now != null && !now.equals(modified)) {
+      read();
+    }
+  }
+
+  /** Reads the file. */
+  synchronized void read() {
+    modified = modifiedTime();
+    SettingsOutcome outcome = NodeSettings.load(file);
+    if (outcome instanceof SettingsOutcome.Valid valid) {
+      changed.accept(valid.settings());
+    } else if (outcome instanceof SettingsOutcome.Invalid invalid) {
+      LOG.warnf("settings not taken over: %s", invalid.message());
+    }
+  }
+
+  private FileTime modifiedTime() {
+    try {
+      return Files.getLastModifiedTime(file);
+    } catch (IOException unreadable) {
+      return null;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/slateslip/dataplane/status/MetricsText.java
@@ -0,0 +1,42 @@
+package slateslip.dataplane.status;
+
+import slateslip.dataplane.DataPlaneMetrics;
+
+/** Writes metrics in the Prometheus text format. */
+public final class MetricsText {
+  private static final String PREFIX = "slateslip_dataplane_";
+
+  private final StringBuilder text = new StringBuilder();
+
+  private MetricsText() {}
+
+  /** All metrics of a data plane at this moment. */
+  public static String of(
+      DataPlaneMetrics metrics,
+      int openRequests,
+      int clientConnections,
+      int backendConnections,
+      long configurationVersion) {
+    MetricsText text = new MetricsText();
+    text.add("requests_total", "counter", metrics.requests);
+    text.add("clients_gone_total", "counter", metrics.clientsGone);
+    text.add("own_answers_total", "counter", metrics.ownAnswers);
+    text.add("broken_off_total", "counter", metrics.brokenOff);
+    text.add("streams_resumed_total", "counter", metrics.resumed);
+    text.add("events_total", "counter", metrics.events);
+    text.add("backend_connections_opened_total", "counter", metrics.dialled);
+    text.add("backend_connections_reused_total", "counter", metrics.reused);
+    text.add("surplus_answers_total", "counter", metrics.surplusAnswers);
+    text.add("bad_answers_total", "counter", metrics.badAnswers);
+    text.add("open_requests", "gauge", openRequests);
+    text.add("client_connections", "gauge", clientConnections);
+    text.add("backend_connections", "gauge", backendConnections);
+    text.add("configuration_version", "gauge", configurationVersion);
+    return text.text.toString();
+  }
+
+  private void add(String name, String type, long value) {
+    text.append("# TYPE ").append(PREFIX).append(name).append(' ').append(type).append('\n');
+    text.append(PREFIX).append(name).append(' ').append(value).append('\n');
+  }
+}
