Contract: a stream may fall silent for so long; the router tells tenants' demand

A backend that goes dark in the middle of a stream breaks no connection, and the router does not see single events: SendAttempt gets silenceTimeoutMicros, after which the attempt ends as TIMEOUT and may be resumed elsewhere. RequestRouter.demand() is what the subscription reports for the quota's shares; FleetRouter has none to tell before its quotas are wired.

--- a/src/main/java/slateslip/dataplane/DataPlane.java
+++ b/src/main/java/slateslip/dataplane/DataPlane.java
@@ -67,7 +67,7 @@
     subscription = new Subscription(identity, seeds(settings));
     client =
         new SubscriptionClient(
-            loop, subscription, settings.ports().first(), List::of, this::learnt);
+            loop, subscription, settings.ports().first(), router::demand, this::learnt);
     status =
         new StatusServer(loop, settings.readyListen(), this::isReady, this::metricsText);
     ingress = new ClientIngress(loop, settings.frontListen(), connectionsMost(), forwarder);
--- a/src/main/java/slateslip/dataplane/forwarding/Forwarder.java
+++ b/src/main/java/slateslip/dataplane/forwarding/Forwarder.java
@@ -185,7 +185,7 @@
         forwarded.attemptId,
         send.deadlineMillis(),
         send.firstEventTimeoutMicros(),
-        0);
+        send.silenceTimeoutMicros());
   }
 
   private void answer(RouterOutput.Answer answer) {
--- a/src/main/java/slateslip/routing/FleetRouter.java
+++ b/src/main/java/slateslip/routing/FleetRouter.java
@@ -17,12 +17,18 @@
 import slateslip.configuration.RoutingTable;
 import slateslip.configuration.Tenant;
 import slateslip.distribution.BackendSession;
+import slateslip.distribution.TenantDemand;
 import slateslip.routing.RouterInput.AttemptOutcome;
 
 /** The router of one data plane: life of each request, from its arrival to its one final answer. */
 public final class FleetRouter implements RequestRouter {
   private static final long MICROS_PER_MILLI = 1_000;
 
+  /** A stream is silent for too long after so many of its longest pauses, and this time at least. */
+  private static final long SILENCE_GAPS = 3;
+
+  private static final long SILENCE_LEAST_MICROS = 1_000_000;
+
   /** When a client that was turned away for want of a backend is asked to come back. */
   private static final long RETRY_AFTER_MICROS = 300_000;
 
@@ -142,6 +148,7 @@
             backend.id(),
             Math.max(1, (request.endMicros - now) / MICROS_PER_MILLI),
             0,
+            silenceTimeoutMicros(request),
             request.route.kind() == RouteKind.STREAMING
                 ? Math.min(9, request.priority())
                 : RouterOutput.NO_PRIORITY,
@@ -149,6 +156,20 @@
             request.lastEventId >= 0 ? request.lastEventId : RouterOutput.AS_SENT));
   }
 
+  /** A backend that went dark in the middle of a stream is left in time for another to go on. */
+  private static long silenceTimeoutMicros(OpenRequest request) {
+    if (!request.resumable()) {
+      return 0;
+    }
+    long millis = SILENCE_GAPS * request.route.gapAimMillis();
+    return Math.max(SILENCE_LEAST_MICROS, millis * MICROS_PER_MILLI);
+  }
+
+  @Override
+  public List<TenantDemand> demand() {
+    return List.of();
+  }
+
   private Backend pick(OpenRequest request) {
     Backend best = null;
     for (Backend backend : backends.values()) {
--- a/src/main/java/slateslip/routing/RequestRouter.java
+++ b/src/main/java/slateslip/routing/RequestRouter.java
@@ -1,6 +1,7 @@
 package slateslip.routing;
 
 import java.util.List;
+import slateslip.distribution.TenantDemand;
 
 /**
  * The decisions of one data plane: admission, placement, retries, stream recovery, health and quota.
@@ -17,4 +18,7 @@
    * @return what the host has to do now, in order; empty if nothing
    */
   List<RouterOutput> handle(long nowMicros, RouterInput input);
+
+  /** What tenants have asked for since this router was made; told to control agents. */
+  List<TenantDemand> demand();
 }
--- a/src/main/java/slateslip/routing/RouterOutput.java
+++ b/src/main/java/slateslip/routing/RouterOutput.java
@@ -15,6 +15,7 @@
    * @param backendId instance id, also sent as {@code X-Target-Instance}
    * @param deadlineMillis what is sent as {@code X-Deadline-Ms}; 0 leaves it out
    * @param firstEventTimeoutMicros until the first event or whole answer; 0 for none
+   * @param silenceTimeoutMicros longest pause between events after the first; 0 for none
    * @param priority 0 to 9, or {@link #NO_PRIORITY}
    * @param tenant what is sent as {@code X-Tenant}; null on routes without keys
    * @param resumeAfter event id to go on after ({@code Last-Event-Id}), or {@link #AS_SENT}
@@ -25,6 +26,7 @@
       String backendId,
       long deadlineMillis,
       long firstEventTimeoutMicros,
+      long silenceTimeoutMicros,
       int priority,
       String tenant,
       long resumeAfter)
--- a/src/test/java/slateslip/dataplane/PlainRouter.java
+++ b/src/test/java/slateslip/dataplane/PlainRouter.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import slateslip.distribution.BackendSession;
+import slateslip.distribution.TenantDemand;
 import slateslip.routing.RequestRouter;
 import slateslip.routing.RouterInput;
 import slateslip.routing.RouterInput.AttemptOutcome;
@@ -22,6 +23,7 @@
   boolean repeatable = true;
 
   long firstEventTimeoutMicros;
+  long silenceTimeoutMicros;
   String tenant;
   int priority = RouterOutput.NO_PRIORITY;
 
@@ -78,6 +80,7 @@
             backends.get(attempt).id(),
             requests.get(request).deadlineMillis,
             firstEventTimeoutMicros,
+            silenceTimeoutMicros,
             priority,
             tenant,
             resumeAfter));
@@ -89,6 +92,11 @@
         : List.of(new RouterOutput.Answer(request, 502, 0));
   }
 
+  @Override
+  public List<TenantDemand> demand() {
+    return List.of();
+  }
+
   /** How the attempts ended, in order. */
   synchronized List<AttemptOutcome.Kind> ends() {
     return inputs.stream()
--- a/src/test/java/slateslip/dataplane/StreamsTest.java
+++ b/src/test/java/slateslip/dataplane/StreamsTest.java
@@ -91,6 +91,27 @@
     stage.onLoop(() -> assertThat(stage.metrics.resumed, is(1L)));
   }
 
+  @Test
+  void leavesABackendThatFallsSilentInTheMiddle() throws IOException {
+    stage.router.silenceTimeoutMicros = 1_000;
+    Peer dark =
+        stage.backend(
+            (message, socket) -> {
+              Stage.beginStream(message, socket);
+              Stage.chunk(socket, events(1, 2));
+            });
+    stage.backend(
+        (message, socket) -> {
+          Stage.beginStream(message, socket);
+          Stage.chunk(socket, events(3, 4));
+          Stage.lastChunk(socket);
+        });
+    Answer answer = stage.call("a1");
+    assertThat(answer.body(), is(events(1, 4)));
+    assertThat(answer.complete(), is(true));
+    Stage.await(() -> dark.ended.size() == 1);
+  }
+
   @Test
   void sendsTheClientsOwnLastEventIdWhileNothingWasPassedOn() throws IOException {
     stage.backend(
