--- a/src/main/java/slateslip/controlplane/ControlAgent.java
+++ b/src/main/java/slateslip/controlplane/ControlAgent.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -55,6 +56,10 @@
   private final SessionService sessions;
   private final OperatorCalls calls;
   private final Map<String, Long> deliveredByPeer = new HashMap<>();
+
+  /** Peers whose whole table has been taken over. */
+  private final Set<String> copiedFrom = new HashSet<>();
+
   private final long startMicros;
   private long reportedVersion = -1;
 
@@ -256,9 +261,15 @@
   public void fromPeer(String peer, ExchangeMessage message) {
     if (message instanceof ExchangeMessage.Beat beat) {
       links.heard(peer, beat);
+      if (beat.complete() && copiedFrom.contains(peer)) {
+        table.markComplete();
+      }
       sessions.confirmed(peer, beat.echoed());
     } else if (message instanceof ExchangeMessage.SessionChanges changes) {
       sessions.merge(peer, changes);
+      if (changes.whole()) {
+        copiedFrom.add(peer);
+      }
     } else if (message instanceof ExchangeMessage.SessionRenewals renewals) {
       sessions.merge(renewals);
     } else if (message instanceof ExchangeMessage.SessionsStored stored) {
--- a/src/main/java/slateslip/dataplane/subscription/Subscription.java
+++ b/src/main/java/slateslip/dataplane/subscription/Subscription.java
@@ -40,6 +40,9 @@
 
   private static final long DEMAND_MILLIS = 250;
 
+  /** Control agents close a stream on which nothing comes for three seconds. */
+  private static final long PING_MILLIS = 1_000;
+
   private final DataPlaneIdentity identity;
   private final Map<String, ControlStream> streams = new LinkedHashMap<>();
   private final SessionTable sessions = new SessionTable();
@@ -51,6 +54,7 @@
   private long behindSinceMillis = Long.MAX_VALUE;
   private long lastTickMillis;
   private long lastDemandMillis;
+  private long lastPingMillis;
 
   /** A subscription that knows nothing yet. */
   public Subscription(DataPlaneIdentity identity, List<String> seeds) {
@@ -141,6 +145,7 @@
     closeSuperfluous(now);
     chooseActive(now);
     tellDemand(now, demand);
+    pingOthers(now);
   }
 
   private void forgiveIfHeldUp(long now) {
@@ -273,6 +278,19 @@
     }
   }
 
+  /** Shows on the streams that carry nothing else that this data plane is alive. */
+  private void pingOthers(long now) {
+    if (now - lastPingMillis < PING_MILLIS) {
+      return;
+    }
+    lastPingMillis = now;
+    for (ControlStream stream : streams.values()) {
+      if (stream.isOpen() && stream != active) {
+        send(stream, new ToControl.Ping(now));
+      }
+    }
+  }
+
   // ---- messages ----
 
   private void received(long now, SubscriptionInput.Received received) {
