--- /dev/null
+++ b/src/test/java/slateslip/controlplane/state/ConfigurationStateTest.java
@@ -0,0 +1,170 @@
+package slateslip.controlplane.state;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import slateslip.coordination.Preparation;
+import slateslip.distribution.exchange.OperatorAnswer;
+import slateslip.distribution.exchange.OperatorCall;
+import slateslip.distribution.exchange.OperatorCall.Method;
+import slateslip.protocol.exchange.AnswerCodec;
+import slateslip.protocol.exchange.ChangeCodec;
+
+/** Changes on top of the newest version, repeats of earlier ones, races, and copies of the state. */
+class ConfigurationStateTest {
+  private final ConfigurationState state = new ConfigurationState();
+
+  @Test
+  void aValidChangeIsCommittedAndKnownAgain() {
+    OperatorCall first = put(0, 3);
+    commit(first);
+    assertThat(state.version(), is(3L));
+    OperatorAnswer again = answer(first);
+    assertThat(again.status(), is(OperatorAnswer.OK));
+    assertThat(again.version(), is(3L));
+  }
+
+  @Test
+  void anEarlierChangeIsKnownAfterLaterOnes() {
+    OperatorCall first = put(0, 3);
+    commit(first);
+    commit(put(3, 5));
+    commit(patch(5, 9));
+    assertThat(answer(first).status(), is(OperatorAnswer.OK));
+    assertThat(answer(first).version(), is(3L));
+  }
+
+  @Test
+  void theSecondOfTwoOnTheSameVersionIsRefused() {
+    commit(put(0, 3));
+    commit(put(3, 5));
+    assertThat(answer(put(3, 6)).status(), is(OperatorAnswer.CONFLICT));
+    assertThat(answer(new OperatorCall(Method.PUT, 3, body(5, "other"))).status(),
+        is(OperatorAnswer.CONFLICT));
+    assertThat(state.version(), is(5L));
+  }
+
+  @Test
+  void anInvalidChangeIsRefusedWithItsReason() {
+    commit(put(0, 3));
+    assertThat(answer(put(3, 3)).status(), is(OperatorAnswer.INVALID));
+    OperatorAnswer cut = answer(new OperatorCall(Method.PUT, 3, "{\"version\":".getBytes()));
+    assertThat(cut.status(), is(OperatorAnswer.INVALID));
+    assertThat(new String(cut.body(), StandardCharsets.UTF_8), containsString("ends early"));
+  }
+
+  @Test
+  void aPatchWithoutAConfigurationIsRefused() {
+    assertThat(answer(patch(0, 3)).status(), is(OperatorAnswer.INVALID));
+  }
+
+  @Test
+  void bytesThatAreNoChangeAreRefused() {
+    assertThat(state.prepare(new byte[] {1, 2, 3}), is(instanceOf(Preparation.Answer.class)));
+  }
+
+  @Test
+  void aCopyKnowsWhatTheOriginalKnows() {
+    OperatorCall first = put(0, 3);
+    OperatorCall second = patch(3, 7);
+    commit(first);
+    commit(second);
+    ConfigurationState copy = new ConfigurationState();
+    copy.restore(state.snapshot());
+    assertThat(copy.version(), is(7L));
+    assertThat(copy.document().get().toJson(), equalTo(state.document().get().toJson()));
+    assertThat(answerOf(copy, first).status(), is(OperatorAnswer.OK));
+    assertThat(answerOf(copy, second).status(), is(OperatorAnswer.OK));
+    assertThat(copy.snapshot(), equalTo(state.snapshot()));
+  }
+
+  @Test
+  void replicasThatApplyTheSameRecordsAreTheSame() {
+    ConfigurationState follower = new ConfigurationState();
+    for (OperatorCall call : new OperatorCall[] {put(0, 3), patch(3, 7), put(7, 8)}) {
+      byte[] record = prepared(call);
+      state.apply(record);
+      follower.apply(record);
+    }
+    assertThat(follower.snapshot(), equalTo(state.snapshot()));
+  }
+
+  @Test
+  void anEmptySnapshotIsTheStateBeforeTheFirstRecord() {
+    commit(put(0, 3));
+    state.restore(new byte[0]);
+    assertThat(state.version(), is(0L));
+    commit(put(0, 3));
+    assertThat(state.version(), is(3L));
+  }
+
+  @Test
+  void patchesAreHandedOnUnderTheVersionTheyBuildOn() {
+    commit(put(0, 3));
+    commit(patch(3, 7));
+    assertThat(state.patchFrom(3).get().toVersion(), is(7L));
+    assertThat(state.patchFrom(3).get().body(), equalTo(patch(3, 7).body()));
+    assertThat(state.patchFrom(0).isPresent(), is(false));
+  }
+
+  @Test
+  void aPreparedChangeThatIsNotCommittedLeavesNoTrace() {
+    commit(put(0, 3));
+    prepared(put(3, 5));
+    commit(put(3, 6));
+    assertThat(state.version(), is(6L));
+  }
+
+  private void commit(OperatorCall call) {
+    state.apply(prepared(call));
+  }
+
+  private byte[] prepared(OperatorCall call) {
+    Preparation preparation = state.prepare(ChangeCodec.encode(call));
+    assertThat(preparation, is(instanceOf(Preparation.Change.class)));
+    return ((Preparation.Change) preparation).record();
+  }
+
+  private OperatorAnswer answer(OperatorCall call) {
+    return answerOf(state, call);
+  }
+
+  private static OperatorAnswer answerOf(ConfigurationState state, OperatorCall call) {
+    Preparation preparation = state.prepare(ChangeCodec.encode(call));
+    assertThat(preparation, is(instanceOf(Preparation.Answer.class)));
+    return AnswerCodec.decode(((Preparation.Answer) preparation).answer());
+  }
+
+  private static OperatorCall put(long base, long version) {
+    return new OperatorCall(Method.PUT, base, body(version, "r"));
+  }
+
+  private static OperatorCall patch(long base, long version) {
+    String json = "{\"version\":" + version + ",\"upsert\":{\"routes\":[" + route("added") + "]}}";
+    return new OperatorCall(Method.PATCH, base, json.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private static byte[] body(long version, String routeName) {
+    String json =
+        "{\"version\":"
+            + version
+            + ",\"routes\":["
+            + route(routeName)
+            + "],\"services\":[{\"name\":\"s\",\"health_path\":\"/health\",\"max_conns\":9}]}";
+    return json.getBytes(StandardCharsets.UTF_8);
+  }
+
+  private static String route(String name) {
+    return "{\"name\":\""
+        + name
+        + "\",\"hostname\":\"h.example\",\"path_prefix\":\"/"
+        + name
+        + "/\",\"kind\":\"idempotent\",\"timeout_ms\":500,\"target_latency_ms\":100,"
+        + "\"priority\":0,\"service\":\"s\",\"max_attempts\":1,\"public\":true}";
+  }
+}
--- /dev/null
+++ b/src/test/java/slateslip/distribution/sessions/SessionTableTest.java
@@ -0,0 +1,200 @@
+package slateslip.distribution.sessions;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsInAnyOrder;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import slateslip.distribution.BackendSession;
+import slateslip.distribution.exchange.SessionEntry;
+import slateslip.distribution.exchange.SessionRenewal;
+
+/** Sessions by order of calls, ends, reuse of addresses, expiry, and what readers are told. */
+class SessionTableTest {
+  private static final long EXPIRY = 3_600_000;
+  private static final long START = 1_000_000;
+  private static final String FIRST_ADDRESS = "10.1.0.9:8080";
+  private static final String SECOND_ADDRESS = "10.1.0.10:8080";
+
+  private final SessionTable table = new SessionTable(EXPIRY);
+
+  @Test
+  void aFirstCallRegistersAndLaterOnesRenew() {
+    assertThat(call(START, "a", FIRST_ADDRESS, 1), is(HeartbeatResult.CHANGED));
+    assertThat(call(START + 1, "a", FIRST_ADDRESS, 2), is(HeartbeatResult.RENEWED));
+    assertThat(ids(), contains("a"));
+    assertThat(table.revision(), is(1L));
+  }
+
+  @Test
+  void anOlderOrRepeatedCallChangesNothing() {
+    call(START, "a", FIRST_ADDRESS, 5);
+    table.heartbeat(START, draining("a", FIRST_ADDRESS, 6));
+    assertThat(call(START, "a", FIRST_ADDRESS, 5), is(HeartbeatResult.STALE));
+    assertThat(call(START, "a", FIRST_ADDRESS, 6), is(HeartbeatResult.STALE));
+    assertThat(table.session("a").get().draining(), is(true));
+  }
+
+  @Test
+  void drainingIsAChange() {
+    call(START, "a", FIRST_ADDRESS, 1);
+    assertThat(
+        table.heartbeat(START, draining("a", FIRST_ADDRESS, 2)), is(HeartbeatResult.CHANGED));
+    assertThat(
+        table.heartbeat(START, draining("a", FIRST_ADDRESS, 3)), is(HeartbeatResult.RENEWED));
+  }
+
+  @Test
+  void whatHasDepartedNeverComesBack() {
+    call(START, "a", FIRST_ADDRESS, 1);
+    assertThat(table.depart(START, "a"), is(true));
+    assertThat(table.depart(START, "a"), is(false));
+    assertThat(call(START, "a", FIRST_ADDRESS, 9), is(HeartbeatResult.STALE));
+    table.merge(START, entry(session("a", FIRST_ADDRESS, 10), 0, 0));
+    assertThat(ids(), is(empty()));
+    assertThat(table.departed(), contains("a"));
+  }
+
+  @Test
+  void departureOfAnUnknownBackendIsKeptAgainstItsLateCalls() {
+    table.depart(START, "a");
+    assertThat(call(START, "a", FIRST_ADDRESS, 1), is(HeartbeatResult.STALE));
+  }
+
+  @Test
+  void theNewestIncarnationAtAnAddressIsTheOnlyOne() {
+    call(START, "a", FIRST_ADDRESS, 1);
+    call(START + 1, "b", FIRST_ADDRESS, 1);
+    assertThat(ids(), contains("b"));
+    assertThat(call(START + 2, "a", FIRST_ADDRESS, 2), is(HeartbeatResult.STALE));
+    assertThat(ids(), contains("b"));
+  }
+
+  @Test
+  void anOlderIncarnationToldByAPeerDoesNotReplaceTheNewer() {
+    call(START + 1_000_000, "b", FIRST_ADDRESS, 1);
+    table.merge(START + 1_500_000, entry(session("a", FIRST_ADDRESS, 7), 1_400, 10));
+    assertThat(ids(), contains("b"));
+  }
+
+  @Test
+  void aNewerIncarnationToldByAPeerReplacesTheOlder() {
+    call(START, "a", FIRST_ADDRESS, 1);
+    table.merge(START + 1_500_000, entry(session("b", FIRST_ADDRESS, 1), 20, 10));
+    assertThat(ids(), contains("b"));
+  }
+
+  @Test
+  void anExpiredIncarnationThatCallsLateDoesNotTakeItsAddressBack() {
+    call(START, "a", FIRST_ADDRESS, 1);
+    table.expire(START + EXPIRY);
+    call(START + EXPIRY + 1, "b", FIRST_ADDRESS, 1);
+    assertThat(call(START + EXPIRY + 2, "a", FIRST_ADDRESS, 2), is(HeartbeatResult.STALE));
+    assertThat(ids(), contains("b"));
+  }
+
+  @Test
+  void aSessionExpiresAndMayComeBack() {
+    call(START, "a", FIRST_ADDRESS, 1);
+    table.expire(START + EXPIRY - 1);
+    assertThat(ids(), contains("a"));
+    table.expire(START + EXPIRY);
+    assertThat(ids(), is(empty()));
+    assertThat(call(START + EXPIRY + 1, "a", FIRST_ADDRESS, 2), is(HeartbeatResult.CHANGED));
+    assertThat(ids(), contains("a"));
+  }
+
+  @Test
+  void nothingExpiresWhileCallsMayHaveGoneUnheard() {
+    call(START, "a", FIRST_ADDRESS, 1);
+    table.holdExpiry(START + EXPIRY - 1);
+    table.expire(START + 2 * EXPIRY - 2);
+    assertThat(ids(), contains("a"));
+    table.expire(START + 2 * EXPIRY - 1);
+    assertThat(ids(), is(empty()));
+  }
+
+  @Test
+  void renewalsOfPeersKeepASessionAlive() {
+    call(START, "a", FIRST_ADDRESS, 1);
+    long later = START + EXPIRY - 1;
+    assertThat(table.merge(later, new SessionRenewal("a", 100)), is(true));
+    assertThat(table.merge(later, new SessionRenewal("unknown", 100)), is(false));
+    table.expire(START + EXPIRY);
+    assertThat(ids(), contains("a"));
+    table.expire(later - 100_000 + EXPIRY);
+    assertThat(ids(), is(empty()));
+  }
+
+  @Test
+  void aPeersEntryThatIsTooOldIsNotTaken() {
+    table.merge(START + 2 * EXPIRY, entry(session("a", FIRST_ADDRESS, 1), 9_000, 3_600));
+    assertThat(ids(), is(empty()));
+  }
+
+  @Test
+  void aBackendThatMovesKeepsItsIdAndFreesItsAddress() {
+    call(START, "a", FIRST_ADDRESS, 1);
+    assertThat(call(START, "a", SECOND_ADDRESS, 2), is(HeartbeatResult.CHANGED));
+    call(START, "b", FIRST_ADDRESS, 1);
+    assertThat(ids(), containsInAnyOrder("a", "b"));
+  }
+
+  @Test
+  void readersAreToldWhatChangedAfterTheirRevision() {
+    call(START, "a", FIRST_ADDRESS, 1);
+    long read = table.revision();
+    call(START, "b", SECOND_ADDRESS, 1);
+    table.depart(START, "a");
+    TableChange change = table.changesAfter(read).get();
+    assertThat(change.changed(), contains("b"));
+    assertThat(change.gone(), contains("a"));
+    assertThat(table.changesAfter(table.revision()).get().changed(), is(empty()));
+  }
+
+  @Test
+  void oneThatCameAndWentBetweenIsToldAsGone() {
+    long read = table.revision();
+    call(START, "a", FIRST_ADDRESS, 1);
+    table.depart(START, "a");
+    TableChange change = table.changesAfter(read).get();
+    assertThat(change.changed(), is(empty()));
+    assertThat(change.gone(), contains("a"));
+  }
+
+  @Test
+  void onceCompleteEveryReaderTakesTheWholeTable() {
+    call(START, "a", FIRST_ADDRESS, 1);
+    long read = table.revision();
+    table.markComplete();
+    assertThat(table.changesAfter(read), is(Optional.empty()));
+    assertThat(table.isComplete(), is(true));
+    long complete = table.revision();
+    table.markComplete();
+    assertThat(table.revision(), is(complete));
+  }
+
+  private HeartbeatResult call(long now, String id, String address, long sequence) {
+    return table.heartbeat(now, session(id, address, sequence));
+  }
+
+  private List<String> ids() {
+    return table.sessions().stream().map(BackendSession::id).toList();
+  }
+
+  private static BackendSession session(String id, String address, long sequence) {
+    return new BackendSession(id, "s", address, "z", "v1", 8, false, 0, sequence);
+  }
+
+  private static BackendSession draining(String id, String address, long sequence) {
+    return new BackendSession(id, "s", address, "z", "v1", 8, true, 0, sequence);
+  }
+
+  private static SessionEntry entry(BackendSession session, long registeredAge, long heardAge) {
+    return new SessionEntry(session, registeredAge, heardAge);
+  }
+}
