Routing: attempts, health, placement by kept prompt parts, quota and retry budget in place

Cause: the thin router knew neither health nor what backends keep. Requests life (FleetRouter), look-up and quota (Admission), choice and budget (Dispatcher), registrations and probes (BackendTable); BackendWatch adds suspicion to gatefront's BackendHealth; Placement orders backends by rendezvous hashing of the deepest shared part and takes the one expected to have read the prompt soonest.

--- /dev/null
+++ b/src/main/java/slateslip/routing/Admission.java
@@ -0,0 +1,94 @@
+package slateslip.routing;
+
+import java.util.Optional;
+import slateslip.configuration.Route;
+import slateslip.configuration.RoutingTable;
+import slateslip.configuration.Tenant;
+import slateslip.routing.quota.TenantQuotas;
+
+/** Whether a request is let in: by its route, its key and its tenant's quota. */
+final class Admission {
+  private static final long MICROS_PER_MILLI = 1_000;
+
+  /** When a client is asked to come back that was turned away before there is a configuration. */
+  private static final long NOT_CONFIGURED_MICROS = 300_000;
+
+  /** Least and most that a client over its quota is asked to wait. */
+  private static final long QUOTA_WAIT_LEAST_MICROS = 100_000;
+
+  private static final long QUOTA_WAIT_MOST_MICROS = 2_000_000;
+
+  /** The outcome: a request to be served, or the answer that ends it. */
+  sealed interface Verdict {
+    /** To be served. */
+    record Admitted(OpenRequest request) implements Verdict {}
+
+    /** Ended. */
+    record Refused(RouterOutput.Answer answer) implements Verdict {}
+  }
+
+  private final TenantQuotas quotas;
+
+  Admission(TenantQuotas quotas) {
+    this.quotas = quotas;
+  }
+
+  /** Judges a request by a configuration; null if there is none yet. */
+  Verdict judge(long nowMicros, RoutingTable table, RouterInput.RequestArrived arrived) {
+    if (table == null) {
+      return refused(arrived, 503, NOT_CONFIGURED_MICROS);
+    }
+    RequestFacts facts = arrived.facts();
+    Optional<Route> route = table.route(facts.host(), facts.path());
+    if (route.isEmpty()) {
+      return refused(arrived, 404, 0);
+    }
+    Tenant tenant = tenant(table, facts);
+    if (tenant == null && table.needsKeys() && !route.get().isPublic()) {
+      return refused(arrived, 401, 0);
+    }
+    long units = 0;
+    if (tenant != null) {
+      units = TenantQuotas.units(tenant, facts.promptTokens(), facts.outputTokens());
+      if (!quotas.take(tenant, units, nowMicros)) {
+        long wait = quotas.waitMicros(tenant, units, nowMicros);
+        return refused(
+            arrived,
+            429,
+            Math.min(QUOTA_WAIT_MOST_MICROS, Math.max(QUOTA_WAIT_LEAST_MICROS, wait)));
+      }
+    }
+    return new Verdict.Admitted(
+        new OpenRequest(
+            arrived, route.get(), tenant, units, nowMicros, end(nowMicros, route.get(), facts)));
+  }
+
+  /** Whether a configuration still lets a request's key use a route, as before it is sent again. */
+  static boolean stillAllowed(RoutingTable table, Route route, OpenRequest request) {
+    if (request.tenant == null) {
+      return route.isPublic() || !table.needsKeys();
+    }
+    Tenant now = tenant(table, request.facts);
+    return now != null && now.name().equals(request.tenant.name());
+  }
+
+  private static Tenant tenant(RoutingTable table, RequestFacts facts) {
+    return facts.credential() == null
+        ? null
+        : table.tenantByKey(facts.credential()).orElse(null);
+  }
+
+  private static long end(long nowMicros, Route route, RequestFacts facts) {
+    long millis = route.timeoutMillis();
+    if (facts.deadlineMillis() > 0) {
+      millis = Math.min(millis, facts.deadlineMillis());
+    }
+    return nowMicros + millis * MICROS_PER_MILLI;
+  }
+
+  private static Verdict refused(
+      RouterInput.RequestArrived arrived, int status, long retryAfterMicros) {
+    return new Verdict.Refused(
+        new RouterOutput.Answer(arrived.request(), status, retryAfterMicros));
+  }
+}
--- /dev/null
+++ b/src/main/java/slateslip/routing/Dispatcher.java
@@ -0,0 +1,156 @@
+package slateslip.routing;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import slateslip.configuration.Route;
+import slateslip.configuration.Route.WeightedService;
+import slateslip.configuration.RoutingTable;
+import slateslip.configuration.Service;
+import slateslip.routing.placement.Backend;
+import slateslip.routing.placement.Placement;
+import slateslip.routing.quota.TenantQuotas;
+import slateslip.routing.retry.RetryBounds;
+import slateslip.routing.retry.RetryBudget;
+
+/** Sends requests to backends: choice of the service and the backend, and the budget of retries. */
+final class Dispatcher {
+  private static final long MICROS_PER_MILLI = 1_000;
+
+  private final BackendTable backends;
+  private final TenantQuotas quotas;
+  private final RetryBounds retryBounds;
+  private final Map<String, RetryBudget> budgets = new HashMap<>();
+  private final SplittableRandom random;
+  private final Placement placement;
+  private final Consumer<RouterOutput> outputs;
+
+  Dispatcher(
+      RouterSettings settings,
+      BackendTable backends,
+      TenantQuotas quotas,
+      Consumer<RouterOutput> outputs) {
+    this.backends = backends;
+    this.quotas = quotas;
+    this.retryBounds = settings.retries();
+    this.random = new SplittableRandom(settings.seed());
+    this.placement = new Placement(settings.zone(), random.split());
+    this.outputs = outputs;
+  }
+
+  /** Chooses the service of a request that has just come, and counts it there. */
+  void admitted(long nowMicros, OpenRequest request) {
+    request.service = chooseService(request.route);
+    budget(request.service).request(nowMicros);
+  }
+
+  /** Sends a request to a backend if there is one that it may go to; says whether it was sent. */
+  boolean send(long nowMicros, RoutingTable table, OpenRequest request) {
+    if (!request.attemptsLeft() || !followConfiguration(table, request)) {
+      return false;
+    }
+    Service service = table.service(request.service).orElseThrow();
+    Placement.Choice choice = choose(nowMicros, service, request);
+    if (choice == null || !payRetry(nowMicros, request)) {
+      return false;
+    }
+    int number = request.attempts.size();
+    request.attempts.add(new Attempt(choice, nowMicros));
+    request.countedAttempts++;
+    if (service.engine() != null) {
+      choice
+          .backend()
+          .engine()
+          .sent(
+              request.facts.prompt(),
+              choice.newTokens(),
+              choice.readMicros(),
+              service.engine().cacheTokens(),
+              quotas.agents(),
+              nowMicros);
+    }
+    outputs.accept(
+        new RouterOutput.SendAttempt(
+            request.id,
+            number,
+            choice.backend().id(),
+            Math.max(1, (request.endMicros - nowMicros) / MICROS_PER_MILLI),
+            0,
+            service.engine() == null ? RouterOutput.NO_PRIORITY : request.priority(),
+            request.tenant == null ? null : request.tenant.name(),
+            request.lastEventId >= 0 ? request.lastEventId : RouterOutput.AS_SENT));
+    return true;
+  }
+
+  /** Whether a request could go on at another backend that nothing speaks against. */
+  boolean hasBetter(long nowMicros, OpenRequest request) {
+    return request.attemptsLeft()
+        && backends.ofService(request.service).stream()
+            .anyMatch(
+                backend ->
+                    backend.registered()
+                        && backend.watch().trusted(nowMicros)
+                        && !request.tried(backend));
+  }
+
+  /** Takes a retry's place in the budget of its service, once; says whether there was one. */
+  boolean payRetry(long nowMicros, OpenRequest request) {
+    if (!request.reached || request.retryPaid) {
+      request.retryPaid = false;
+      return true;
+    }
+    return budget(request.service).spend(nowMicros, quotas.agents());
+  }
+
+  private Placement.Choice choose(long nowMicros, Service service, OpenRequest request) {
+    List<Backend> ofService = backends.ofService(service.name());
+    Placement.Demand demand =
+        new Placement.Demand(
+            service,
+            request.facts.prompt(),
+            request.promptTokens(),
+            request.route.targetLatencyMillis() * MICROS_PER_MILLI,
+            quotas.agents());
+    return placement.pick(nowMicros, demand, ofService, backend -> !request.tried(backend));
+  }
+
+  /** A request that is sent again goes by the configuration in force now; false if it may not any more. */
+  private boolean followConfiguration(RoutingTable table, OpenRequest request) {
+    Optional<Route> route = table.route(request.facts.host(), request.facts.path());
+    if (route.isEmpty() || !Admission.stillAllowed(table, route.get(), request)) {
+      return false;
+    }
+    request.route = route.get();
+    boolean targeted =
+        request.route.targets().stream()
+            .anyMatch(
+                target -> target.weight() > 0 && target.service().equals(request.service));
+    if (!targeted) {
+      request.service = chooseService(request.route);
+    }
+    return true;
+  }
+
+  /** Draws by weight among the services that have a backend, or among all if none has. */
+  private String chooseService(Route route) {
+    List<WeightedService> serving =
+        route.targets().stream().filter(target -> backends.serves(target.service())).toList();
+    List<WeightedService> targets =
+        serving.stream().anyMatch(target -> target.weight() > 0) ? serving : route.targets();
+    int drawn = random.nextInt(targets.stream().mapToInt(WeightedService::weight).sum());
+    for (WeightedService target : targets) {
+      drawn -= target.weight();
+      if (drawn < 0) {
+        return target.service();
+      }
+    }
+    throw new IllegalStateException("no weights in route " + route.name());
+  }
+
+  private RetryBudget budget(String service) {
+    return budgets.computeIfAbsent(service, name -> new RetryBudget(retryBounds));
+  }
+}
--- a/src/main/java/slateslip/routing/FleetRouter.java
+++ b/src/main/java/slateslip/routing/FleetRouter.java
@@ -3,170 +3,123 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.PriorityQueue;
-import java.util.Set;
-import java.util.SplittableRandom;
-import slateslip.configuration.Route;
-import slateslip.configuration.Route.WeightedService;
-import slateslip.configuration.RouteKind;
 import slateslip.configuration.RoutingTable;
-import slateslip.configuration.Tenant;
-import slateslip.distribution.BackendSession;
+import slateslip.distribution.TenantDemand;
 import slateslip.routing.RouterInput.AttemptOutcome;
+import slateslip.routing.health.BackendWatch;
+import slateslip.routing.placement.Backend;
+import slateslip.routing.quota.QuotaBounds;
+import slateslip.routing.quota.TenantQuotas;
+import slateslip.routing.retry.RetryBounds;
 
 /** The router of one data plane: life of each request, from its arrival to its one final answer. */
 public final class FleetRouter implements RequestRouter {
-  private static final long MICROS_PER_MILLI = 1_000;
-
   /** When a client that was turned away for want of a backend is asked to come back. */
-  private static final long RETRY_AFTER_MICROS = 300_000;
+  private static final long RETRY_AFTER_MICROS = 100_000;
+
+  /** How often probes that are due and answers that are overdue are looked at. */
+  private static final long TICK_MICROS = 50_000;
+
+  /** An answer is overdue this long after it was expected; then its backend is probed. */
+  private static final long OVERDUE_MICROS = 250_000;
 
-  private final String zone;
-  private final SplittableRandom random;
-  private final Map<String, Backend> backends = new LinkedHashMap<>();
+  /** A stream that runs for so long with nothing else heard from its backend makes it be probed. */
+  private static final long STREAM_DOUBT_MICROS = 1_000_000;
+
+  private final RouterSettings settings;
+  private final BackendTable backends = new BackendTable();
   private final Map<Long, OpenRequest> open = new HashMap<>();
   private final PriorityQueue<OpenRequest> byEnd =
       new PriorityQueue<>(Comparator.comparingLong(request -> request.endMicros));
+  private TenantQuotas quotas;
+  private Admission admission;
+  private Dispatcher dispatcher;
   private List<RouterOutput> outputs = new ArrayList<>();
   private RoutingTable table;
+  private long nextTick = Long.MIN_VALUE;
+
+  /** A router within these bounds that knows no configuration and no backend yet. */
+  public FleetRouter(RouterSettings settings) {
+    this.settings = settings;
+  }
 
   /**
-   * A router that knows no configuration and no backend yet.
+   * A router within the default bounds that knows no configuration and no backend yet.
    *
    * @param zone the zone of this data plane
    * @param seed of its random choices
    */
   public FleetRouter(String zone, long seed) {
-    this.zone = zone;
-    this.random = new SplittableRandom(seed);
+    this(new RouterSettings(zone, seed, RetryBounds.DEFAULT, QuotaBounds.DEFAULT));
   }
 
   @Override
   public List<RouterOutput> handle(long nowMicros, RouterInput input) {
     outputs = new ArrayList<>();
+    if (quotas == null) {
+      begin(nowMicros);
+    }
+    take(nowMicros, input);
+    expire(nowMicros);
+    if (nowMicros >= nextTick) {
+      tick(nowMicros);
+    }
+    return outputs;
+  }
+
+  @Override
+  public List<TenantDemand> demand() {
+    return quotas == null ? List.of() : quotas.demand();
+  }
+
+  private void begin(long nowMicros) {
+    quotas = new TenantQuotas(settings.quotas(), nowMicros);
+    admission = new Admission(quotas);
+    dispatcher = new Dispatcher(settings, backends, quotas, output -> outputs.add(output));
+  }
+
+  private void take(long now, RouterInput input) {
     if (input instanceof RouterInput.TableChanged changed) {
       table = changed.table();
+      quotas.tenants(table.configuration().tenants());
     } else if (input instanceof RouterInput.BackendsChanged changed) {
-      backendsChanged(changed.backends());
+      backends.registrations(now, changed.backends());
+    } else if (input instanceof RouterInput.SharesChanged changed) {
+      quotas.shares(changed.shares(), now);
     } else if (input instanceof RouterInput.RequestArrived arrived) {
-      arrived(nowMicros, arrived);
+      arrived(now, arrived);
     } else if (input instanceof RouterInput.ClientGone gone) {
       clientGone(gone.request());
     } else if (input instanceof RouterInput.AttemptStarted started) {
-      attemptStarted(started.request());
+      attemptStarted(now, started);
     } else if (input instanceof RouterInput.AttemptEnded ended) {
-      attemptEnded(nowMicros, ended);
+      attemptEnded(now, ended);
+    } else if (input instanceof RouterInput.ProbeEnded ended) {
+      backends.probeEnded(now, ended);
     }
-    expire(nowMicros);
-    return outputs;
-  }
-
-  private void backendsChanged(List<BackendSession> sessions) {
-    Set<String> present = new HashSet<>();
-    for (BackendSession session : sessions) {
-      present.add(session.id());
-      backends.computeIfAbsent(session.id(), id -> new Backend(session)).session = session;
-    }
-    backends.values().forEach(backend -> backend.gone = !present.contains(backend.id()));
-    backends.values().removeIf(backend -> backend.gone && backend.inFlight == 0);
   }
 
   private void arrived(long now, RouterInput.RequestArrived arrived) {
-    RequestFacts facts = arrived.facts();
-    if (table == null) {
-      outputs.add(new RouterOutput.Answer(arrived.request(), 503, RETRY_AFTER_MICROS));
-      return;
-    }
-    Optional<Route> route = table.route(facts.host(), facts.path());
-    if (route.isEmpty()) {
-      outputs.add(new RouterOutput.Answer(arrived.request(), 404, 0));
+    Admission.Verdict verdict = admission.judge(now, table, arrived);
+    if (verdict instanceof Admission.Verdict.Refused refused) {
+      outputs.add(refused.answer());
       return;
     }
-    Tenant tenant =
-        facts.credential() == null ? null : table.tenantByKey(facts.credential()).orElse(null);
-    if (tenant == null && table.needsKeys() && !route.get().isPublic()) {
-      outputs.add(new RouterOutput.Answer(arrived.request(), 401, 0));
-      return;
-    }
-    accept(now, arrived.request(), facts, route.get(), tenant);
-  }
-
-  private void accept(long now, long id, RequestFacts facts, Route route, Tenant tenant) {
-    long millis = route.timeoutMillis();
-    if (facts.deadlineMillis() > 0) {
-      millis = Math.min(millis, facts.deadlineMillis());
-    }
-    OpenRequest request =
-        new OpenRequest(
-            id, facts, route, chooseService(route), tenant, now, now + millis * MICROS_PER_MILLI);
-    open.put(id, request);
+    OpenRequest request = ((Admission.Verdict.Admitted) verdict).request();
+    open.put(request.id, request);
     byEnd.add(request);
     outputs.add(new RouterOutput.WakeAt(request.endMicros));
+    dispatcher.admitted(now, request);
     send(now, request);
   }
 
-  private String chooseService(Route route) {
-    int total = route.targets().stream().mapToInt(WeightedService::weight).sum();
-    int drawn = random.nextInt(total);
-    for (WeightedService target : route.targets()) {
-      drawn -= target.weight();
-      if (drawn < 0) {
-        return target.service();
-      }
-    }
-    throw new IllegalStateException("weights of route " + route.name() + " changed");
-  }
-
-  /** Sends it to a backend, or gives the final answer if there is none. */
   private void send(long now, OpenRequest request) {
-    Backend backend =
-        request.countedAttempts < request.route.maxAttempts() ? pick(request) : null;
-    if (backend == null) {
+    if (!dispatcher.send(now, table, request)) {
       giveUp(request);
-      return;
-    }
-    int attempt = request.attempts.size();
-    request.attempts.add(new OpenRequest.Attempt(backend, now));
-    request.tried.add(backend.id());
-    request.countedAttempts++;
-    backend.inFlight++;
-    outputs.add(
-        new RouterOutput.SendAttempt(
-            request.id,
-            attempt,
-            backend.id(),
-            Math.max(1, (request.endMicros - now) / MICROS_PER_MILLI),
-            0,
-            request.route.kind() == RouteKind.STREAMING
-                ? Math.min(9, request.priority())
-                : RouterOutput.NO_PRIORITY,
-            request.tenant == null ? null : request.tenant.name(),
-            request.lastEventId >= 0 ? request.lastEventId : RouterOutput.AS_SENT));
-  }
-
-  private Backend pick(OpenRequest request) {
-    Backend best = null;
-    for (Backend backend : backends.values()) {
-      boolean eligible =
-          backend.registered()
-              && backend.session.service().equals(request.service)
-              && !request.tried.contains(backend.id());
-      if (eligible && (best == null || better(backend, best))) {
-        best = backend;
-      }
     }
-    return best;
-  }
-
-  private boolean better(Backend one, Backend other) {
-    boolean oneNear = one.session.zone().equals(zone);
-    boolean otherNear = other.session.zone().equals(zone);
-    return oneNear == otherNear ? one.inFlight < other.inFlight : oneNear;
   }
 
   /** Nothing more can be tried: a promise if nothing has run, none otherwise. */
@@ -181,10 +134,11 @@
     finish(request);
   }
 
-  private void attemptStarted(long id) {
-    OpenRequest request = open.get(id);
+  private void attemptStarted(long now, RouterInput.AttemptStarted started) {
+    OpenRequest request = open.get(started.request());
     if (request != null) {
       request.started = true;
+      request.attempts.get(started.attempt()).start(now);
     }
   }
 
@@ -193,39 +147,35 @@
     if (request == null) {
       return;
     }
-    OpenRequest.Attempt attempt = request.attempts.get(ended.attempt());
-    attempt.ended = true;
-    attempt.backend.inFlight--;
+    Attempt attempt = request.attempts.get(ended.attempt());
+    attempt.end(now);
+    learn(now, attempt, ended);
+    AttemptOutcome.Kind kind = ended.outcome().kind();
     request.mayHaveRun |= ended.outcome().mayHaveRun();
+    request.reached |= kind != AttemptOutcome.Kind.NOT_SENT;
     request.lastEventId = Math.max(request.lastEventId, ended.lastEventId());
+    if (kind == AttemptOutcome.Kind.NOT_SENT || kind == AttemptOutcome.Kind.OTHER_INSTANCE) {
+      request.countedAttempts--;
+    }
     if (!request.answered) {
       decide(now, request, ended);
     }
-    if (request.answered && !request.attemptOut()) {
-      open.remove(request.id);
-    }
+    close(request);
   }
 
   private void decide(long now, OpenRequest request, RouterInput.AttemptEnded ended) {
-    AttemptOutcome.Kind kind = ended.outcome().kind();
-    switch (kind) {
+    switch (ended.outcome().kind()) {
       case SUCCESS -> finish(request);
       case ERROR_ANSWER -> {
         outputs.add(new RouterOutput.RelayError(request.id, ended.attempt()));
         finish(request);
       }
-      case NOT_SENT -> {
-        request.countedAttempts--;
+      case NOT_SENT, NOT_EXECUTED, OTHER_INSTANCE -> {
+        // An earlier attempt may have run, but then the request is repeatable.
         send(now, request);
       }
-      case OTHER_INSTANCE -> {
-        request.countedAttempts--;
-        request.attempts.get(ended.attempt()).backend.gone = true;
-        send(now, request);
-      }
-      case NOT_EXECUTED -> send(now, request);
       case BROKEN, TIMEOUT, CANCELLED -> {
-        if (request.repeatable() && (!request.started || request.resumable())) {
+        if (request.repeatable()) {
           send(now, request);
         } else {
           giveUp(request);
@@ -234,6 +184,25 @@
     }
   }
 
+  private void learn(long now, Attempt attempt, RouterInput.AttemptEnded ended) {
+    Backend backend = attempt.backend();
+    BackendWatch watch = backend.watch();
+    BackendTable.told(now, backend, ended.load());
+    switch (ended.outcome().kind()) {
+      case SUCCESS, ERROR_ANSWER -> watch.answered(now);
+      case NOT_EXECUTED -> watch.heard(now);
+      case OTHER_INSTANCE -> backend.replaced();
+      case NOT_SENT -> watch.connectFailed(now, backends.peers(backend));
+      case BROKEN -> watch.broke(now, backends.peers(backend));
+      case TIMEOUT -> watch.timedOut(now, attempt.sentMicros(), backends.peers(backend));
+      case CANCELLED -> {
+        if (attempt.abandoned()) {
+          watch.timedOut(now, attempt.sentMicros(), backends.peers(backend));
+        }
+      }
+    }
+  }
+
   private void clientGone(long id) {
     OpenRequest request = open.get(id);
     if (request != null && !request.answered) {
@@ -246,30 +215,82 @@
   private void expire(long now) {
     while (!byEnd.isEmpty() && (byEnd.peek().answered || byEnd.peek().endMicros <= now)) {
       OpenRequest request = byEnd.poll();
-      if (request.answered) {
+      if (!request.answered) {
+        cancelAll(request);
+        outputs.add(
+            request.started
+                ? new RouterOutput.Break(request.id)
+                : new RouterOutput.Answer(request.id, 504, 0));
+        finish(request);
+      }
+    }
+  }
+
+  private void tick(long now) {
+    nextTick = now + TICK_MICROS;
+    outputs.add(new RouterOutput.WakeAt(nextTick));
+    for (OpenRequest request : open.values()) {
+      if (!request.answered) {
+        checkOverdue(now, request);
+      }
+    }
+    outputs.addAll(backends.probes(now));
+  }
+
+  /** Has a silent backend probed, and leaves it with what can go on elsewhere once it seems down. */
+  private void checkOverdue(long now, OpenRequest request) {
+    for (int number = 0; number < request.attempts.size(); number++) {
+      Attempt attempt = request.attempts.get(number);
+      if (attempt.ended() || attempt.abandoned()) {
         continue;
       }
-      cancelAll(request);
-      if (request.started) {
-        outputs.add(new RouterOutput.Break(request.id));
-      } else {
-        outputs.add(new RouterOutput.Answer(request.id, 504, 0));
+      BackendWatch watch = attempt.backend().watch();
+      long silent = now - Math.max(attempt.sentMicros(), watch.heardMicros());
+      long patience =
+          attempt.started() ? STREAM_DOUBT_MICROS : OVERDUE_MICROS + attempt.expectedMicros();
+      if (silent < patience) {
+        continue;
       }
-      finish(request);
+      if (!watch.suspected()) {
+        watch.doubt();
+      } else if (mayMove(now, request)) {
+        attempt.abandon();
+        outputs.add(new RouterOutput.CancelAttempt(request.id, number));
+      }
+    }
+  }
+
+  private boolean mayMove(long now, OpenRequest request) {
+    if (!request.repeatable() || !dispatcher.hasBetter(now, request)) {
+      return false;
     }
+    request.reached = true;
+    boolean paid = dispatcher.payRetry(now, request);
+    request.retryPaid = paid;
+    return paid;
   }
 
   private void cancelAll(OpenRequest request) {
-    for (int i = 0; i < request.attempts.size(); i++) {
-      if (!request.attempts.get(i).ended) {
-        outputs.add(new RouterOutput.CancelAttempt(request.id, i));
+    for (int number = 0; number < request.attempts.size(); number++) {
+      Attempt attempt = request.attempts.get(number);
+      if (!attempt.ended() && !attempt.abandoned()) {
+        outputs.add(new RouterOutput.CancelAttempt(request.id, number));
       }
     }
   }
 
+  /** The final answer is given, or no longer owed. */
   private void finish(OpenRequest request) {
     request.answered = true;
-    if (!request.attemptOut()) {
+    boolean unused = !request.mayHaveRun && !request.attemptOut();
+    if (unused && request.tenant != null) {
+      quotas.giveBack(request.tenant, request.units);
+    }
+    close(request);
+  }
+
+  private void close(OpenRequest request) {
+    if (request.answered && !request.attemptOut()) {
       open.remove(request.id);
     }
   }
--- a/src/main/java/slateslip/routing/OpenRequest.java
+++ b/src/main/java/slateslip/routing/OpenRequest.java
@@ -1,53 +1,51 @@
 package slateslip.routing;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import slateslip.configuration.Route;
 import slateslip.configuration.RouteKind;
 import slateslip.configuration.Tenant;
+import slateslip.routing.placement.Backend;
 
 /** A request that is not finished: its final answer is owed, or an attempt of it has not ended. */
 final class OpenRequest {
-  /** One attempt; its index in {@link #attempts} is its number. */
-  static final class Attempt {
-    final Backend backend;
-    final long sentMicros;
-    boolean ended;
-
-    Attempt(Backend backend, long sentMicros) {
-      this.backend = backend;
-      this.sentMicros = sentMicros;
-    }
-  }
+  /** Lowest rank that a backend knows. */
+  private static final int PRIORITY_LOWEST = 9;
 
   /** Identifies the request between router and host. */
   final long id;
 
   final RequestFacts facts;
-  final Route route;
 
-  /** Service chosen among the route's targets. */
-  final String service;
-
-  /** Tenant of the key; null on routes without keys. */
+  /** Tenant of the key; null if there is none. */
   final Tenant tenant;
 
+  /** What it counts as in the tenant's quota. */
+  final long units;
+
   final long arrivedMicros;
 
   /** When the route's time-out or the client's deadline is reached. */
   final long endMicros;
 
-  final List<Attempt> attempts = new ArrayList<>();
+  /** Its route in the configuration in force when it was last sent. */
+  Route route;
+
+  /** Service chosen among the route's targets. */
+  String service;
 
-  /** Ids of the backends that were tried. */
-  final Set<String> tried = new HashSet<>();
+  final List<Attempt> attempts = new ArrayList<>();
 
   /** Attempts that count against the route's {@code max_attempts}. */
   int countedAttempts;
 
-  /** Whether an attempt's answer has begun to be passed on. */
+  /** Whether a backend has received it: whatever follows is a retry. */
+  boolean reached;
+
+  /** Whether a retry's place in the budget is taken already. */
+  boolean retryPaid;
+
+  /** Whether an answer has begun to be passed on. */
   boolean started;
 
   /** Whether a backend may have worked on it. */
@@ -60,25 +58,24 @@
   long lastEventId = -1;
 
   OpenRequest(
-      long id,
-      RequestFacts facts,
+      RouterInput.RequestArrived arrived,
       Route route,
-      String service,
       Tenant tenant,
+      long units,
       long arrivedMicros,
       long endMicros) {
-    this.id = id;
-    this.facts = facts;
+    this.id = arrived.request();
+    this.facts = arrived.facts();
     this.route = route;
-    this.service = service;
     this.tenant = tenant;
+    this.units = units;
     this.arrivedMicros = arrivedMicros;
     this.endMicros = endMicros;
   }
 
-  /** Whether it may run more than once. */
+  /** Whether it may be sent again after an attempt that may have run. */
   boolean repeatable() {
-    return route.kind() == RouteKind.IDEMPOTENT || resumable();
+    return resumable() || route.kind() == RouteKind.IDEMPOTENT && !started;
   }
 
   /** Whether its stream may be taken up at another backend. */
@@ -86,13 +83,32 @@
     return route.kind() == RouteKind.STREAMING && route.resumable();
   }
 
+  /** Whether the route permits one more backend. */
+  boolean attemptsLeft() {
+    return countedAttempts < route.maxAttempts();
+  }
+
   /** Whether an attempt has not ended yet. */
   boolean attemptOut() {
-    return attempts.stream().anyMatch(attempt -> !attempt.ended);
+    return attempts.stream().anyMatch(attempt -> !attempt.ended());
   }
 
-  /** Priority told to the backend: the tenant's if it has one, else the route's. */
+  /** Whether it was sent to a backend before. */
+  boolean tried(Backend backend) {
+    return attempts.stream().anyMatch(attempt -> attempt.backend() == backend);
+  }
+
+  /** Rank told to the backend: the tenant's if it has one, else the route's. */
   int priority() {
-    return tenant != null && tenant.priority() >= 0 ? tenant.priority() : route.priority();
+    int rank = tenant != null && tenant.priority() >= 0 ? tenant.priority() : route.priority();
+    return Math.max(0, Math.min(PRIORITY_LOWEST, rank));
+  }
+
+  /** All tokens of its prompt. */
+  long promptTokens() {
+    if (facts.promptTokens() >= 0) {
+      return facts.promptTokens();
+    }
+    return facts.prompt().stream().mapToLong(RequestFacts.PromptPart::tokens).sum();
   }
 }
--- a/src/main/java/slateslip/routing/RequestRouter.java
+++ b/src/main/java/slateslip/routing/RequestRouter.java
@@ -1,6 +1,7 @@
 package slateslip.routing;
 
 import java.util.List;
+import slateslip.distribution.TenantDemand;
 
 /**
  * The decisions of one data plane: admission, placement, retries, stream recovery, health and quota.
@@ -17,4 +18,9 @@
    * @return what the host has to do now, in order; empty if nothing
    */
   List<RouterOutput> handle(long nowMicros, RouterInput input);
+
+  /** What each tenant has asked for here since the start, for the control plane to divide quotas by. */
+  default List<TenantDemand> demand() {
+    return List.of();
+  }
 }
--- /dev/null
+++ b/src/main/java/slateslip/routing/health/BackendWatch.java
@@ -0,0 +1,191 @@
+package slateslip.routing.health;
+
+import gatefront.policy.BackendHealth;
+import gatefront.policy.HealthParameters;
+import java.util.Collection;
+
+/**
+ * Health of one backend: the active and passive states of {@link BackendHealth}, when it is to be probed, and
+ * suspicion, which is faster than both.
+ *
+ * <p>A backend is suspected as soon as it cannot be connected to, breaks two answers in a row, or leaves a
+ * probe without a reply while nothing else comes from it. A suspected backend is no first choice, and is
+ * probed often, until anything is heard from it. All times are in microseconds.
+ */
+public final class BackendWatch {
+  /** Without traffic a backend is probed this often; a probe costs 0.006 to 0.0082 of a request's worth. */
+  static final long IDLE_PROBE_MICROS = 8_000_000;
+
+  /** A suspected or unhealthy one is probed this often: crashes last about 4 s. */
+  static final long SUSPECT_PROBE_MICROS = 400_000;
+
+  /** A probe of a backend with a free slot is answered in some ms; after this its silence is a sign. */
+  static final long PROBE_SILENT_MICROS = 250_000;
+
+  /** Broken answers in a row that raise suspicion: in troubled networks one in thirty breaks by itself. */
+  private static final int BROKEN_IN_ROW = 2;
+
+  /**
+   * YARP's defaults but for two. Reactivation: crashes here last about 4 s, and probes find what stays down.
+   * Deviations: what fails at all backends alike is no fault of one.
+   */
+  static final HealthParameters PARAMETERS =
+      new HealthParameters(2, 60_000_000, 10, 0.3, 1, 5_000_000);
+
+  private final BackendHealth health = new BackendHealth(PARAMETERS);
+  private long heardMicros;
+  private long probeSentMicros;
+  private boolean probeOut;
+  private boolean probeWanted;
+  private boolean suspected;
+  private int brokenInRow;
+
+  /** Of a backend that was registered at this time. */
+  public BackendWatch(long nowMicros) {
+    heardMicros = nowMicros;
+    probeSentMicros = nowMicros;
+  }
+
+  /** Available unless the active or the passive state is Unhealthy. */
+  public boolean available(long nowMicros) {
+    health.reactivateIfDue(nowMicros);
+    return health.available();
+  }
+
+  /** Whether it is available and nothing speaks against it. */
+  public boolean trusted(long nowMicros) {
+    return available(nowMicros) && !suspected;
+  }
+
+  /** Whether it is suspected to be down. */
+  public boolean suspected() {
+    return suspected;
+  }
+
+  /** When anything was last heard from it. */
+  public long heardMicros() {
+    return heardMicros;
+  }
+
+  /** Anything came from it: it lives. */
+  public void heard(long nowMicros) {
+    heardMicros = nowMicros;
+    suspected = false;
+  }
+
+  /** A request ended with an answer of its own. */
+  public void answered(long nowMicros) {
+    heard(nowMicros);
+    brokenInRow = 0;
+    health.requestEnded(nowMicros, false);
+  }
+
+  /** It could not be connected to. */
+  public void connectFailed(long nowMicros, Collection<BackendHealth> peers) {
+    suspect();
+    failed(nowMicros, peers);
+  }
+
+  /** A connection broke, or what came was no answer. */
+  public void broke(long nowMicros, Collection<BackendHealth> peers) {
+    brokenInRow++;
+    if (brokenInRow >= BROKEN_IN_ROW) {
+      suspect();
+    }
+    probeWanted = true;
+    failed(nowMicros, peers);
+  }
+
+  /** A request had no answer in its time. */
+  public void timedOut(long nowMicros, long sentMicros, Collection<BackendHealth> peers) {
+    if (heardMicros < sentMicros) {
+      suspect();
+    }
+    failed(nowMicros, peers);
+  }
+
+  /** A request has waited for long, with nothing heard since; a probe tells a slow backend from a dead one. */
+  public void doubt() {
+    probeWanted = true;
+  }
+
+  /** Whether it is to be probed now. */
+  public boolean probeDue(long nowMicros) {
+    if (probeOut) {
+      return false;
+    }
+    long sinceProbe = nowMicros - probeSentMicros;
+    if (suspected || probeWanted || !health.available()) {
+      return sinceProbe >= SUSPECT_PROBE_MICROS;
+    }
+    return sinceProbe >= IDLE_PROBE_MICROS && nowMicros - heardMicros >= IDLE_PROBE_MICROS;
+  }
+
+  /** A probe goes out. */
+  public void probeSent(long nowMicros) {
+    probeOut = true;
+    probeWanted = false;
+    probeSentMicros = nowMicros;
+  }
+
+  /** Looks whether a probe stays without reply, and says whether suspicion is new. */
+  public boolean checkSilence(long nowMicros) {
+    boolean silent =
+        probeOut
+            && nowMicros - probeSentMicros >= PROBE_SILENT_MICROS
+            && heardMicros <= probeSentMicros;
+    if (!silent || suspected) {
+      return false;
+    }
+    suspect();
+    return true;
+  }
+
+  /** A probe was answered well. */
+  public void probeSucceeded(long nowMicros) {
+    probeOut = false;
+    brokenInRow = 0;
+    heard(nowMicros);
+    health.probeSucceeded();
+  }
+
+  /** A probe was turned away because the backend is full: it lives. */
+  public void probeTurnedAway(long nowMicros) {
+    probeOut = false;
+    heard(nowMicros);
+    health.probeInconclusive();
+  }
+
+  /** A probe was answered badly, or its connection failed. */
+  public void probeFailed() {
+    probeOut = false;
+    suspect();
+    health.probeFailed();
+  }
+
+  /** A probe had no reply in time. Danger: probes wait for a slot; what has answered others is only busy. */
+  public void probeTimedOut() {
+    probeOut = false;
+    if (heardMicros > probeSentMicros) {
+      health.probeInconclusive();
+    } else {
+      suspect();
+      health.probeFailed();
+    }
+  }
+
+  /** The states of its health, for peers to be compared with. */
+  public BackendHealth health() {
+    return health;
+  }
+
+  private void suspect() {
+    suspected = true;
+    probeWanted = true;
+  }
+
+  private void failed(long nowMicros, Collection<BackendHealth> peers) {
+    health.requestEnded(nowMicros, true);
+    health.ejectIfFailing(nowMicros, peers);
+  }
+}
--- /dev/null
+++ b/src/main/java/slateslip/routing/placement/Backend.java
@@ -0,0 +1,127 @@
+package slateslip.routing.placement;
+
+import gatefront.policy.RendezvousHash;
+import slateslip.distribution.BackendSession;
+import slateslip.routing.health.BackendWatch;
+
+/** What this data plane knows of one incarnation of a backend. */
+public final class Backend {
+  /** Time in which what a backend told of its load falls to 1/e: about an answer's time. */
+  private static final double LOAD_FADE_MICROS = 300_000;
+
+  private final long hash;
+  private final BackendWatch watch;
+  private final EngineModel engine = new EngineModel();
+  private BackendSession session;
+  private boolean listed = true;
+  private boolean replaced;
+  private int inFlight;
+  private int awaiting;
+  private int toldRequests;
+  private long toldMicros;
+
+  /** A backend that was registered at this time. */
+  public Backend(BackendSession session, long nowMicros) {
+    this.session = session;
+    this.watch = new BackendWatch(nowMicros);
+    long seed = 0;
+    for (int i = 0; i < session.id().length(); i++) {
+      seed = seed * 31 + session.id().charAt(i);
+    }
+    this.hash = seed;
+  }
+
+  /** Its incarnation id. */
+  public String id() {
+    return session.id();
+  }
+
+  /** Its newest registration. */
+  public BackendSession session() {
+    return session;
+  }
+
+  /** Takes over a newer registration. */
+  public void registered(BackendSession newer) {
+    session = newer;
+    listed = true;
+  }
+
+  /** Its registration was withdrawn. */
+  public void withdrawn() {
+    listed = false;
+  }
+
+  /** Another instance was met at its address. */
+  public void replaced() {
+    replaced = true;
+  }
+
+  /** Whether new requests may be sent to it at all. */
+  public boolean registered() {
+    return listed && !replaced && !session.draining();
+  }
+
+  /** Whether nothing of it is left to keep. */
+  public boolean forgettable() {
+    return !listed && inFlight == 0;
+  }
+
+  /** Whether it is in the list of registrations. */
+  public boolean listed() {
+    return listed;
+  }
+
+  /** Its health. */
+  public BackendWatch watch() {
+    return watch;
+  }
+
+  /** What is believed of its engine; of use only for model services. */
+  public EngineModel engine() {
+    return engine;
+  }
+
+  /** Weight in the order in which all data planes turn to backends with a key. */
+  public long weight(long key) {
+    return RendezvousHash.weight(key, hash);
+  }
+
+  /** Own requests that have not ended there. */
+  public int inFlight() {
+    return inFlight;
+  }
+
+  /** Whether own requests there wait for their first event or answer. */
+  public boolean someAwait() {
+    return awaiting > 0;
+  }
+
+  /** A request is sent to it. */
+  public void sent() {
+    inFlight++;
+    awaiting++;
+  }
+
+  /** The first event of a request has come, or it has ended without. */
+  public void noLongerAwaiting() {
+    awaiting--;
+  }
+
+  /** A request has ended. */
+  public void ended() {
+    inFlight--;
+  }
+
+  /** It told how many requests run and wait there. */
+  public void told(int requests, long nowMicros) {
+    toldRequests = requests;
+    toldMicros = nowMicros;
+  }
+
+  /** Requests there as far as known: own ones, and what it told while that is fresh. */
+  public double load(long nowMicros) {
+    double fade = Math.exp((toldMicros - nowMicros) / LOAD_FADE_MICROS);
+    return Math.max(inFlight, toldRequests * fade);
+  }
+}
--- /dev/null
+++ b/src/main/java/slateslip/routing/placement/Placement.java
@@ -0,0 +1,177 @@
+package slateslip.routing.placement;
+
+import gatefront.policy.TwoRandomChoices;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
+import slateslip.configuration.Service;
+import slateslip.routing.RequestFacts.PromptPart;
+
+/**
+ * Picks the backend of a request.
+ *
+ * <p>Ordinary path: two random draws in the own zone, and the one with fewer requests in flight; other zones
+ * only when the own has no room. For prompts, kept parts go first: all data planes order the backends of a
+ * service alike by the hash of the deepest shared part, and of the first few the one is taken that will have
+ * read the prompt soonest.
+ */
+public final class Placement {
+  /** Backends of a key that are looked at first. */
+  private static final int FIRST_CHOICES = 2;
+
+  /** Part of the objective over which, at all first choices, the other backends are looked at too. */
+  private static final double SPILL_PART = 0.4;
+
+  /**
+   * Part of the shared tokens that a key's first backend is taken to keep though this data plane has not sent
+   * them there: the others have.
+   */
+  private static final double KEPT_BY_OTHERS = 0.7;
+
+  /** Time that staying in the zone is worth: 17 KB at 1,400 per GB cost 0.024, of a worth of 1 to 3. */
+  private static final long OWN_ZONE_MICROS = 8_000;
+
+  /** Part of its slots in use above which a backend of the own zone is full. */
+  private static final double ROOM_PART = 0.8;
+
+  private final String zone;
+  private final RandomGenerator random;
+
+  /**
+   * What is to be placed.
+   *
+   * @param service its service
+   * @param prompt parts of its prompt; empty if it has none
+   * @param promptTokens all of them, as told or added up
+   * @param objectiveMicros within which an answer earns its full worth
+   * @param agents data planes that send to the same backends
+   */
+  public record Demand(
+      Service service,
+      List<PromptPart> prompt,
+      long promptTokens,
+      long objectiveMicros,
+      int agents) {
+    long memoryTokens() {
+      return service.engine().cacheTokens();
+    }
+  }
+
+  /**
+   * A choice.
+   *
+   * @param backend the backend
+   * @param newTokens tokens that it will have to read; 0 if there is no prompt
+   * @param readMicros time for reading them
+   * @param firstMicros expected until the first event; 0 if nothing is known of it
+   */
+  public record Choice(Backend backend, long newTokens, long readMicros, long firstMicros) {}
+
+  /** Places requests for a data plane in this zone. */
+  public Placement(String zone, RandomGenerator random) {
+    this.zone = zone;
+    this.random = random;
+  }
+
+  /**
+   * Picks among backends.
+   *
+   * @param backends of the service, in any order; not empty
+   * @param permitted those that may be sent to at all
+   * @return the choice; null if none is permitted
+   */
+  public Choice pick(
+      long nowMicros, Demand demand, List<Backend> backends, Predicate<Backend> permitted) {
+    List<Backend> open = new ArrayList<>();
+    for (Backend backend : backends) {
+      if (backend.registered() && permitted.test(backend)) {
+        open.add(backend);
+      }
+    }
+    List<Backend> candidates = healthiest(nowMicros, open);
+    if (candidates.isEmpty()) {
+      return null;
+    }
+    if (demand.service().engine() != null && !demand.prompt().isEmpty()) {
+      return byPrompt(nowMicros, demand, candidates);
+    }
+    return new Choice(draw(nowMicros, candidates), 0, 0, 0);
+  }
+
+  /** Those that nothing speaks against; else those available; else all, for none may be left out then. */
+  private static List<Backend> healthiest(long nowMicros, List<Backend> open) {
+    List<Backend> trusted = filter(open, backend -> backend.watch().trusted(nowMicros));
+    if (!trusted.isEmpty()) {
+      return trusted;
+    }
+    List<Backend> available = filter(open, backend -> backend.watch().available(nowMicros));
+    return available.isEmpty() ? open : available;
+  }
+
+  private static List<Backend> filter(List<Backend> backends, Predicate<Backend> condition) {
+    return backends.stream().filter(condition).toList();
+  }
+
+  private Backend draw(long nowMicros, List<Backend> candidates) {
+    List<Backend> near = filter(candidates, backend -> near(backend) && hasRoom(backend, nowMicros));
+    List<Backend> roomy =
+        near.isEmpty() ? filter(candidates, backend -> hasRoom(backend, nowMicros)) : near;
+    return TwoRandomChoices.pick(
+        roomy.isEmpty() ? candidates : roomy,
+        Backend::inFlight,
+        Comparator.comparingDouble(backend -> backend.load(nowMicros)),
+        random);
+  }
+
+  private boolean near(Backend backend) {
+    return backend.session().zone().equals(zone);
+  }
+
+  private static boolean hasRoom(Backend backend, long nowMicros) {
+    int slots = backend.session().slots();
+    return slots <= 0 || backend.load(nowMicros) < ROOM_PART * slots;
+  }
+
+  private Choice byPrompt(long nowMicros, Demand demand, List<Backend> candidates) {
+    long key = key(demand.prompt());
+    List<Backend> ordered = new ArrayList<>(candidates);
+    ordered.sort(Comparator.comparingLong((Backend backend) -> backend.weight(key)).reversed());
+    Choice best = null;
+    for (int rank = 0; rank < ordered.size(); rank++) {
+      boolean spill =
+          best != null && best.firstMicros() > SPILL_PART * demand.objectiveMicros();
+      if (rank >= FIRST_CHOICES && !spill) {
+        break;
+      }
+      Choice choice = reckon(nowMicros, demand, ordered.get(rank), rank);
+      if (best == null || cost(choice) < cost(best)) {
+        best = choice;
+      }
+    }
+    return best;
+  }
+
+  /** The deepest part that other requests share: the last one is the request's own. */
+  private static long key(List<PromptPart> prompt) {
+    return prompt.get(Math.max(0, prompt.size() - 2)).id();
+  }
+
+  private Choice reckon(long nowMicros, Demand demand, Backend backend, int rank) {
+    EngineModel engine = backend.engine();
+    long kept = engine.kept(demand.prompt(), demand.memoryTokens(), demand.agents());
+    if (rank == 0) {
+      int last = demand.prompt().size() - 1;
+      long shared = demand.promptTokens() - demand.prompt().get(last).tokens();
+      kept = Math.max(kept, (long) (KEPT_BY_OTHERS * shared));
+    }
+    long read = EngineModel.readMicros(demand.promptTokens(), kept);
+    long newTokens = Math.max(0, demand.promptTokens() - kept);
+    return new Choice(backend, newTokens, read, engine.queueMicros(nowMicros) + read);
+  }
+
+  private long cost(Choice choice) {
+    return choice.firstMicros() + (near(choice.backend()) ? 0 : OWN_ZONE_MICROS);
+  }
+}
