--- /dev/null
+++ b/src/test/java/slateslip/routing/Fixtures.java
@@ -0,0 +1,98 @@
+package slateslip.routing;
+
+import java.util.List;
+import slateslip.configuration.FleetConfiguration;
+import slateslip.configuration.IngressLimits;
+import slateslip.configuration.Route;
+import slateslip.configuration.Route.WeightedService;
+import slateslip.configuration.RouteKind;
+import slateslip.configuration.RoutingTable;
+import slateslip.configuration.Service;
+import slateslip.configuration.Tenant;
+import slateslip.distribution.BackendSession;
+import slateslip.routing.RequestFacts.PromptPart;
+
+/** Configurations, backends and requests for tests of routing. */
+public final class Fixtures {
+  static final String HOST = "a.example";
+  static final String KEY = "key-1";
+  static final String MODEL_SERVICE = "model";
+  static final String LEDGER_SERVICE = "ledger";
+
+  /** A service as the small deployments have it. */
+  public static final Service MODEL =
+      new Service(MODEL_SERVICE, "/health", 360, new Service.Engine(64, 577_468, 5));
+
+  public static final Service LEDGER = new Service(LEDGER_SERVICE, "/health", 96, null);
+
+  static final Tenant TENANT = new Tenant("t", List.of(KEY), 1, true, 200, 0, 0);
+
+  private Fixtures() {}
+
+  static Route route(
+      String prefix, RouteKind kind, String service, int attempts, boolean resumable) {
+    return new Route(
+        "r" + prefix,
+        HOST,
+        prefix,
+        kind,
+        8_000,
+        600,
+        0,
+        List.of(new WeightedService(service, 1)),
+        attempts,
+        false,
+        kind == RouteKind.STREAMING,
+        resumable,
+        400);
+  }
+
+  static RoutingTable table(long version, Tenant tenant, Route... routes) {
+    return new RoutingTable(
+        new FleetConfiguration(
+            version,
+            List.of(routes),
+            List.of(MODEL, LEDGER),
+            IngressLimits.DEFAULT,
+            List.of(tenant)));
+  }
+
+  /** Resumable streams at /s/, streams that are not at /n/, ledger entries at /w/, look-ups at /i/. */
+  static RoutingTable table() {
+    return table(
+        1,
+        TENANT,
+        route("/s/", RouteKind.STREAMING, MODEL_SERVICE, 2, true),
+        route("/n/", RouteKind.STREAMING, MODEL_SERVICE, 1, false),
+        route("/w/", RouteKind.NON_IDEMPOTENT, LEDGER_SERVICE, 2, false),
+        route("/i/", RouteKind.IDEMPOTENT, LEDGER_SERVICE, 2, false));
+  }
+
+  /** A registered backend. */
+  public static BackendSession backend(String id, String service, String zone) {
+    return new BackendSession(id, service, "10.0.0.1:80", zone, "v1", 64, false, 0, 1);
+  }
+
+  static BackendSession draining(BackendSession session) {
+    return new BackendSession(
+        session.id(),
+        session.service(),
+        session.address(),
+        session.zone(),
+        session.version(),
+        session.slots(),
+        true,
+        0,
+        session.sequence() + 1);
+  }
+
+  static RequestFacts facts(String path) {
+    return facts(path, KEY, List.of());
+  }
+
+  static RequestFacts facts(String path, String key, List<PromptPart> prompt) {
+    long tokens = prompt.stream().mapToLong(PromptPart::tokens).sum();
+    return new RequestFacts(
+        "id", HOST, path, key, 8_000, prompt.isEmpty() ? -1 : tokens, 100, prompt, -1, "m", 800);
+  }
+}
