--- /dev/null
+++ b/src/main/java/slateslip/protocol/distribution/DistributionCodec.java
@@ -0,0 +1,48 @@
+package slateslip.protocol.distribution;
+
+import io.netty.buffer.ByteBuf;
+import slateslip.distribution.ToControl;
+import slateslip.distribution.ToDataPlane;
+import slateslip.protocol.Decoded;
+import slateslip.protocol.Framing;
+import slateslip.protocol.MessageReader;
+import slateslip.protocol.distribution.generated.MessageHeaderDecoder;
+
+/**
+ * Writes and reads the messages between data planes and control agents: an SBE header and body, without
+ * the frame's length. An error of the peer is a value, never thrown. Not safe for several threads.
+ */
+public final class DistributionCodec {
+  private final DistributionEncoder encoder = new DistributionEncoder();
+  private final DistributionDecoder decoder = new DistributionDecoder();
+
+  /** Bytes of a message to a control agent. */
+  public byte[] encode(ToControl message) {
+    return encoder.encode(message);
+  }
+
+  /** Bytes of a message to a data plane. */
+  public byte[] encode(ToDataPlane message) {
+    return encoder.encode(message);
+  }
+
+  /** Reads a message to a control agent and consumes the buffer, without releasing it. */
+  public Decoded<ToControl> decodeToControl(ByteBuf message) {
+    return decodeToControl(Framing.bytes(message));
+  }
+
+  /** Reads a message to a control agent. */
+  public Decoded<ToControl> decodeToControl(byte[] message) {
+    return MessageReader.read(message, MessageHeaderDecoder.SCHEMA_ID, decoder::readToControl);
+  }
+
+  /** Reads a message to a data plane and consumes the buffer, without releasing it. */
+  public Decoded<ToDataPlane> decodeToDataPlane(ByteBuf message) {
+    return decodeToDataPlane(Framing.bytes(message));
+  }
+
+  /** Reads a message to a data plane. */
+  public Decoded<ToDataPlane> decodeToDataPlane(byte[] message) {
+    return MessageReader.read(message, MessageHeaderDecoder.SCHEMA_ID, decoder::readToDataPlane);
+  }
+}
--- a/src/main/java/slateslip/routing/Dispatcher.java
+++ b/src/main/java/slateslip/routing/Dispatcher.java
@@ -20,6 +20,11 @@
 final class Dispatcher {
   private static final long MICROS_PER_MILLI = 1_000;
 
+  /** A stream is silent for too long after so many of its longest pauses, and this time at least. */
+  private static final long SILENCE_GAPS = 4;
+
+  private static final long SILENCE_LEAST_MICROS = 1_000_000;
+
   private final BackendTable backends;
   private final TenantQuotas quotas;
   private final RetryBounds retryBounds;
@@ -79,6 +84,7 @@
             choice.backend().id(),
             Math.max(1, (request.endMicros - nowMicros) / MICROS_PER_MILLI),
             0,
+            silenceTimeoutMicros(request),
             service.engine() == null ? RouterOutput.NO_PRIORITY : request.priority(),
             request.tenant == null ? null : request.tenant.name(),
             request.lastEventId >= 0 ? request.lastEventId : RouterOutput.AS_SENT));
@@ -105,6 +111,15 @@
     return budget(request.service).spend(nowMicros, quotas.agents());
   }
 
+  /** A backend that went dark in the middle of a stream is left in time for another to go on. */
+  private static long silenceTimeoutMicros(OpenRequest request) {
+    if (!request.resumable()) {
+      return 0;
+    }
+    long millis = SILENCE_GAPS * request.route.gapAimMillis();
+    return Math.max(SILENCE_LEAST_MICROS, millis * MICROS_PER_MILLI);
+  }
+
   private Placement.Choice choose(long nowMicros, Service service, OpenRequest request) {
     List<Backend> ofService = backends.ofService(service.name());
     Placement.Demand demand =
--- a/src/main/java/slateslip/routing/RequestRouter.java
+++ b/src/main/java/slateslip/routing/RequestRouter.java
@@ -19,8 +19,6 @@
    */
   List<RouterOutput> handle(long nowMicros, RouterInput input);
 
-  /** What each tenant has asked for here since the start, for the control plane to divide quotas by. */
-  default List<TenantDemand> demand() {
-    return List.of();
-  }
+  /** What tenants have asked for since this router was made; told to control agents. */
+  List<TenantDemand> demand();
 }
