Configuration: items are cut from the text as bytes, and read one after the other

Cause: a reader opened inside another needs buffers of its own, and each item was decoded and encoded again. Change: JsonSlice gives out values of a checked text by offset; FieldReader reads one item at a time with recycled buffers.

--- a/src/main/java/slateslip/configuration/ConfigurationDocument.java
+++ b/src/main/java/slateslip/configuration/ConfigurationDocument.java
@@ -1,5 +1,6 @@
 package slateslip.configuration;
 
+import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 
@@ -52,29 +53,40 @@
   /** The whole document as JSON in UTF-8; not to be modified. */
   public synchronized byte[] toJson() {
     if (json == null) {
-      json = write().getBytes(StandardCharsets.UTF_8);
+      json = write();
     }
     return json;
   }
 
-  private String write() {
-    StringBuilder text = new StringBuilder("{\"version\":").append(parts.version());
-    append(text, DocumentParts.ROUTES, parts.routes().json());
-    append(text, DocumentParts.SERVICES, parts.services().json());
+  private byte[] write() {
+    ByteArrayOutputStream text = new ByteArrayOutputStream();
+    text.writeBytes(utf8("{\"version\":" + parts.version()));
+    writeName(text, DocumentParts.ROUTES);
+    parts.routes().write(text);
+    writeName(text, DocumentParts.SERVICES);
+    parts.services().write(text);
     if (parts.limitsJson() != null) {
-      append(text, DocumentParts.LIMITS, parts.limitsJson());
+      writeName(text, DocumentParts.LIMITS);
+      text.writeBytes(parts.limitsJson());
     }
     if (parts.tenants() != null) {
-      append(text, DocumentParts.TENANTS, parts.tenants().json());
+      writeName(text, DocumentParts.TENANTS);
+      parts.tenants().write(text);
     }
-    for (Map.Entry<String, String> other : parts.others().entrySet()) {
-      append(text, other.getKey(), other.getValue());
+    for (Map.Entry<String, byte[]> other : parts.others().entrySet()) {
+      writeName(text, other.getKey());
+      text.writeBytes(other.getValue());
     }
-    return text.append('}').toString();
+    text.write('}');
+    return text.toByteArray();
   }
 
-  private static void append(StringBuilder text, String field, String value) {
-    text.append(",\"").append(escaped(field)).append("\":").append(value);
+  private static void writeName(ByteArrayOutputStream text, String field) {
+    text.writeBytes(utf8(",\"" + escaped(field) + "\":"));
+  }
+
+  private static byte[] utf8(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
   }
 
   private static String escaped(String field) {
--- a/src/main/java/slateslip/configuration/DocumentParts.java
+++ b/src/main/java/slateslip/configuration/DocumentParts.java
@@ -21,8 +21,8 @@
     NamedItems<Service> services,
     NamedItems<Tenant> tenants,
     IngressLimits limits,
-    String limitsJson,
-    Map<String, String> others) {
+    byte[] limitsJson,
+    Map<String, byte[]> others) {
 
   static final String VERSION = "version";
   static final String ROUTES = "routes";
@@ -38,91 +38,77 @@
   static final DocumentParts NONE =
       new DocumentParts(0, null, null, null, IngressLimits.DEFAULT, null, Map.of());
 
-  /** With one part replaced by the value that stands next at the reader. */
-  DocumentParts replaced(String field, FieldReader source) {
+  /** With one part replaced whole. */
+  DocumentParts replaced(String field, JsonSlice value, Problems problems) {
     return switch (field) {
-      case VERSION -> replacedVersion(VersionNumber.read(source));
-      case ROUTES -> withRoutes(NamedItems.none(ROUTES, ROUTE).with(source));
-      case SERVICES -> withServices(NamedItems.none(SERVICES, SERVICE).with(source));
-      case TENANTS -> withTenants(NamedItems.none(TENANTS, TENANT).with(source));
-      case LIMITS -> withLimits(source.raw(), source);
-      default -> withOther(field, source.raw());
+      case VERSION -> withVersion(VersionNumber.read(value, problems));
+      case ROUTES -> withRoutes(NamedItems.none(ROUTES, ROUTE).with(value, problems));
+      case SERVICES -> withServices(NamedItems.none(SERVICES, SERVICE).with(value, problems));
+      case TENANTS -> withTenants(NamedItems.none(TENANTS, TENANT).with(value, problems));
+      case LIMITS -> withLimits(value, problems);
+      default -> withOther(field, value.toBytes());
     };
   }
 
-  /** With another version. */
-  DocumentParts replacedVersion(long changed) {
-    return new DocumentParts(changed, routes, services, tenants, limits, limitsJson, others);
-  }
-
-  /** With the items that stand next at the reader added to a list, or replaced in it. */
-  DocumentParts upserted(String field, FieldReader source) {
+  /** With items added to a list, or put in the place of those of their name. */
+  DocumentParts upserted(String field, JsonSlice items, Problems problems) {
     return switch (field) {
-      case ROUTES -> withRoutes(routes.with(source));
-      case SERVICES -> withServices(services.with(source));
-      case TENANTS -> withTenants(tenantsOrNone().with(source));
-      default -> upsertedUnread(field, source);
+      case ROUTES -> withRoutes(routes.with(items, problems));
+      case SERVICES -> withServices(services.with(items, problems));
+      case TENANTS -> withTenants(tenantsOrNone().with(items, problems));
+      case LIMITS -> withLimits(items, problems);
+      default -> withOther(field, unread(field, problems).with(items, problems).toJson());
     };
   }
 
   /** Without the items of these names. */
-  DocumentParts removed(String field, List<String> names, FieldReader problems) {
+  DocumentParts removed(String field, List<String> names, Problems problems) {
     return switch (field) {
       case ROUTES -> withRoutes(routes.without(names));
       case SERVICES -> withServices(services.without(names));
       case TENANTS -> withTenants(tenantsOrNone().without(names));
-      default -> others.containsKey(field) ? removedUnread(field, names, problems) : this;
+      default -> removedUnread(field, names, problems);
     };
   }
 
-  private NamedItems<Tenant> tenantsOrNone() {
-    return tenants == null ? NamedItems.none(TENANTS, TENANT) : tenants;
+  /** With another version. */
+  DocumentParts withVersion(long changed) {
+    return new DocumentParts(changed, routes, services, tenants, limits, limitsJson, others);
   }
 
-  private DocumentParts upsertedUnread(String field, FieldReader source) {
-    NamedItems<String> items = unread(field, source);
-    return withOther(field, items.with(source).json());
+  private NamedItems<Tenant> tenantsOrNone() {
+    return tenants == null ? NamedItems.none(TENANTS, TENANT) : tenants;
   }
 
-  private DocumentParts removedUnread(String field, List<String> names, FieldReader problems) {
-    return withOther(field, unread(field, problems).without(names).json());
+  private DocumentParts removedUnread(String field, List<String> names, Problems problems) {
+    if (!others.containsKey(field)) {
+      return this;
+    }
+    return withOther(field, unread(field, problems).without(names).toJson());
   }
 
-  private NamedItems<String> unread(String field, FieldReader problems) {
+  private NamedItems<String> unread(String field, Problems problems) {
     NamedItems<String> none = NamedItems.none(field, UNREAD);
-    String json = others.get(field);
-    if (json == null) {
-      return none;
-    }
-    if (!json.startsWith("[")) {
-      problems.report(field, "is not a list");
-      return none;
-    }
-    try (FieldReader current = new FieldReader(json)) {
-      NamedItems<String> items = none.with(current);
-      if (current.problem() != null) {
-        problems.report(field, "cannot be changed by name: " + current.problem());
-      }
-      return items;
-    }
+    byte[] json = others.get(field);
+    return json == null ? none : none.with(JsonSlice.ofWhole(json), problems);
   }
 
-  /** With these limits, given as JSON. */
-  DocumentParts withLimits(String json, FieldReader problems) {
-    if (json.equals(FieldReader.NULL)) {
-      return this;
-    }
-    if (!json.startsWith("{")) {
+  private DocumentParts withLimits(JsonSlice value, Problems problems) {
+    if (!value.isObject()) {
       problems.report(LIMITS, "is not an object");
       return this;
     }
-    try (FieldReader fields = new FieldReader(json)) {
+    byte[] json = value.toBytes();
+    Problems ofLimits = new Problems();
+    IngressLimits read = readLimits(json, ofLimits);
+    problems.reportAll(LIMITS + ":", ofLimits);
+    return new DocumentParts(version, routes, services, tenants, read, json, others);
+  }
+
+  private static IngressLimits readLimits(byte[] json, Problems problems) {
+    try (FieldReader fields = new FieldReader(json, problems)) {
       fields.beginObject();
-      IngressLimits read = LimitsFormat.read(fields);
-      if (fields.problem() != null) {
-        problems.report(LIMITS + ":", fields.problem());
-      }
-      return new DocumentParts(version, routes, services, tenants, read, json, others);
+      return LimitsFormat.read(fields);
     }
   }
 
@@ -138,8 +124,8 @@
     return new DocumentParts(version, routes, services, changed, limits, limitsJson, others);
   }
 
-  private DocumentParts withOther(String field, String json) {
-    Map<String, String> changed = new LinkedHashMap<>(others);
+  private DocumentParts withOther(String field, byte[] json) {
+    Map<String, byte[]> changed = new LinkedHashMap<>(others);
     changed.put(field, json);
     return new DocumentParts(version, routes, services, tenants, limits, limitsJson, changed);
   }
--- a/src/main/java/slateslip/configuration/DocumentReader.java
+++ b/src/main/java/slateslip/configuration/DocumentReader.java
@@ -17,34 +17,40 @@
   }
 
   static ConfigurationOutcome patch(DocumentParts current, byte[] patch) {
-    return read(patch, current.version(), fields -> readPatch(current, fields));
+    return read(
+        patch, current.version(), (fields, problems) -> readPatch(current, fields, problems));
   }
 
   private interface Reading {
-    DocumentParts read(FieldReader fields);
+    DocumentParts read(Map<String, JsonSlice> fields, Problems problems);
   }
 
   private static ConfigurationOutcome read(byte[] json, long currentVersion, Reading reading) {
     String malformed = JsonSyntax.problem(json);
     if (malformed != null) {
-      return new ConfigurationOutcome.Invalid("the document cannot be read: " + malformed);
+      return unreadable(malformed);
     }
-    try (FieldReader fields = new FieldReader(json)) {
-      if (!fields.beginObject()) {
-        return new ConfigurationOutcome.Invalid("the document is not an object");
-      }
-      DocumentParts parts = reading.read(fields);
-      String problem = fields.problem();
+    JsonSlice whole = JsonSlice.ofWhole(json);
+    if (!whole.isObject()) {
+      return unreadable("it is not an object");
+    }
+    try {
+      Problems problems = new Problems();
+      DocumentParts parts = reading.read(presentFields(whole), problems);
+      String problem = problems.first();
       if (problem == null) {
         problem = DocumentChecks.problem(parts, currentVersion);
       }
       return problem == null ? parsed(parts) : new ConfigurationOutcome.Invalid(problem);
     } catch (JsonException unreadable) {
-      String reason = "the document cannot be read: " + unreadable.getMessage();
-      return new ConfigurationOutcome.Invalid(reason);
+      return unreadable(unreadable.getMessage());
     }
   }
 
+  private static ConfigurationOutcome unreadable(String reason) {
+    return new ConfigurationOutcome.Invalid("the document cannot be read: " + reason);
+  }
+
   private static ConfigurationOutcome parsed(DocumentParts parts) {
     List<Tenant> tenants = parts.tenants() == null ? List.of() : parts.tenants().values();
     FleetConfiguration configuration =
@@ -57,82 +63,67 @@
     return new ConfigurationOutcome.Parsed(new ConfigurationDocument(parts, configuration));
   }
 
-  private static DocumentParts readWhole(FieldReader fields) {
+  private static DocumentParts readWhole(Map<String, JsonSlice> fields, Problems problems) {
     DocumentParts parts = DocumentParts.NONE;
-    while (fields.nextField()) {
-      parts = parts.replaced(fields.field(), fields);
+    for (Map.Entry<String, JsonSlice> field : fields.entrySet()) {
+      parts = parts.replaced(field.getKey(), field.getValue(), problems);
     }
     return parts;
   }
 
-  private static DocumentParts readPatch(DocumentParts current, FieldReader fields) {
-    DocumentParts parts = current.replacedVersion(0);
-    Map<String, String> upserts = Map.of();
-    Map<String, String> removals = Map.of();
-    while (fields.nextField()) {
-      switch (fields.field()) {
-        case UPSERT -> upserts = rawFields(fields);
-        case REMOVE -> removals = rawFields(fields);
-        default -> parts = parts.replaced(fields.field(), fields);
-      }
+  private static DocumentParts readPatch(
+      DocumentParts current, Map<String, JsonSlice> fields, Problems problems) {
+    DocumentParts parts = current.withVersion(0);
+    Map<String, JsonSlice> removals = nested(fields.remove(REMOVE), REMOVE, problems);
+    Map<String, JsonSlice> upserts = nested(fields.remove(UPSERT), UPSERT, problems);
+    for (Map.Entry<String, JsonSlice> field : fields.entrySet()) {
+      parts = parts.replaced(field.getKey(), field.getValue(), problems);
     }
-    for (Map.Entry<String, String> removal : removals.entrySet()) {
-      parts = remove(parts, removal.getKey(), removal.getValue(), fields);
+    for (Map.Entry<String, JsonSlice> removal : removals.entrySet()) {
+      List<String> names = names(removal.getKey(), removal.getValue(), problems);
+      parts = parts.removed(removal.getKey(), names, problems);
     }
-    for (Map.Entry<String, String> upsert : upserts.entrySet()) {
-      parts = upsert(parts, upsert.getKey(), upsert.getValue(), fields);
+    for (Map.Entry<String, JsonSlice> upsert : upserts.entrySet()) {
+      parts = parts.upserted(upsert.getKey(), upsert.getValue(), problems);
     }
     return parts;
   }
 
-  private static Map<String, String> rawFields(FieldReader fields) {
-    Map<String, String> values = new LinkedHashMap<>();
-    if (fields.beginObject()) {
-      while (fields.nextField()) {
-        String field = fields.field();
-        String json = fields.raw();
-        if (!json.equals(FieldReader.NULL)) {
-          values.put(field, json);
-        }
-      }
+  private static Map<String, JsonSlice> nested(
+      JsonSlice value, String field, Problems problems) {
+    if (value == null) {
+      return Map.of();
+    }
+    if (!value.isObject()) {
+      problems.report(field, "is not an object");
+      return Map.of();
     }
-    return values;
+    return presentFields(value);
   }
 
-  private static DocumentParts remove(
-      DocumentParts parts, String field, String json, FieldReader problems) {
-    if (!isList(json)) {
-      problems.report(REMOVE + "." + field, "is not a list of names");
-      return parts;
-    }
-    try (FieldReader source = new FieldReader(json)) {
-      List<String> names = source.texts();
-      if (source.problem() != null) {
-        problems.report(REMOVE + "." + field, "is not a list of names");
-      }
-      return parts.removed(field, names, problems);
-    }
+  /** The fields of an object that are not null; of two of the same name the last counts. */
+  private static Map<String, JsonSlice> presentFields(JsonSlice object) {
+    Map<String, JsonSlice> fields = new LinkedHashMap<>();
+    object.forEachField(
+        (name, value) -> {
+          if (!value.isNull()) {
+            fields.put(name, value);
+          }
+        });
+    return fields;
   }
 
-  private static DocumentParts upsert(
-      DocumentParts parts, String field, String json, FieldReader problems) {
-    if (field.equals(DocumentParts.LIMITS)) {
-      return parts.withLimits(json, problems);
-    }
-    if (!isList(json)) {
-      problems.report(UPSERT + "." + field, "is not a list");
-      return parts;
-    }
-    try (FieldReader source = new FieldReader(json)) {
-      DocumentParts changed = parts.upserted(field, source);
-      if (source.problem() != null) {
-        problems.report(UPSERT + ":", source.problem());
+  private static List<String> names(String field, JsonSlice list, Problems problems) {
+    Problems ofList = new Problems();
+    List<String> names = List.of();
+    if (list.isList()) {
+      try (FieldReader reader = new FieldReader(list.toBytes(), ofList)) {
+        names = reader.texts();
       }
-      return changed;
     }
-  }
-
-  private static boolean isList(String json) {
-    return json.startsWith("[");
+    if (!list.isList() || ofList.first() != null) {
+      problems.report(REMOVE + "." + field, "is not a list of names");
+    }
+    return names;
   }
 }
--- a/src/main/java/slateslip/configuration/FieldReader.java
+++ b/src/main/java/slateslip/configuration/FieldReader.java
@@ -11,35 +11,28 @@
  * the problem of its field; {@code null} reads as a missing field. The text has to be well formed.
  */
 final class FieldReader implements AutoCloseable {
-  /** JSON of a value that is missing. */
-  static final String NULL = "null";
-
-  /** Recycled buffers would be shared by a reader and one that is opened before it is closed. */
+  /** Two readers that are open at once in a thread would share a buffer: only one is opened. */
   private static final JsonStream STREAMS =
-      JsonStream.builder().bufferRecycling(BufferRecycleStrategy.NO_RECYCLING).build();
+      JsonStream.builder().bufferRecycling(BufferRecycleStrategy.THREAD_LOCAL).build();
 
   private final JsonReader reader;
+  private final Problems problems;
   private String field = "";
-  private String problem;
 
-  FieldReader(byte[] json) {
+  /**
+   * Opens a reader; no other may be open in this thread.
+   *
+   * @param json one value
+   * @param problems where fields of a wrong type are reported
+   */
+  FieldReader(byte[] json, Problems problems) {
     reader = STREAMS.reader(json);
+    this.problems = problems;
   }
 
-  FieldReader(String json) {
-    reader = STREAMS.reader(json);
-  }
-
-  /** The first problem, with the name of its field; null if there is none. */
-  String problem() {
-    return problem;
-  }
-
-  /** Remembers a problem, unless there is an earlier one. */
+  /** Reports a problem of a field. */
   void report(String fieldName, String reason) {
-    if (problem == null) {
-      problem = fieldName + " " + reason;
-    }
+    problems.report(fieldName, reason);
   }
 
   /** Opens an object; false if the value is of another type, which is skipped. */
@@ -91,7 +84,9 @@
 
   /** A number; the fallback if it is missing or of another type. */
   double number(double fallback) {
-    return is(JsonReader.Token.NUMBER, "is not a number") ? reader.readDouble() : fallback;
+    return is(JsonReader.Token.NUMBER, "is not a number")
+        ? Double.parseDouble(reader.readRaw())
+        : fallback;
   }
 
   /** A number of at least 0, rounded up; the fallback if it is missing or of another type. */
@@ -131,11 +126,6 @@
     return texts;
   }
 
-  /** The value's JSON, as it stands in the text. */
-  String raw() {
-    return reader.isNullValue() ? NULL : reader.readRaw();
-  }
-
   void skip() {
     reader.skipValue();
   }
--- a/src/main/java/slateslip/configuration/NamedItems.java
+++ b/src/main/java/slateslip/configuration/NamedItems.java
@@ -1,5 +1,6 @@
 package slateslip.configuration;
 
+import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -14,7 +15,7 @@
  */
 final class NamedItems<T> {
   /** An item: its JSON as sent, and what was read from it. */
-  private record Item<T>(String json, T value) {}
+  private record Item<T>(byte[] json, T value) {}
 
   private final String field;
   private final ItemFormat<T> format;
@@ -31,43 +32,43 @@
     return new NamedItems<>(field, format, new LinkedHashMap<>());
   }
 
-  /**
-   * This list with the items of a JSON array added, or put in the place of those of the same name.
-   *
-   * @param source stands before the array; what is wrong is reported to it
-   */
-  NamedItems<T> with(FieldReader source) {
+  /** This list with the items of a JSON list added, or put in the place of those of their name. */
+  NamedItems<T> with(JsonSlice list, Problems problems) {
+    if (!list.isList()) {
+      problems.report(field, "is not a list");
+      return this;
+    }
     Map<String, Item<T>> changed = new LinkedHashMap<>(items);
     Set<String> seen = new HashSet<>();
-    if (source.beginArray()) {
-      while (source.nextElement()) {
-        add(changed, seen, source);
-      }
-    }
+    list.forEachElement(element -> add(changed, seen, element, problems));
     return new NamedItems<>(field, format, changed);
   }
 
-  private void add(Map<String, Item<T>> changed, Set<String> seen, FieldReader source) {
-    String json = source.raw();
-    if (!json.startsWith("{")) {
-      source.report(field, "has an item that is not an object");
+  private void add(
+      Map<String, Item<T>> changed, Set<String> seen, JsonSlice element, Problems problems) {
+    if (!element.isObject()) {
+      problems.report(field, "has an item that is not an object");
       return;
     }
-    try (FieldReader fields = new FieldReader(json)) {
+    byte[] json = element.toBytes();
+    Problems ofItem = new Problems();
+    T value = read(json, ofItem);
+    String name = format.name(value);
+    if (name == null || name.isEmpty()) {
+      problems.report(field, "has an item without a name");
+      return;
+    }
+    problems.reportAll(field + " \"" + name + "\":", ofItem);
+    if (!seen.add(name)) {
+      problems.report(field, "has two items of the name \"" + name + "\"");
+    }
+    changed.put(name, new Item<>(json, value));
+  }
+
+  private T read(byte[] json, Problems problems) {
+    try (FieldReader fields = new FieldReader(json, problems)) {
       fields.beginObject();
-      T value = format.read(fields);
-      String name = format.name(value);
-      if (name == null || name.isEmpty()) {
-        source.report(field, "has an item without a name");
-        return;
-      }
-      if (fields.problem() != null) {
-        source.report(field + " \"" + name + "\":", fields.problem());
-      }
-      if (!seen.add(name)) {
-        source.report(field, "has two items of the name \"" + name + "\"");
-      }
-      changed.put(name, new Item<>(json, value));
+      return format.read(fields);
     }
   }
 
@@ -88,12 +89,24 @@
     return values;
   }
 
-  /** The list as a JSON array, each item as it was sent. */
-  String json() {
-    StringBuilder json = new StringBuilder("[");
+  /** Writes the list as JSON, each item as it was sent. */
+  void write(ByteArrayOutputStream json) {
+    char separator = '[';
     for (Item<T> item : items.values()) {
-      json.append(json.length() == 1 ? "" : ",").append(item.json());
+      json.write(separator);
+      json.writeBytes(item.json());
+      separator = ',';
+    }
+    if (items.isEmpty()) {
+      json.write('[');
     }
-    return json.append(']').toString();
+    json.write(']');
+  }
+
+  /** The list as JSON, each item as it was sent. */
+  byte[] toJson() {
+    ByteArrayOutputStream json = new ByteArrayOutputStream();
+    write(json);
+    return json.toByteArray();
   }
 }
--- /dev/null
+++ b/src/main/java/slateslip/configuration/Problems.java
@@ -0,0 +1,25 @@
+package slateslip.configuration;
+
+/** Keeps the first problem that was found in a document. */
+final class Problems {
+  private String first;
+
+  /** Remembers a problem, unless there is an earlier one. */
+  void report(String subject, String reason) {
+    if (first == null) {
+      first = subject + " " + reason;
+    }
+  }
+
+  /** Takes over the problem of a part. */
+  void reportAll(String subject, Problems part) {
+    if (part.first != null) {
+      report(subject, part.first);
+    }
+  }
+
+  /** The first problem; null if there is none. */
+  String first() {
+    return first;
+  }
+}
--- a/src/main/java/slateslip/configuration/VersionNumber.java
+++ b/src/main/java/slateslip/configuration/VersionNumber.java
@@ -6,13 +6,12 @@
 final class VersionNumber {
   private VersionNumber() {}
 
-  /** The whole number that stands next at the reader; 0, and a problem, if it is none. */
-  static long read(FieldReader source) {
-    String json = source.raw();
+  /** The whole number that a value is; 0, and a problem, if it is none. */
+  static long read(JsonSlice value, Problems problems) {
     try {
-      return new BigDecimal(json).longValueExact();
+      return new BigDecimal(value.toString()).longValueExact();
     } catch (NumberFormatException | ArithmeticException notWhole) {
-      source.report(DocumentParts.VERSION, "is not a whole number");
+      problems.report(DocumentParts.VERSION, "is not a whole number");
       return 0;
     }
   }
