--- /dev/null
+++ b/src/main/java/slateslip/logging/package-info.java
@@ -0,0 +1,2 @@
+/** Set-up of the process's log: JBoss Logging over java.util.logging, one line an event. */
+package slateslip.logging;
