--- /dev/null
+++ b/src/main/java/slateslip/cli/ControlClient.java
@@ -0,0 +1,117 @@
+package slateslip.cli;
+
+import dev.failsafe.Failsafe;
+import dev.failsafe.FailsafeException;
+import dev.failsafe.RetryPolicy;
+import dev.failsafe.RetryPolicyBuilder;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import okhttp3.ResponseBody;
+
+/** Calls control agents; a call without a clear answer goes to the next one, unchanged. */
+final class ControlClient {
+  /** HTTP status of a configuration that does not exist yet. */
+  static final int NOT_FOUND = 404;
+
+  private static final int REQUEST_TIMEOUT = 408;
+  private static final int TOO_MANY_REQUESTS = 429;
+  private static final int FIRST_SERVER_ERROR = 500;
+  private static final int NO_ANSWER = 0;
+  private static final int ATTEMPTS = 12;
+  private static final int LONGEST_DELAY_FACTOR = 8;
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+  private static final Duration CALL_TIMEOUT = Duration.ofSeconds(6);
+  private static final MediaType JSON = MediaType.get("application/json");
+
+  /**
+   * Last answer of a call.
+   *
+   * @param status HTTP status; 0 if no agent answered
+   * @param body text of the answer, or what went wrong
+   */
+  record Reply(int status, String body) {
+    boolean isSuccess() {
+      return status >= 200 && status < 300;
+    }
+
+    /** Whether the call has been refused for good. */
+    boolean isRefusal() {
+      return status >= 400 && status < FIRST_SERVER_ERROR && !isWorthRetrying();
+    }
+
+    boolean isWorthRetrying() {
+      return status == NO_ANSWER
+          || status == REQUEST_TIMEOUT
+          || status == TOO_MANY_REQUESTS
+          || status >= FIRST_SERVER_ERROR;
+    }
+
+    String describe() {
+      return status == NO_ANSWER ? "no answer: " + body : "status " + status + ": " + body;
+    }
+  }
+
+  private final List<String> agents;
+  private final RetryPolicy<Reply> retries;
+  private final OkHttpClient http =
+      new OkHttpClient.Builder()
+          .connectTimeout(CONNECT_TIMEOUT)
+          .callTimeout(CALL_TIMEOUT)
+          .retryOnConnectionFailure(false)
+          .build();
+
+  /**
+   * Makes a client.
+   *
+   * @param agents addresses, a.b.c.d:port; at least one
+   * @param delay before the first repetition; it doubles up to eight times that; zero for none
+   */
+  ControlClient(List<String> agents, Duration delay) {
+    this.agents = agents;
+    RetryPolicyBuilder<Reply> policy =
+        RetryPolicy.<Reply>builder()
+            .handle(IOException.class)
+            .handleResultIf(Reply::isWorthRetrying)
+            .withMaxAttempts(ATTEMPTS);
+    if (!delay.isZero()) {
+      policy.withBackoff(delay, delay.multipliedBy(LONGEST_DELAY_FACTOR));
+    }
+    retries = policy.build();
+  }
+
+  Reply get(String path) {
+    return call(new Request.Builder().get(), path);
+  }
+
+  /** Sends a change that builds on a version. */
+  Reply send(String method, String path, String baseVersion, byte[] body) {
+    RequestBody json = RequestBody.create(body, JSON);
+    return call(new Request.Builder().method(method, json).header("If-Match", baseVersion), path);
+  }
+
+  private Reply call(Request.Builder request, String path) {
+    try {
+      return Failsafe.with(retries)
+          .get(
+              execution -> {
+                String agent = agents.get(execution.getAttemptCount() % agents.size());
+                return attempt(request.url("http://" + agent + path).build());
+              });
+    } catch (FailsafeException failure) {
+      return new Reply(NO_ANSWER, String.valueOf(failure.getCause()));
+    }
+  }
+
+  private Reply attempt(Request request) throws IOException {
+    try (Response response = http.newCall(request).execute()) {
+      ResponseBody body = response.body();
+      return new Reply(response.code(), body.string());
+    }
+  }
+}
