--- a/src/main/java/slateslip/cli/CommandLine.java
+++ b/src/main/java/slateslip/cli/CommandLine.java
@@ -50,7 +50,7 @@
   }
 
   private static boolean startsProgram(String[] arguments) {
-    return arguments.length == 0 || arguments.length == 1 && arguments[0].equals(RUN);
+    return arguments.length == 0 || (arguments.length == 1 && arguments[0].equals(RUN));
   }
 
   private int run(String settingsPath) {
--- a/src/main/java/slateslip/cli/Commands.java
+++ b/src/main/java/slateslip/cli/Commands.java
@@ -129,11 +129,18 @@
       errors.println(file + ": " + invalid.message());
       return ExitStatus.INVALID;
     }
-    FleetConfiguration read =
-        ((ConfigurationOutcome.Parsed) outcome).document().configuration();
+    FleetConfiguration read = ((ConfigurationOutcome.Parsed) outcome).document().configuration();
     output.println(
-        file + ": valid, version " + read.version() + ", " + read.routes().size() + " routes, "
-            + read.services().size() + " services, " + read.tenants().size() + " tenants");
+        file
+            + ": valid, version "
+            + read.version()
+            + ", "
+            + read.routes().size()
+            + " routes, "
+            + read.services().size()
+            + " services, "
+            + read.tenants().size()
+            + " tenants");
     return ExitStatus.SUCCESS;
   }
 
--- a/src/main/java/slateslip/cli/OperatorCommands.java
+++ b/src/main/java/slateslip/cli/OperatorCommands.java
@@ -57,7 +57,8 @@
     }
     List<String> agents = agents(addresses, settingsPath);
     if (agents.isEmpty()) {
-      errors.println("no control agent is known: give --control or " + CommandLine.SETTINGS_VARIABLE);
+      errors.println(
+          "no control agent is known: give --control or " + CommandLine.SETTINGS_VARIABLE);
       return new Outcome(true, ExitStatus.INVALID);
     }
     ControlClient client = new ControlClient(agents, RETRY_DELAY);
--- a/src/main/java/slateslip/configuration/DocumentChecks.java
+++ b/src/main/java/slateslip/configuration/DocumentChecks.java
@@ -53,7 +53,10 @@
       RouteAddress address = new RouteAddress(route.hostname(), route.pathPrefix());
       Route other = byAddress.put(address, route);
       if (other != null) {
-        return about(route) + "hostname and path_prefix are those of route \"" + other.name() + "\"";
+        return about(route)
+            + "hostname and path_prefix are those of route \""
+            + other.name()
+            + "\"";
       }
     }
     return null;
@@ -64,8 +67,11 @@
     for (Tenant tenant : tenants) {
       for (String key : tenant.keys()) {
         Tenant other = byKey.put(key, tenant);
-        if (other != null && other != tenant) {
-          return "tenants \"" + tenant.name() + "\": api_keys shares a key with \"" + other.name()
+        if (other != null && !other.name().equals(tenant.name())) {
+          return "tenants \""
+              + tenant.name()
+              + "\": api_keys shares a key with \""
+              + other.name()
               + "\"";
         }
       }
--- a/src/main/java/slateslip/configuration/DocumentReader.java
+++ b/src/main/java/slateslip/configuration/DocumentReader.java
@@ -89,8 +89,7 @@
     return parts;
   }
 
-  private static Map<String, JsonSlice> nested(
-      JsonSlice value, String field, Problems problems) {
+  private static Map<String, JsonSlice> nested(JsonSlice value, String field, Problems problems) {
     if (value == null) {
       return Map.of();
     }
--- a/src/main/java/slateslip/configuration/FieldReader.java
+++ b/src/main/java/slateslip/configuration/FieldReader.java
@@ -91,7 +91,7 @@
 
   /** A number of at least 0, rounded up; the fallback if it is missing or of another type. */
   long count(long fallback) {
-    double number = number(fallback);
+    double number = number((double) fallback);
     if (number < 0) {
       report(field, "is below 0");
       return fallback;
--- a/src/main/java/slateslip/configuration/JsonSlice.java
+++ b/src/main/java/slateslip/configuration/JsonSlice.java
@@ -122,10 +122,13 @@
 
   private static int skipWord(byte[] text, int from) {
     int position = from;
-    while (position < text.length && "+-.".indexOf(text[position]) >= 0
-        || position < text.length && Character.isLetterOrDigit(text[position])) {
+    while (position < text.length && isPartOfWord(text[position])) {
       position++;
     }
     return position;
   }
+
+  private static boolean isPartOfWord(byte unit) {
+    return Character.isLetterOrDigit(unit) || unit == '+' || unit == '-' || unit == '.';
+  }
 }
--- a/src/main/java/slateslip/configuration/Service.java
+++ b/src/main/java/slateslip/configuration/Service.java
@@ -5,7 +5,8 @@
  *
  * @param name unique name
  * @param healthPath path that answers health probes
- * @param maxConnections connections that one backend takes from all callers together; 0 if not given
+ * @param maxConnections connections that one backend takes from all callers together; 0 if not
+ *     given
  * @param engine what is known of its model engine; null if it is no model service
  */
 public record Service(String name, String healthPath, int maxConnections, Engine engine) {
--- a/src/main/java/slateslip/logging/KeyValueFormatter.java
+++ b/src/main/java/slateslip/logging/KeyValueFormatter.java
@@ -7,8 +7,8 @@
 import java.util.logging.LogRecord;
 
 /**
- * One line an event: {@code time=... level=... node=... epoch=... version=... logger=... msg="..."},
- * with {@code error="..."} if something was thrown.
+ * One line an event: {@code time=... level=... node=... epoch=... version=... logger=...
+ * msg="..."}, with {@code error="..."} if something was thrown.
  */
 final class KeyValueFormatter extends Formatter {
   private static final int MAX_FRAMES = 12;
--- a/src/main/java/slateslip/settings/KeyReader.java
+++ b/src/main/java/slateslip/settings/KeyReader.java
@@ -80,7 +80,7 @@
   /** The parts of a list joined by commas, without empty ones. */
   List<String> list(String key) {
     List<String> parts = new ArrayList<>();
-    for (String part : text(key).split(",")) {
+    for (String part : text(key).split(",", -1)) {
       if (!part.isBlank()) {
         parts.add(part.strip());
       }
--- a/src/test/java/slateslip/cli/CommandLineTest.java
+++ b/src/test/java/slateslip/cli/CommandLineTest.java
@@ -170,7 +170,12 @@
       String base = exchange.getRequestHeaders().getFirst("If-Match");
       byte[] sent = exchange.getRequestBody().readAllBytes();
       calls.add(
-          exchange.getRequestMethod() + " " + exchange.getRequestURI() + " " + base + " "
+          exchange.getRequestMethod()
+              + " "
+              + exchange.getRequestURI()
+              + " "
+              + base
+              + " "
               + sent.length);
       Answer answer = answers.remove(0);
       byte[] body = answer.body().getBytes(StandardCharsets.UTF_8);
@@ -206,8 +211,7 @@
   @Test
   void aConfigurationIsPutOnTopOfTheNewestVersion() throws IOException {
     String document = file("new.json", CONFIGURATION).toString();
-    try (ControlAgent agent =
-        new ControlAgent().answering(200, CONFIGURATION).answering(200, "")) {
+    try (ControlAgent agent = new ControlAgent().answering(200, CONFIGURATION).answering(200, "")) {
       int status =
           run(Program.CONTROL_PLANE, null, "-c", agent.address(), "config", "put", document);
       assertThat(status, equalTo(0));
@@ -223,7 +227,14 @@
     try (ControlAgent agent = new ControlAgent().answering(412, "version 9 is current")) {
       int status =
           run(
-              Program.CONTROL_PLANE, null, "-c", agent.address(), "-b", "7", "config", "patch",
+              Program.CONTROL_PLANE,
+              null,
+              "-c",
+              agent.address(),
+              "-b",
+              "7",
+              "config",
+              "patch",
               document);
       assertThat(status, equalTo(ExitStatus.INVALID));
       assertThat(complained(), containsString("412: version 9 is current"));
@@ -236,8 +247,7 @@
     try (ControlAgent failing = new ControlAgent().answering(503, "no majority");
         ControlAgent working = new ControlAgent().answering(200, "")) {
       ControlClient client =
-          new ControlClient(
-              List.of(failing.address(), working.address()), Duration.ZERO);
+          new ControlClient(List.of(failing.address(), working.address()), Duration.ZERO);
       ControlClient.Reply reply = client.send("PUT", "/config", "7", new byte[] {1, 2, 3});
       assertThat(reply.isSuccess(), equalTo(true));
       assertThat(failing.calls, equalTo(List.of("PUT /config 7 3")));
--- a/src/test/java/slateslip/configuration/ConfigurationDocumentTest.java
+++ b/src/test/java/slateslip/configuration/ConfigurationDocumentTest.java
@@ -58,7 +58,8 @@
         contains(
             new Service("model-a", "/health", 360, new Service.Engine(64, 529_133, 5)),
             new Service("model-b", "/health", 0, null)));
-    assertThat(configuration.limits(), equalTo(new IngressLimits(16_000, 4_000_000, 3_100, 15_100)));
+    assertThat(
+        configuration.limits(), equalTo(new IngressLimits(16_000, 4_000_000, 3_100, 15_100)));
     assertThat(
         configuration.tenants(),
         contains(
@@ -78,8 +79,9 @@
   @Test
   void blanksAndEscapesMakeNoDifference() throws IOException {
     String pretty =
-        OTHER_LIBRARY.writerWithDefaultPrettyPrinter().writeValueAsString(
-            OTHER_LIBRARY.readTree(WHOLE));
+        OTHER_LIBRARY
+            .writerWithDefaultPrettyPrinter()
+            .writeValueAsString(OTHER_LIBRARY.readTree(WHOLE));
     assertThat(parsed(pretty).configuration(), equalTo(parsed(WHOLE).configuration()));
     String escaped = WHOLE.replace("chat", "\\u0063hat").replace("api_keys", "api\\u005fkeys");
     assertThat(parsed(escaped).configuration(), equalTo(parsed(WHOLE).configuration()));
@@ -88,7 +90,9 @@
   @Test
   void nullIsAMissingField() {
     String route = ROUTE_LEDGER.replace("}", ",\"traffic_split\":null,\"priority\":null}");
-    assertThat(parsed(whole("[" + route + "]", SERVICES, ",\"tenants\":null,\"limits\":null")).version(), equalTo(8L));
+    assertThat(
+        parsed(whole("[" + route + "]", SERVICES, ",\"tenants\":null,\"limits\":null")).version(),
+        equalTo(8L));
   }
 
   @Test
--- a/src/test/java/slateslip/configuration/ConfigurationFuzzTest.java
+++ b/src/test/java/slateslip/configuration/ConfigurationFuzzTest.java
@@ -24,8 +24,8 @@
   private static final int MUTATIONS = 5_000;
   private static final String PATCH =
       WHOLE
-              .replace("{\"version\":7,", "{\"version\":9,\"upsert\":{")
-              .replace(",\"motto\"", "},\"remove\":{\"routes\":[\"a\"],\"regions\":[]},\"motto\"");
+          .replace("{\"version\":7,", "{\"version\":9,\"upsert\":{")
+          .replace(",\"motto\"", "},\"remove\":{\"routes\":[\"a\"],\"regions\":[]},\"motto\"");
   private static final ObjectMapper STRICT_LIBRARY =
       JsonMapper.builder()
           .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
@@ -56,7 +56,9 @@
     }
   }
 
-  /** Whatever another strict library takes for one JSON value is well formed here too, and no more. */
+  /**
+   * Whatever another strict library takes for one JSON value is well formed here too, and no more.
+   */
   @Test
   void syntaxAgreesWithAnotherLibrary() {
     Random random = new Random(1);
@@ -64,7 +66,8 @@
     for (int round = 0; round < MUTATIONS; round++) {
       byte[] mutated = mutated(whole, random);
       boolean wellFormed = JsonSyntax.problem(mutated) == null;
-      assertThat(new String(mutated, StandardCharsets.UTF_8), wellFormed, equalTo(readable(mutated)));
+      assertThat(
+          new String(mutated, StandardCharsets.UTF_8), wellFormed, equalTo(readable(mutated)));
     }
   }
 
--- a/src/test/java/slateslip/configuration/ConfigurationPatchTest.java
+++ b/src/test/java/slateslip/configuration/ConfigurationPatchTest.java
@@ -58,7 +58,9 @@
     String moved = route("other").replace("/other/", "/chat/");
     ConfigurationDocument document =
         patched(
-            "{\"upsert\":{\"routes\":[" + moved + "]},\"remove\":{\"routes\":[\"chat\"]},"
+            "{\"upsert\":{\"routes\":["
+                + moved
+                + "]},\"remove\":{\"routes\":[\"chat\"]},"
                 + "\"version\":9}");
     assertThat(routeNames(document), contains("ledger", "other"));
   }
@@ -74,8 +76,7 @@
 
   @Test
   void limitsAreReplacedWhole() {
-    ConfigurationDocument document =
-        patched("{\"version\":9,\"limits\":{\"max_body_bytes\":100}}");
+    ConfigurationDocument document = patched("{\"version\":9,\"limits\":{\"max_body_bytes\":100}}");
     assertThat(document.configuration().limits().maxBodyBytes(), equalTo(100));
     assertThat(
         document.configuration().limits().maxHeaderBytes(),
@@ -85,10 +86,8 @@
   @Test
   void nullChangesNothing() {
     ConfigurationDocument document =
-        patched(
-            "{\"version\":9,\"limits\":null,\"remove\":null,\"upsert\":{\"routes\":null}}");
-    assertThat(
-        document.configuration().limits(), equalTo(parsed(WHOLE).configuration().limits()));
+        patched("{\"version\":9,\"limits\":null,\"remove\":null,\"upsert\":{\"routes\":null}}");
+    assertThat(document.configuration().limits(), equalTo(parsed(WHOLE).configuration().limits()));
     assertThat(routeNames(document), contains("chat", "ledger"));
   }
 
@@ -131,17 +130,18 @@
         refused("{\"version\":9,\"remove\":{\"services\":[\"model-b\"]}}"),
         containsString("routes \"chat\": service \"model-b\" is unknown"));
     assertThat(
-        refused("{\"version\":9,\"upsert\":{\"routes\":[" + route("a").replace("8000", "0") + "]}}"),
+        refused(
+            "{\"version\":9,\"upsert\":{\"routes\":[" + route("a").replace("8000", "0") + "]}}"),
         containsString("routes \"a\": timeout_ms is 0"));
     assertThat(
         refused("{\"version\":9,\"upsert\":{\"routes\":[" + route("a") + "," + route("a") + "]}}"),
         containsString("two items of the name \"a\""));
     assertThat(
-        refused("{\"version\":9,\"upsert\":{\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k3\"]}]}}"),
+        refused(
+            "{\"version\":9,\"upsert\":{\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k3\"]}]}}"),
         containsString("shares a key with \"office\""));
     assertThat(
-        refused("{\"version\":9,\"upsert\":{\"routes\":{}}}"),
-        containsString("is not a list"));
+        refused("{\"version\":9,\"upsert\":{\"routes\":{}}}"), containsString("is not a list"));
     assertThat(
         refused("{\"version\":9,\"remove\":{\"routes\":[1]}}"),
         containsString("remove.routes is not a list of names"));
--- a/src/test/java/slateslip/configuration/ConfigurationSamples.java
+++ b/src/test/java/slateslip/configuration/ConfigurationSamples.java
@@ -32,8 +32,16 @@
       "uncached_tokens":200,"rate_per_s":171442.25,"burst":171442},\
       {"name":"office","api_keys":["k3"]}]""";
   static final String WHOLE =
-      "{\"version\":7,\"routes\":[" + ROUTE_CHAT + "," + ROUTE_LEDGER + "],\"services\":" + SERVICES
-          + ",\"limits\":" + LIMITS + ",\"tenants\":" + TENANTS
+      "{\"version\":7,\"routes\":["
+          + ROUTE_CHAT
+          + ","
+          + ROUTE_LEDGER
+          + "],\"services\":"
+          + SERVICES
+          + ",\"limits\":"
+          + LIMITS
+          + ",\"tenants\":"
+          + TENANTS
           + ",\"regions\":[{\"name\":\"r1\",\"x\":[1,2]}],\"motto\":\"a \\\"b\\\" \\u00e9\"}";
 
   private ConfigurationSamples() {}
--- a/src/test/java/slateslip/logging/LogSetupTest.java
+++ b/src/test/java/slateslip/logging/LogSetupTest.java
@@ -99,7 +99,8 @@
   void whatWasThrownStandsOnTheSameLine() {
     install("INFO");
     Exception cause = new IllegalStateException("inner");
-    Logger.getLogger(LogSetupTest.class).error("failed", new IllegalArgumentException("outer", cause));
+    Logger.getLogger(LogSetupTest.class)
+        .error("failed", new IllegalArgumentException("outer", cause));
     assertThat(
         log(),
         allOf(
--- a/src/test/java/slateslip/settings/NodeSettingsTest.java
+++ b/src/test/java/slateslip/settings/NodeSettingsTest.java
@@ -70,8 +70,10 @@
   }
 
   private static String without(String key) {
-    return COMPLETE.lines().filter(line -> !line.startsWith(key + "=")).reduce(
-        "", (left, right) -> left + right + "\n");
+    return COMPLETE
+        .lines()
+        .filter(line -> !line.startsWith(key + "="))
+        .reduce("", (left, right) -> left + right + "\n");
   }
 
   @Test
@@ -120,7 +122,8 @@
 
   @Test
   void unknownAndEmptyKeysAreIgnored() {
-    NodeSettings settings = valid("\n# a remark\n" + COMPLETE + "novelty.x=1\nbounds.new_ms=\n=\nword\n");
+    NodeSettings settings =
+        valid("\n# a remark\n" + COMPLETE + "novelty.x=1\nbounds.new_ms=\n=\nword\n");
     assertThat(settings.node(), equalTo("core-north-1"));
   }
 
