Control state: simulation of the core under seeded faults; state replayed past an installation

A node that learned of a commit by heartbeat alone and was then sent the state from that record on could not replay the installation after a restart: the record before it was open on disk. The replay takes the records up to an installation's base as committed, as they were when it was written.

--- a/src/main/java/slateslip/coordination/Recovery.java
+++ b/src/main/java/slateslip/coordination/Recovery.java
@@ -24,9 +24,17 @@
     } else if (record instanceof DurableRecord.Vote vote) {
       context.witness = vote.witness();
     } else if (record instanceof DurableRecord.Installation installation) {
-      context.store.install(installation.tenure(), installation.state());
+      replay(installation, context.store);
     } else if (record instanceof DurableRecord.Entry entry) {
       context.store.append(entry.sequence(), entry.committedSequence(), entry.record());
     }
   }
+
+  /** When it was written, the records up to its base were known to be committed. */
+  private static void replay(DurableRecord.Installation installation, ReplicaStore store) {
+    if (!installation.state().whole()) {
+      store.commitTo(installation.state().baseSequence());
+    }
+    store.install(installation.tenure(), installation.state());
+  }
 }
--- a/src/main/java/slateslip/coordination/ReplicaStore.java
+++ b/src/main/java/slateslip/coordination/ReplicaStore.java
@@ -68,6 +68,9 @@
    */
   boolean install(Tenure tenure, StateTransfer transfer) {
     int order = tenure.compareTo(installed);
+    if (order == 0) {
+      commitTo(transfer.baseSequence());
+    }
     boolean baseHere = transfer.baseSequence() <= appliedSequence;
     if (order < 0 || !baseHere && !transfer.whole()) {
       return false;
--- /dev/null
+++ b/src/test/java/slateslip/simulation/control/CheckedHistory.java
@@ -0,0 +1,100 @@
+package slateslip.simulation.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import slateslip.coordination.NodeId;
+
+/** What must never happen, checked at each step. */
+final class CheckedHistory {
+  /** A rule was broken. */
+  static final class Violation extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    Violation(String message) {
+      super(message);
+    }
+  }
+
+  private final List<LedgerState.Change> committed = new ArrayList<>();
+  private final Set<LedgerState.Change> acknowledged = new HashSet<>();
+  private final Set<LedgerState.Change> refused = new HashSet<>();
+  private final Map<Long, NodeId> acknowledgers = new HashMap<>();
+  private long acknowledgedVersion;
+
+  /** A replica applies a change behind others. */
+  void applied(int position, long versionBefore, LedgerState.Change change) {
+    if (change.base() != versionBefore) {
+      throw new Violation("applied " + change + " on version " + versionBefore);
+    }
+    if (position < committed.size()) {
+      if (!committed.get(position).equals(change)) {
+        throw new Violation(
+            "forked at " + position + ": " + committed.get(position) + " and " + change);
+      }
+      return;
+    }
+    if (position > committed.size()) {
+      throw new Violation("a gap before " + position);
+    }
+    if (refused.contains(change)) {
+      throw new Violation("in force, though refused: " + change);
+    }
+    committed.add(change);
+  }
+
+  /** A primary acknowledges the commit of a change. */
+  void committedBy(NodeId primary, long epoch, LedgerState.Change change) {
+    NodeId first = acknowledgers.putIfAbsent(epoch, primary);
+    if (first != null && !first.equals(primary)) {
+      throw new Violation(first + " and " + primary + " acknowledge in epoch " + epoch);
+    }
+    acknowledged(change);
+  }
+
+  /** An operator gets an acknowledgement. */
+  void acknowledged(LedgerState.Change change) {
+    if (!committed.contains(change)) {
+      throw new Violation("acknowledged, but not committed: " + change);
+    }
+    acknowledged.add(change);
+    acknowledgedVersion = Math.max(acknowledgedVersion, change.version());
+  }
+
+  /** A change is refused for good. */
+  void refused(LedgerState.Change change) {
+    if (committed.contains(change)) {
+      throw new Violation("refused, though in force: " + change);
+    }
+    refused.add(change);
+  }
+
+  /** Newest version acknowledged so far. */
+  long acknowledgedVersion() {
+    return acknowledgedVersion;
+  }
+
+  Set<LedgerState.Change> acknowledgedChanges() {
+    return acknowledged;
+  }
+
+  /** A read that is confirmed to be current. */
+  void read(long acknowledgedAtCall, long version) {
+    if (version < acknowledgedAtCall) {
+      throw new Violation(
+          "read version " + version + " after " + acknowledgedAtCall + " was acknowledged");
+    }
+  }
+
+  /** The state at the end of the schedule. */
+  void atEnd(List<LedgerState.Change> changes) {
+    for (LedgerState.Change change : acknowledged) {
+      if (!changes.contains(change)) {
+        throw new Violation("lost: " + change);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/slateslip/simulation/control/ControlWorld.java
@@ -0,0 +1,232 @@
+package slateslip.simulation.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import slateslip.coordination.ClientResult;
+import slateslip.coordination.NodeAddress;
+import slateslip.coordination.ReplicaInput;
+import slateslip.protocol.coordination.PeerFrame;
+
+/** Core nodes, their network and the operators: one seeded run. */
+final class ControlWorld {
+  private static final int FIRST_ADDRESS = 0x0a000001;
+  private static final long START_SPREAD = 300_000;
+  private static final int ANSWER_LOST_EVERY = 12;
+  private static final long PROBE_PATIENCE = 300_000;
+  private static final long END_PATIENCE = 1_000_000;
+  private static final int PROBER_AUTHOR = 1_000_000;
+
+  private final WorldShape shape;
+  private final EventQueue events = new EventQueue();
+  private final SplittableRandom random;
+  private final CheckedHistory history = new CheckedHistory();
+  private final SimulatedNetwork network;
+  private final List<SimulatedNode> nodes = new ArrayList<>();
+  private final List<NodeAddress> seeds = new ArrayList<>();
+  private final Map<Long, SimulatedOperator> callers = new HashMap<>();
+  private final List<SimulatedOperator> operators = new ArrayList<>();
+  private final LossCount losses;
+  private final FaultInjector injector;
+  private final Mutation mutation;
+  private int addresses;
+  private long lastToken;
+  private int lastAuthor;
+  private long firstProbe;
+  private long probedAt;
+  private boolean probing;
+  private boolean probeTaken;
+
+  ControlWorld(WorldShape shape, long seed, Mutation mutation) {
+    this.shape = shape;
+    this.mutation = mutation;
+    random = new SplittableRandom(seed);
+    network = new SimulatedNetwork(events, random.split(), this::deliver, this::filtered);
+    losses = new LossCount(events);
+    injector = new FaultInjector(this, random.split());
+    for (int i = 0; i < shape.nodes(); i++) {
+      SimulatedNode node = newNode();
+      if (i < shape.seeds()) {
+        seeds.add(node.address());
+      }
+    }
+  }
+
+  private slateslip.coordination.PeerMessage filtered(
+      slateslip.coordination.NodeId from,
+      NodeAddress to,
+      slateslip.coordination.PeerMessage message) {
+    return mutation.pass(message);
+  }
+
+  private SimulatedNode newNode() {
+    NodeAddress address = new NodeAddress(FIRST_ADDRESS + addresses++);
+    SimulatedNode node =
+        new SimulatedNode(events, random.split(), network, history, this::answered, address);
+    mutation.apply(node.disk());
+    nodes.add(node);
+    return node;
+  }
+
+  EventQueue events() {
+    return events;
+  }
+
+  SimulatedNetwork network() {
+    return network;
+  }
+
+  LossCount losses() {
+    return losses;
+  }
+
+  CheckedHistory history() {
+    return history;
+  }
+
+  WorldShape shape() {
+    return shape;
+  }
+
+  List<SimulatedNode> nodes() {
+    return nodes;
+  }
+
+  long nextToken(SimulatedOperator caller) {
+    lastToken++;
+    callers.put(lastToken, caller);
+    return lastToken;
+  }
+
+  int nextAuthor(int operator) {
+    lastAuthor += 2;
+    return lastAuthor + operator;
+  }
+
+  /** Starts all machines for the first time, and the operators. */
+  void begin(int operatorCount) {
+    for (SimulatedNode node : nodes) {
+      events.in(
+          random.nextLong(START_SPREAD),
+          () -> node.start(seeds, true, shape.faultTolerance()));
+    }
+    for (int i = 0; i < operatorCount; i++) {
+      SimulatedOperator operator =
+          new SimulatedOperator(events, random.split(), history, this, i);
+      operators.add(operator);
+      events.in(START_SPREAD, operator::start);
+    }
+  }
+
+  /** Starts a machine again, on what its disk holds. */
+  void restart(SimulatedNode node) {
+    if (nodes.contains(node)) {
+      node.start(seeds, false, shape.faultTolerance());
+    }
+  }
+
+  /** Takes a machine away for good; another one, empty, starts at another address. */
+  void replace(SimulatedNode node, long micros) {
+    node.losePower();
+    nodes.remove(node);
+    SimulatedNode other = newNode();
+    seeds.replaceAll(seed -> seed.equals(node.address()) ? other.address() : seed);
+    events.in(micros, () -> restart(other));
+  }
+
+  void at(long micros, Fault fault) {
+    events.at(micros, () -> injector.inject(fault));
+  }
+
+  void runUntil(long micros) {
+    events.runUntil(micros);
+  }
+
+  private void deliver(NodeAddress to, PeerFrame frame) {
+    nodes.stream()
+        .filter(node -> node.address().equals(to))
+        .findFirst()
+        .ifPresent(node -> node.deliver(mutation.arriving(frame)));
+  }
+
+  private void answered(SimulatedNode node, ClientResult result) {
+    if (result instanceof ClientResult.Committed committed) {
+      LedgerState.Change change =
+          node.state().changes().get((int) committed.sequence() - 1);
+      history.committedBy(node.role().self(), node.role().epoch(), change);
+    }
+    if (firstProbe > 0 && result.clientToken() >= firstProbe) {
+      probeTaken |= result instanceof ClientResult.Committed;
+      probing = false;
+      return;
+    }
+    injector.acknowledged(node, result);
+    SimulatedOperator caller = callers.remove(result.clientToken());
+    if (random.nextInt(ANSWER_LOST_EVERY) != 0) {
+      events.in(1_000, () -> caller.answered(node, result.clientToken(), result));
+    }
+  }
+
+  /** Ends all troubles, but some machines may stay down. */
+  void heal(int staysDown) {
+    operators.forEach(SimulatedOperator::stop);
+    injector.stop();
+    network.heal();
+    List<SimulatedNode> all = List.copyOf(nodes);
+    for (int i = 0; i < all.size(); i++) {
+      SimulatedNode node = all.get(i);
+      node.disk().heal();
+      node.thaw();
+      if (i < staysDown && losses.mayLose(node, shape.faultTolerance())) {
+        losses.lost(node);
+        node.kill();
+      } else {
+        restart(node);
+      }
+    }
+  }
+
+  /** Runs until a change is taken; the simulated time that it took, or -1 if the bound passed. */
+  long timeToTakeChange(long bound) {
+    long begin = events.now();
+    firstProbe = lastToken + 1;
+    while (!probeTaken && events.now() < begin + bound) {
+      probing &= events.now() - probedAt < PROBE_PATIENCE;
+      nodes.stream().filter(node -> !probing && node.role().serving())
+          .findFirst()
+          .ifPresent(this::probe);
+      events.runUntil(events.now() + 10_000);
+    }
+    return probeTaken ? events.now() - begin : -1;
+  }
+
+  private void probe(SimulatedNode node) {
+    lastToken++;
+    probing = true;
+    probedAt = events.now();
+    long version = node.state().version();
+    LedgerState.Change change =
+        new LedgerState.Change(version, version + 1, PROBER_AUTHOR + (int) lastToken);
+    node.handle(new ReplicaInput.Propose(lastToken, change.encode()));
+  }
+
+  /** Checks that nothing acknowledged is missing at the node that serves, or will soon. */
+  void checkEnd() {
+    long bound = events.now() + END_PATIENCE;
+    while (nodes.stream().noneMatch(node -> node.role().serving()) && events.now() < bound) {
+      events.runUntil(events.now() + 10_000);
+    }
+    SimulatedNode serving =
+        nodes.stream()
+            .filter(node -> node.role().serving())
+            .findFirst()
+            .orElseThrow(() -> new CheckedHistory.Violation("nobody serves at the end"));
+    history.atEnd(serving.state().changes());
+  }
+
+  int changesTaken() {
+    return history.acknowledgedChanges().size();
+  }
+}
--- /dev/null
+++ b/src/test/java/slateslip/simulation/control/Fault.java
@@ -0,0 +1,76 @@
+package slateslip.simulation.control;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/**
+ * One fault of a schedule.
+ *
+ * @param atMicros when
+ * @param kind what
+ * @param target number of a node, or a seed for a choice
+ * @param micros how long
+ */
+record Fault(long atMicros, Kind kind, int target, long micros) {
+  /** What happens. */
+  enum Kind {
+    KILL,
+    KILL_PRIMARY,
+    LOSE_POWER,
+    LOSE_POWER_PRIMARY,
+    WIPE,
+    WIPE_PRIMARY,
+    REPLACE,
+    FREEZE,
+    FREEZE_PRIMARY,
+    CUT_ONE_WAY,
+    CUT_TOWARDS_PRIMARY,
+    CUT_FROM_PRIMARY,
+    CUT_OFF,
+    CUT_OFF_PRIMARY,
+    CUT_IN_TWO,
+    RESET,
+    SLOW_LINKS,
+    DISK_SLOW,
+    DISK_SLOW_PRIMARY,
+    DISK_HUNG,
+    DISK_HUNG_PRIMARY,
+    DISK_FULL,
+    DISK_FULL_PRIMARY,
+    KILL_ALL,
+    LOSE_POWER_ALL,
+    LOSE_POWER_ALL_AND_WIPE,
+    LOSE_POWER_AFTER_ACKNOWLEDGEMENT,
+    WIPE_AFTER_ACKNOWLEDGEMENT,
+    KILL_HALF_WAY
+  }
+
+  private static final int MOST_FAULTS = 9;
+  private static final int NODE_CHOICES = 1_000;
+  private static final long LEAST_MICROS = 20_000;
+  private static final long MOST_MICROS = 3_000_000;
+  private static final long SHORT_MICROS = 300_000;
+
+  /** A random schedule over some time, in order. */
+  static List<Fault> schedule(SplittableRandom random, long micros) {
+    Kind[] kinds = Kind.values();
+    List<Fault> faults = new ArrayList<>();
+    int count = 1 + random.nextInt(MOST_FAULTS);
+    long clustered = random.nextLong(micros);
+    for (int i = 0; i < count; i++) {
+      boolean near = random.nextInt(3) == 0;
+      long at = near ? clustered + random.nextLong(SHORT_MICROS) : random.nextLong(micros);
+      long most = random.nextBoolean() ? SHORT_MICROS : MOST_MICROS;
+      faults.add(
+          new Fault(
+              at,
+              kinds[random.nextInt(kinds.length)],
+              random.nextInt(NODE_CHOICES),
+              random.nextLong(LEAST_MICROS, most)));
+    }
+    faults.sort(Comparator.comparingLong(Fault::atMicros));
+    return faults;
+  }
+}
--- /dev/null
+++ b/src/test/java/slateslip/simulation/control/LedgerState.java
@@ -0,0 +1,100 @@
+package slateslip.simulation.control;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import slateslip.coordination.Preparation;
+import slateslip.coordination.ReplicatedState;
+
+/**
+ * A replicated application like the operator's configuration: each change names the version on which
+ * it builds, and one that was taken is taken again.
+ */
+final class LedgerState implements ReplicatedState {
+  /** What a command without a record gets. */
+  enum Answer {
+    TAKEN_BEFORE,
+    OTHER_VERSION
+  }
+
+  /**
+   * A change.
+   *
+   * @param base version that it builds on
+   * @param version its own
+   * @param author who sends it
+   */
+  record Change(long base, long version, int author) {
+    byte[] encode() {
+      return ByteBuffer.allocate(BYTES).putLong(base).putLong(version).putInt(author).array();
+    }
+
+    static Change decode(byte[] bytes) {
+      ByteBuffer buffer = ByteBuffer.wrap(bytes);
+      return new Change(buffer.getLong(), buffer.getLong(), buffer.getInt());
+    }
+  }
+
+  private static final int BYTES = 20;
+
+  private final CheckedHistory history;
+  private final List<Change> changes = new ArrayList<>();
+
+  LedgerState(CheckedHistory history) {
+    this.history = history;
+  }
+
+  long version() {
+    return changes.isEmpty() ? 0 : changes.get(changes.size() - 1).version();
+  }
+
+  List<Change> changes() {
+    return changes;
+  }
+
+  @Override
+  public Preparation prepare(byte[] command) {
+    Change change = Change.decode(command);
+    if (changes.contains(change)) {
+      return answer(Answer.TAKEN_BEFORE);
+    }
+    if (change.base() != version()) {
+      return answer(Answer.OTHER_VERSION);
+    }
+    return new Preparation.Change(command);
+  }
+
+  private static Preparation answer(Answer answer) {
+    return new Preparation.Answer(answer.name().getBytes(StandardCharsets.US_ASCII));
+  }
+
+  static Answer answer(byte[] bytes) {
+    return Answer.valueOf(new String(bytes, StandardCharsets.US_ASCII));
+  }
+
+  @Override
+  public void apply(byte[] record) {
+    Change change = Change.decode(record);
+    history.applied(changes.size(), version(), change);
+    changes.add(change);
+  }
+
+  @Override
+  public byte[] snapshot() {
+    ByteBuffer buffer = ByteBuffer.allocate(BYTES * changes.size());
+    changes.forEach(change -> buffer.put(change.encode()));
+    return buffer.array();
+  }
+
+  @Override
+  public void restore(byte[] snapshot) {
+    ByteBuffer buffer = ByteBuffer.wrap(snapshot);
+    changes.clear();
+    while (buffer.hasRemaining()) {
+      byte[] record = new byte[BYTES];
+      buffer.get(record);
+      apply(record);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/slateslip/simulation/control/ScheduleRunner.java
@@ -0,0 +1,99 @@
+package slateslip.simulation.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+/** Plays seeded schedules; a seed repeats what it did. */
+final class ScheduleRunner {
+  private static final long BEGIN = 1_500_000;
+  private static final long FAULTS_FOR = 6_000_000;
+  private static final long LIVENESS_BOUND = 3_000_000;
+  private static final long SHAPE_STREAM = 0x5eed;
+  private static final WorldShape[] SHAPES = {
+    new WorldShape(3, 3, 1),
+    new WorldShape(3, 3, 1),
+    new WorldShape(4, 3, 1),
+    new WorldShape(5, 3, 2),
+    new WorldShape(8, 3, 2),
+    new WorldShape(8, 3, 1),
+  };
+
+  /**
+   * What a schedule came to.
+   *
+   * @param violation what was broken, if anything
+   * @param takenAfter simulated microseconds until a change was taken after the faults
+   * @param changes acknowledged changes
+   */
+  record Result(Optional<String> violation, long takenAfter, int changes) {}
+
+  private final Mutation mutation;
+
+  ScheduleRunner(Mutation mutation) {
+    this.mutation = mutation;
+  }
+
+  static WorldShape shape(long seed) {
+    return SHAPES[new SplittableRandom(seed ^ SHAPE_STREAM).nextInt(SHAPES.length)];
+  }
+
+  static List<Fault> faults(long seed) {
+    return Fault.schedule(new SplittableRandom(seed + SHAPE_STREAM), FAULTS_FOR);
+  }
+
+  Result play(long seed) {
+    return play(seed, faults(seed));
+  }
+
+  Result play(long seed, List<Fault> faults) {
+    WorldShape shape = shape(seed);
+    ControlWorld world = new ControlWorld(shape, seed, mutation);
+    try {
+      world.begin(2);
+      faults.forEach(fault -> world.at(BEGIN + fault.atMicros(), fault));
+      world.runUntil(BEGIN + FAULTS_FOR);
+      boolean withLosses = (seed & 1) == 1;
+      world.heal(withLosses ? shape.faultTolerance() : 0);
+      long taken = world.timeToTakeChange(LIVENESS_BOUND);
+      if (taken < 0) {
+        return failed(world, "no change was taken within the bound after the faults");
+      }
+      world.checkEnd();
+      return new Result(Optional.empty(), taken, world.changesTaken());
+    } catch (CheckedHistory.Violation violation) {
+      return failed(world, violation.getMessage());
+    }
+  }
+
+  private static Result failed(ControlWorld world, String violation) {
+    return new Result(Optional.of(violation), -1, world.changesTaken());
+  }
+
+  /** Leaves out faults as long as the schedule still fails. */
+  List<Fault> shortened(long seed) {
+    List<Fault> faults = new ArrayList<>(faults(seed));
+    int position = 0;
+    while (position < faults.size()) {
+      List<Fault> fewer = new ArrayList<>(faults);
+      fewer.remove(position);
+      if (play(seed, fewer).violation().isPresent()) {
+        faults = fewer;
+      } else {
+        position++;
+      }
+    }
+    return faults;
+  }
+
+  /** A failure with its seed and its shortened schedule. */
+  String report(long seed, Result result) {
+    StringBuilder text = new StringBuilder("seed ").append(seed);
+    text.append(", ").append(shape(seed)).append(": ").append(result.violation().orElse("held"));
+    for (Fault fault : shortened(seed)) {
+      text.append("\n  ").append(fault);
+    }
+    return text.toString();
+  }
+}
--- /dev/null
+++ b/src/test/java/slateslip/simulation/control/SimulatedNetwork.java
@@ -0,0 +1,133 @@
+package slateslip.simulation.control;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import slateslip.coordination.NodeAddress;
+import slateslip.coordination.NodeId;
+import slateslip.coordination.PeerMessage;
+import slateslip.protocol.Decoded;
+import slateslip.protocol.coordination.PeerFrame;
+import slateslip.protocol.coordination.PeerMessageCodec;
+
+/**
+ * Connections between nodes: in order on each, with delay; cut one way, reset, and between an old and
+ * a new connection without order; some messages come twice.
+ */
+final class SimulatedNetwork {
+  /** Takes what arrives. */
+  interface Receiver {
+    void deliver(NodeAddress to, PeerFrame frame);
+  }
+
+  /** Changes or drops a message on its way: a mutation. Null drops it. */
+  interface Filter {
+    PeerMessage pass(NodeId from, NodeAddress to, PeerMessage message);
+  }
+
+  private record Link(NodeAddress from, NodeAddress to) {}
+
+  private static final long LEAST_DELAY = 300;
+  private static final long MOST_DELAY = 3_000;
+  private static final long LATE = 120_000;
+  private static final int ENCODED_EVERY = 16;
+  private static final int TWICE_EVERY = 150;
+
+  private final EventQueue events;
+  private final SplittableRandom random;
+  private final Receiver receiver;
+  private final Filter filter;
+  private final Map<Link, Long> lastArrival = new HashMap<>();
+  private final Map<Link, Integer> connections = new HashMap<>();
+  private final Set<Link> cuts = new HashSet<>();
+  private final SlowLinks slow = new SlowLinks();
+
+  /** Extra delay of links. */
+  private static final class SlowLinks {
+    private final Map<NodeAddress, Long> extra = new HashMap<>();
+
+    long of(NodeAddress from, NodeAddress to) {
+      return Math.max(extra.getOrDefault(from, 0L), extra.getOrDefault(to, 0L));
+    }
+  }
+
+  SimulatedNetwork(
+      EventQueue events, SplittableRandom random, Receiver receiver, Filter filter) {
+    this.events = events;
+    this.random = random;
+    this.receiver = receiver;
+    this.filter = filter;
+  }
+
+  void send(NodeId from, NodeAddress to, PeerMessage sent) {
+    PeerMessage message = filter.pass(from, to, sent);
+    Link link = new Link(from.address(), to);
+    if (message == null || cuts.contains(link)) {
+      return;
+    }
+    PeerFrame frame = new PeerFrame(from, sometimesEncoded(from, message));
+    long delay = random.nextLong(LEAST_DELAY, MOST_DELAY) + slow.of(from.address(), to);
+    long arrival = Math.max(lastArrival.getOrDefault(link, 0L), events.now() + delay);
+    lastArrival.put(link, arrival);
+    int connection = connections.getOrDefault(link, 0);
+    events.at(arrival, () -> arrive(link, connection, frame));
+    if (random.nextInt(TWICE_EVERY) == 0) {
+      events.at(
+          arrival + random.nextLong(LATE), () -> arrive(link, connection, frame));
+    }
+  }
+
+  private PeerMessage sometimesEncoded(NodeId from, PeerMessage message) {
+    if (random.nextInt(ENCODED_EVERY) != 0) {
+      return message;
+    }
+    Decoded<PeerFrame> decoded =
+        PeerMessageCodec.decode(PeerMessageCodec.encode(from, message));
+    return ((Decoded.Message<PeerFrame>) decoded).value().message();
+  }
+
+  private void arrive(Link link, int connection, PeerFrame frame) {
+    boolean old = connection != connections.getOrDefault(link, 0);
+    if (cuts.contains(link) || old && random.nextBoolean()) {
+      return;
+    }
+    receiver.deliver(link.to(), frame);
+  }
+
+  /** Nothing passes from one to the other any more. */
+  void cut(NodeAddress from, NodeAddress to) {
+    cuts.add(new Link(from, to));
+  }
+
+  /** The link passes again, on a new connection. */
+  void join(NodeAddress from, NodeAddress to) {
+    Link link = new Link(from, to);
+    cuts.remove(link);
+    reset(link);
+  }
+
+  /** All connections of a machine are reset: what is under way comes late or never. */
+  void resetAll(NodeAddress node, Iterable<NodeAddress> others) {
+    for (NodeAddress other : others) {
+      reset(new Link(node, other));
+      reset(new Link(other, node));
+    }
+  }
+
+  private void reset(Link link) {
+    connections.merge(link, 1, Integer::sum);
+    lastArrival.remove(link);
+  }
+
+  /** Slows all links of a machine. */
+  void slow(NodeAddress node, long extraMicros) {
+    slow.extra.put(node, extraMicros);
+  }
+
+  void heal() {
+    cuts.clear();
+    slow.extra.clear();
+  }
+}
