--- a/src/main/java/slateslip/dataplane/DataPlane.java
+++ b/src/main/java/slateslip/dataplane/DataPlane.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.jboss.logging.Logger;
 import slateslip.configuration.FleetConfiguration;
@@ -133,7 +134,16 @@
 
   /** Takes over what may change while it runs: the control agents that the settings name. */
   public void settingsChanged(NodeSettings changed) {
-    loop.execute(() -> client.seedsChanged(seeds(changed)));
+    whileItRuns(() -> client.seedsChanged(seeds(changed)));
+  }
+
+  /** Signals come at any time, also when the loop has ended: there is nothing left to do then. */
+  private void whileItRuns(Runnable task) {
+    try {
+      loop.execute(task);
+    } catch (RejectedExecutionException over) {
+      LOG.debug("ended already", over);
+    }
   }
 
   /** Where clients connect. */
@@ -148,7 +158,7 @@
 
   /** Leaves in order, within the grace period; returns when all is done. */
   public void stop() {
-    loop.execute(
+    whileItRuns(
         () -> {
           if (!leaving) {
             leaving = true;
