Control plane: shares of fleet-wide limits, settings read again, SIGHUP

The watch of the settings file moves from the data plane to slateslip.settings, as both programs need it; the allocator of shares moves to slateslip.distribution.quota, as the control plane hosts it and must not use routing decisions. The primary holds the role of the allocator until the election of roles is there.

--- a/src/main/java/slateslip/configuration/Problems.java
+++ b/src/main/java/slateslip/configuration/Problems.java
@@ -1,7 +1,7 @@
 package slateslip.configuration;
 
 /** Keeps the first problem that was found in a document. */
-final class Problems {
+public final class Problems {
   private String first;
 
   /** Remembers a problem, unless there is an earlier one. */
@@ -19,7 +19,7 @@
   }
 
   /** The first problem; null if there is none. */
-  String first() {
+  public String first() {
     return first;
   }
 }
--- a/src/main/java/slateslip/controlplane/ControlAgent.java
+++ b/src/main/java/slateslip/controlplane/ControlAgent.java
@@ -42,11 +42,11 @@
   private static final long STREAM_BEAT_MILLIS = 200;
   private static final long RENEWAL_MILLIS = 300;
   private static final long EXPIRY_CHECK_MILLIS = 200;
+  private static final long SHARES_MILLIS = 250;
   private static final long JOURNAL_BYTES = 8L * 1024 * 1024;
 
   private final EventLoop loop;
   private final SteadyClock clock;
-  private final NodeSettings settings;
   private final ConfigurationState state = new ConfigurationState();
   private final SessionTable table;
   private final PeerLinks links;
@@ -61,6 +61,8 @@
   private final Set<String> copiedFrom = new HashSet<>();
 
   private final long startMicros;
+  private final ShareService shares;
+  private NodeSettings settings;
   private long reportedVersion = -1;
 
   ControlAgent(
@@ -93,6 +95,7 @@
     sessions =
         new SessionService(clock, table, links, subscribers, waits, this::reachesMajority);
     calls = new OperatorCalls(loop, replica, state, links, this::awaitDelivery);
+    shares = new ShareService(identity.address(), clock, links, subscribers, new Allocator());
   }
 
   private ReplicaSettings replicaSettings(AgentIdentity identity) {
@@ -116,6 +119,13 @@
     every(STREAM_BEAT_MILLIS, subscribers::beat);
     every(RENEWAL_MILLIS, sessions::flushRenewals);
     every(EXPIRY_CHECK_MILLIS, this::checkSessions);
+    every(SHARES_MILLIS, shares::tick);
+  }
+
+  /** Takes over seeds that have changed. */
+  void settingsChanged(NodeSettings changed) {
+    settings = changed;
+    links.learn(seedAddresses());
   }
 
   private void every(long millis, Runnable task) {
@@ -290,6 +300,10 @@
     } else if (message instanceof ExchangeMessage.Delivered delivered) {
       deliveredByPeer.put(peer, delivered.slowestVersion());
       waits.check();
+    } else if (message instanceof ExchangeMessage.Demands demands) {
+      shares.demands(peer, demands);
+    } else if (message instanceof ExchangeMessage.Allotted allotted) {
+      shares.allotted(allotted);
     }
   }
 
@@ -331,6 +345,19 @@
     }
   }
 
+  /** The primary divides the fleet-wide limits. */
+  private final class Allocator implements ShareService.Holder {
+    @Override
+    public String address() {
+      return replica.role().primary().address().toString();
+    }
+
+    @Override
+    public boolean isSelf() {
+      return replica.isServing();
+    }
+  }
+
   private final class StreamListener implements Subscribers.Listener {
     @Override
     public void progressed() {
@@ -339,6 +366,8 @@
     }
 
     @Override
-    public void demand(ToControl.Subscribe subscriber, ToControl.Demand demand) {}
+    public void demand(ToControl.Subscribe subscriber, ToControl.Demand demand) {
+      shares.demand(subscriber, demand);
+    }
   }
 }
--- a/src/main/java/slateslip/controlplane/ControlPlane.java
+++ b/src/main/java/slateslip/controlplane/ControlPlane.java
@@ -50,6 +50,11 @@
     return started;
   }
 
+  /** Takes over what may change while it runs: the seeds. */
+  public void settingsChanged(NodeSettings settings) {
+    loop.execute(() -> agent.settingsChanged(settings));
+  }
+
   /** Stops taking calls and ends all threads. */
   public void stop() {
     api.stop();
--- a/src/main/java/slateslip/controlplane/ControlPlaneMain.java
+++ b/src/main/java/slateslip/controlplane/ControlPlaneMain.java
@@ -2,46 +2,28 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import slateslip.cli.CommandLine;
+import slateslip.cli.Program;
 import slateslip.settings.NodeSettings;
-import slateslip.settings.SettingsOutcome;
+import slateslip.settings.SettingsWatch;
+import sun.misc.Signal;
 
 /** Entry point of the control plane binary. */
 public final class ControlPlaneMain {
-  private static final String SETTINGS_VARIABLE = "SLATESLIP_CONFIG";
-  private static final int FAILURE = 1;
-
   private ControlPlaneMain() {}
 
-  /** Starts the control plane; it ends with SIGTERM. */
+  /** Starts the control plane, which ends with SIGTERM, or carries out a command. */
   public static void main(String[] arguments) {
-    String path = System.getenv(SETTINGS_VARIABLE);
-    if (path == null) {
-      fail(SETTINGS_VARIABLE + " is not set");
-      return;
-    }
-    SettingsOutcome outcome = NodeSettings.load(Path.of(path));
-    if (outcome instanceof SettingsOutcome.Valid valid) {
-      run(valid.settings());
-    } else if (outcome instanceof SettingsOutcome.Invalid invalid) {
-      fail(invalid.message());
-    }
+    CommandLine.main(Program.CONTROL_PLANE, ControlPlaneMain::start, arguments);
   }
 
-  private static void run(NodeSettings settings) {
+  private static void start(Path settingsFile, NodeSettings settings) throws IOException {
     if (settings.controlListen() == null || settings.dataDirectory() == null) {
-      fail("listen.control and data_dir are needed by the control plane");
-      return;
+      throw new IOException("listen.control and data_dir are needed by the control plane");
     }
-    try {
-      ControlPlane.start(settings);
-    } catch (IOException | RuntimeException failed) {
-      failed.printStackTrace();
-      fail(failed.getMessage());
-    }
-  }
-
-  private static void fail(String message) {
-    System.err.println("slateslip-controlplane: " + message);
-    System.exit(FAILURE);
+    ControlPlane controlPlane = ControlPlane.start(settings);
+    SettingsWatch watch = new SettingsWatch(settingsFile, controlPlane::settingsChanged);
+    Signal.handle(new Signal("HUP"), signal -> watch.read());
+    watch.start();
   }
 }
--- a/src/main/java/slateslip/controlplane/InstanceReader.java
+++ b/src/main/java/slateslip/controlplane/InstanceReader.java
@@ -2,6 +2,7 @@
 
 import slateslip.configuration.FieldReader;
 import slateslip.configuration.JsonSyntax;
+import slateslip.configuration.Problems;
 import slateslip.coordination.NodeAddress;
 import slateslip.distribution.BackendSession;
 
@@ -36,10 +37,11 @@
       return new InstanceReading.Invalid(problem);
     }
     InstanceReader reader = new InstanceReader(id);
-    try (FieldReader fields = new FieldReader(body)) {
+    Problems problems = new Problems();
+    try (FieldReader fields = new FieldReader(body, problems)) {
       reader.readFields(fields);
-      problem = fields.problem() == null ? reader.missing() : fields.problem();
     }
+    problem = problems.first() == null ? reader.missing() : problems.first();
     return problem == null
         ? new InstanceReading.Valid(reader.session())
         : new InstanceReading.Invalid(problem);
--- a/src/main/java/slateslip/dataplane/DataPlaneMain.java
+++ b/src/main/java/slateslip/dataplane/DataPlaneMain.java
@@ -5,6 +5,7 @@
 import org.jboss.logging.Logger;
 import slateslip.settings.NodeSettings;
 import slateslip.settings.SettingsOutcome;
+import slateslip.settings.SettingsWatch;
 import sun.misc.Signal;
 
 /** Entry point of the data plane binary. */
--- a/src/main/java/slateslip/routing/quota/ShareAllocator.java
+++ b/src/main/java/slateslip/distribution/quota/ShareAllocator.java
@@ -1,4 +1,4 @@
-package slateslip.routing.quota;
+package slateslip.distribution.quota;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -17,9 +17,15 @@
  * effect at once; one that grows takes only what the others gave up at least {@link #SETTLE_MICROS} ago, so
  * that the fractions in force never sum above 1 as long as a message takes less than that. A data plane that
  * is silent keeps its last fraction, which it lowers to the equal share by itself
- * ({@link TenantQuotas#SHARES_STALE_MICROS}), until it is removed.
+ * ({@link #SHARES_STALE_MICROS}), until it is removed.
  */
 public final class ShareAllocator {
+  /**
+   * Without news of its shares for this long a data plane falls back to the equal share where it had
+   * more.
+   */
+  public static final long SHARES_STALE_MICROS = 3_000_000;
+
   /** A fraction that was told counts as in force for once to twice this after a lower one was told. */
   public static final long SETTLE_MICROS = 400_000;
 
@@ -165,7 +171,7 @@
   /** What a silent data plane may still be using. */
   private double silentFraction(Agent agent, Cell cell, double equal, long nowMicros) {
     boolean loweredByItself =
-        nowMicros - agent.reportedMicros > TenantQuotas.SHARES_STALE_MICROS + SETTLE_MICROS;
+        nowMicros - agent.reportedMicros > SHARES_STALE_MICROS + SETTLE_MICROS;
     return loweredByItself ? Math.min(cell.inForce(), equal) : cell.inForce();
   }
 
--- /dev/null
+++ b/src/main/java/slateslip/distribution/quota/package-info.java
@@ -0,0 +1,2 @@
+/** Division of fleet-wide limits among data planes. */
+package slateslip.distribution.quota;
--- a/src/main/java/slateslip/routing/quota/TenantQuotas.java
+++ b/src/main/java/slateslip/routing/quota/TenantQuotas.java
@@ -8,15 +8,10 @@
 import slateslip.distribution.AgentShares;
 import slateslip.distribution.AgentShares.TenantShare;
 import slateslip.distribution.TenantDemand;
+import slateslip.distribution.quota.ShareAllocator;
 
 /** Quotas of all tenants at one data plane. */
 public final class TenantQuotas {
-  /**
-   * Without news of its shares for this long a data plane falls back to the equal share where it had more.
-   * {@link ShareAllocator} counts on it.
-   */
-  public static final long SHARES_STALE_MICROS = 3_000_000;
-
   /** Data planes that share the quotas as long as no control agent has told how many there are. */
   public static final int AGENTS_UNKNOWN = 16;
 
@@ -120,7 +115,7 @@
   }
 
   private void checkStale(long nowMicros) {
-    if (!stale && nowMicros - sharesMicros > SHARES_STALE_MICROS) {
+    if (!stale && nowMicros - sharesMicros > ShareAllocator.SHARES_STALE_MICROS) {
       stale = true;
       states.values().forEach(this::apply);
     }
--- a/src/main/java/slateslip/dataplane/SettingsWatch.java
+++ b/src/main/java/slateslip/settings/SettingsWatch.java
@@ -1,4 +1,4 @@
-package slateslip.dataplane;
+package slateslip.settings;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -7,11 +7,12 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jboss.logging.Logger;
-import slateslip.settings.NodeSettings;
-import slateslip.settings.SettingsOutcome;
 
-/** Reads the settings file again when it has changed or when it is told to. A file that is not usable changes nothing. */
-final class SettingsWatch {
+/**
+ * Reads the settings file again when it has changed or when it is told to. A file that is not usable
+ * changes nothing.
+ */
+public final class SettingsWatch {
   private static final Logger LOG = Logger.getLogger(SettingsWatch.class);
   private static final long LOOK_MILLIS = 2_000;
 
@@ -19,14 +20,19 @@
   private final Consumer<NodeSettings> changed;
   private FileTime modified;
 
-  SettingsWatch(Path file, Consumer<NodeSettings> changed) {
+  /**
+   * A watch that does not look yet.
+   *
+   * @param changed is told new settings, on any thread
+   */
+  public SettingsWatch(Path file, Consumer<NodeSettings> changed) {
     this.file = file;
     this.changed = changed;
     this.modified = modifiedTime();
   }
 
   /** Looks at the file every now and then, on a thread of its own. */
-  void start() {
+  public void start() {
     Thread thread = new Thread(this::lookForEver, "settings");
     thread.setDaemon(true);
     thread.start();
@@ -44,7 +50,7 @@
   }
 
   /** Reads the file if it has another time than before. */
-  synchronized void look() {
+  public synchronized void look() {
     FileTime now = modifiedTime();
     if (now != null && !now.equals(modified)) {
       read();
@@ -52,7 +58,7 @@
   }
 
   /** Reads the file. */
-  synchronized void read() {
+  public synchronized void read() {
     modified = modifiedTime();
     SettingsOutcome outcome = NodeSettings.load(file);
     if (outcome instanceof SettingsOutcome.Valid valid) {
--- a/src/test/java/slateslip/routing/quota/QuotaFleetTest.java
+++ b/src/test/java/slateslip/routing/quota/QuotaFleetTest.java
@@ -14,7 +14,8 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import slateslip.configuration.Tenant;
 import slateslip.distribution.AgentShares;
-import slateslip.routing.quota.ShareAllocator.AgentAllocation;
+import slateslip.distribution.quota.ShareAllocator;
+import slateslip.distribution.quota.ShareAllocator.AgentAllocation;
 
 /** Data planes and an allocator together: the rule over every window, and what is refused below the limit. */
 class QuotaFleetTest {
