Rules: health, pick, retries, the list and the on-call line leave the file

Cause: every decision and the bookkeeping around it stood in one file of 1,132 lines, and the router fleet needs health, the two draws and the retry allowance without the agent around them.

--- a/src/main/java/gatefront/Rules.java
+++ b/src/main/java/gatefront/Rules.java
@@ -6,14 +6,16 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.stream.Collectors;
 import gatefront.Open.Attempt;
-import gatefront.Target.Health;
+import gatefront.policy.BackendHealth;
+import gatefront.policy.BackendHealth.State;
+import gatefront.policy.HealthParameters;
+import gatefront.policy.RendezvousHash;
+import gatefront.policy.RetryAllowance;
+import gatefront.policy.TwoRandomChoices;
 
 /**
  * Every decision of one agent's balancer. The ordinary path of a request: of two random available servers of
@@ -47,6 +49,8 @@
     private static final int REST_DOUBLINGS = 5;
     /** After this the passive state is Unknown again. */
     private static final long REACTIVATION = 5 * SECOND;
+    private static final HealthParameters HEALTH = new HealthParameters(PROBE_THRESHOLD, WINDOW,
+        WINDOW_MINIMUM, FAILURE_LIMIT, SURE, REACTIVATION);
     /** Where the limits of all agents together for a server unknown so far start. */
     private static final double LIMIT_START = 12;
     /** After a fast answer with the limit half used. */
@@ -117,8 +121,8 @@
     private static final long ASK_LEAST = SECOND / 2;
     /** The part of the time that the settings leave for asking over which the first calls are spread. */
     private static final int ASK_SPREAD = 4;
-    /** How often it is told why requests wait. */
-    private static final long TELL_PERIOD = 5 * SECOND;
+    /** Of two with as many requests in flight the one that was drawn first. */
+    private static final Comparator<Target> FIRST = (first, second) -> 0;
     private static final long TIMER_PROBE = -1;
     private static final long TIMER_SWEEP = -2;
     private static final long TIMER_ASK = -3;
@@ -126,16 +130,15 @@
     private Settings settings;
     private final Actions actions;
     private final SplittableRandom random;
-    private final Map<Long, Target> targets = new HashMap<>();
-    /** The servers now listed, in the order of this agent's own hash. */
-    private final List<Target> listed = new ArrayList<>();
+    private final ServerTable servers;
+    private final List<Target> listed;
     private final List<Target> scratch = new ArrayList<>();
     private final Map<Long, Open> open = new HashMap<>();
     private final Map<Long, Open> byToken = new HashMap<>();
     private final List<ClassState> classes = new ArrayList<>();
     /** The same, and those removed with requests still held; the most valuable first. */
     private final List<ClassState> order;
-    private double retries = RETRY_BANK;
+    private final RetryAllowance retries = new RetryAllowance(RETRY_EARNED, RETRY_BANK);
     /** The share of keys that cross zones at once. */
     private double spill;
     /** A quantile of all answer times, which stands in for a class that has been seen too seldom. */
@@ -151,7 +154,7 @@
     private long nextToken;
     private int probeTurn;
     private boolean sweeping;
-    private long toldAt;
+    private final WaitingReport waitingReport = new WaitingReport();
     private boolean probing;
     /** The last wait before discovery was asked again; half of two while it answers. */
     private long askDelay = ASK_TWICE / 2;
@@ -160,6 +163,8 @@
     public Rules(Settings settings, long seed, long now, Actions actions) {
         this.settings = settings;
         this.actions = actions;
+        this.servers = new ServerTable(HEALTH, actions);
+        this.listed = servers.listed();
         this.random = new SplittableRandom(seed);
         this.probeTurn = random.nextInt(1 << 16);
         this.rankedAt = now;
@@ -195,7 +200,7 @@
         state.meanCost += (state.meanCost == 0 ? 1 : BLEND / 2) * (request.cost() - state.meanCost);
         state.came++;
         busy += state.unhurried;
-        retries = Math.min(RETRY_BANK, retries + RETRY_EARNED);
+        retries.earn();
         if (late && (request.repeated() || waiting())) {
             finish(req, now);
         } else {
@@ -284,35 +289,11 @@
         }
     }
 
-    /** Tells on-call staff, now and then, what stands between the requests held and the servers. */
     private void tellWaiting(long now) {
         long held = open.values().stream().filter(each -> each.held).count();
-        if (held == 0 || now - toldAt < TELL_PERIOD) {
-            return;
-        }
-        toldAt = now;
-        actions.log("waiting: " + held + "; own zone " + room(now, true) + "; others " + room(now, false));
-    }
-
-    private String room(long now, boolean own) {
-        int ready = 0;
-        int unhealthy = 0;
-        int cold = 0;
-        int resting = 0;
-        int used = 0;
-        double limits = 0;
-        for (Target target : listed) {
-            if (target.ready && (target.listed.zone() == settings.zone()) == own) {
-                ready++;
-                unhealthy += available(target, now) ? 0 : 1;
-                cold += cold(target, now) ? 1 : 0;
-                resting += now < target.restUntil ? 1 : 0;
-                used += target.inFlight;
-                limits += target.limit;
-            }
+        if (held > 0 && waitingReport.due(now)) {
+            actions.log(WaitingReport.line(now, held, listed, settings.zone(), each -> available(each, now)));
         }
-        return used + " out of " + Math.round(limits) + " at " + ready + " ready (" + unhealthy
-            + " unhealthy, " + cold + " starting, " + resting + " resting)";
     }
 
     /** Orders the classes by what a unit of their work adds to the goal, as measured now. */
@@ -361,7 +342,7 @@
         Attempt ended = req.attempts.get(attempt);
         ended.outcome = outcome;
         ended.target.inFlight--;
-        forget(ended.target);
+        servers.forget(ended.target);
         learn(req, ended.target, outcome, spent, now);
         if (closed) {
             close(req);
@@ -378,8 +359,8 @@
     /** After a failed attempt: another one where permitted and affordable, or the final answer. */
     private void again(Open req, long now) {
         boolean worthIt = !hopeless(req, now) && req.attempts.size() < settings.permits().maxAttempts();
-        if (worthIt && maySend(req, now) && retries >= 1) {
-            retries -= 1;
+        if (worthIt && maySend(req, now) && retries.permits()) {
+            retries.spend();
             dispatchOrHold(req, now);
         } else {
             finish(req, now);
@@ -498,14 +479,13 @@
             moveServers(next);
         }
         for (Target target : listed) {
-            if (cold(target, now) && target.coldSince == target.listed.startedAt()) { // as the list has it
+            if (target.cold(now) && target.coldSince == target.listed.startedAt()) { // as the list has it
                 // What it may be sent stays: a change of settings earns it nothing.
                 target.coldUntil = Math.max(target.coldUntil,
                     target.coldSince + settings.obligations().coldTime());
             }
-            if (!settings.permits().probes() && target.active == Health.UNHEALTHY) {
-                target.active = Health.UNKNOWN; // Danger: without probes nothing would ever make it available
-                target.probeFailures = 0;
+            if (!settings.permits().probes() && target.health.active() == State.UNHEALTHY) {
+                target.health.resetActive(); // Danger: without probes nothing would ever make it available
             }
         }
         // Danger: one that may not go again would stand before others in its queue until its time is up.
@@ -539,9 +519,7 @@
 
     /** Zones and kinds go by their new positions, also of servers that only an attempt still knows. */
     private void moveServers(Takeover next) {
-        Set<Target> known = new HashSet<>(targets.values());
-        open.values().forEach(req -> req.attempts.forEach(attempt -> known.add(attempt.target)));
-        known.forEach(target -> target.listed = next.moved(target.listed));
+        servers.move(next, open.values());
         Map<Integer, Double> stretches = Map.copyOf(kindStretch);
         kindStretch.keySet().removeIf(kind -> kind >= 0);
         stretches.forEach((kind, stretch) -> {
@@ -606,7 +584,7 @@
         // Guards against a request held to its last moment though no server is left that it has not been to.
         req.mayReturn = !req.attempts.isEmpty() && listed.stream().allMatch(each -> !each.ready
             || !available(each, now) || req.sentTo(each) || !inGroups(req, each));
-        boolean roams = keyed(req) && (mix(~req.request.key()) >>> 11) * 0x1p-53 < spill;
+        boolean roams = keyed(req) && RendezvousHash.position(~req.request.key()) < spill;
         Target best = roams ? draw(req, now, true, 0) : null;
         if (best == null) {
             best = draw(req, now, true, 1);
@@ -670,24 +648,14 @@
         if (keyed(req)) {
             leaveBusy();
         }
-        int n = scratch.size();
-        if (n <= 1) {
-            return n == 0 ? null : scratch.get(0);
-        }
-        if (keyed(req)) {
+        if (keyed(req) && scratch.size() > 1) {
             // All agents draw the same two by the key's hash.
             Target first = highest(req.request.key(), null);
             Target second = highest(req.request.key(), first);
-            return first.inFlight <= second.inFlight ? first : second;
+            return TwoRandomChoices.less(first, second, Target::inFlight, FIRST);
         }
-        int i = random.nextInt(n);
-        int j = random.nextInt(n - 1);
-        Target a = scratch.get(i);
-        Target b = scratch.get(j < i ? j : j + 1);
-        if (a.inFlight != b.inFlight) {
-            return a.inFlight < b.inFlight ? a : b;
-        }
-        return settings.warmKeys() || stretch(a, now) <= stretch(b, now) ? a : b;
+        return TwoRandomChoices.pick(scratch, Target::inFlight,
+            settings.warmKeys() ? FIRST : Comparator.comparingDouble(each -> stretch(each, now)), random);
     }
 
     /**
@@ -716,21 +684,14 @@
     }
 
     private Target highest(long key, Target except) {
-        return scratch.stream().filter(target -> target != except)
-            .max(Comparator.comparingLong(target -> mix(key ^ mix(target.id)))).orElseThrow();
-    }
-
-    private static long mix(long z) {
-        z = (z + 0x9e3779b97f4a7c15L) * 0xbf58476d1ce4e5b9L;
-        z = (z ^ z >>> 29) * 0x94d049bb133111ebL;
-        return z ^ z >>> 32;
+        return RendezvousHash.highest(scratch, key, target -> target.id, except);
     }
 
     // ---- Limits and what answers teach ----
 
     private boolean hasRoom(Target target, long now) {
         return target.inFlight < Math.max(1, (int) target.limit) && now >= target.restUntil
-            && (!cold(target, now) || coldBudget(target, now) >= 1);
+            && (!target.cold(now) || coldBudget(target, now) >= 1);
     }
 
     private void learn(Open req, Target target, Outcome outcome, long spent, long now) {
@@ -738,7 +699,7 @@
             return; // says nothing about the server
         }
         boolean failed = outcome != Outcome.OK && outcome != Outcome.FULL;
-        target.window.add(now, WINDOW, failed);
+        target.health.requestEnded(now, failed);
         if (outcome == Outcome.OK) {
             target.answeredSinceProbe = true;
             target.failuresInRow = 0;
@@ -829,42 +790,28 @@
 
     // ---- Health ----
 
-    /** Available unless either state is Unhealthy. */
     private boolean available(Target target, long now) {
-        if (target.passive == Health.UNHEALTHY && now >= target.reactivateAt) {
-            target.passive = Health.UNKNOWN;
+        if (target.health.reactivateIfDue(now)) {
             target.limit = 1;
-            target.window.clear();
-            log(target, "passive Unknown: reactivated");
+            servers.log(target, "passive Unknown: reactivated");
         }
-        return target.active != Health.UNHEALTHY && target.passive != Health.UNHEALTHY;
+        return target.health.available();
     }
 
-    /** Makes the passive state Unhealthy when too much fails here, and more than elsewhere. */
     private void judge(Target target, long now) {
-        int total = target.window.total();
-        int failed = target.window.failed();
-        if (total < WINDOW_MINIMUM || failed <= FAILURE_LIMIT * total) {
+        if (!target.health.failsTooOften()) {
             return;
         }
-        int peerTotal = 1;
-        int peerFailed = 0;
+        List<BackendHealth> peers = new ArrayList<>();
         for (Target peer : listed) {
             if (peer != target && peer.listed.zone() == target.listed.zone()) {
-                peer.window.slideTo(now, WINDOW);
-                peerTotal += peer.window.total();
-                peerFailed += peer.window.failed();
+                peers.add(peer.health);
             }
         }
-        // Danger: when everything fails alike, removing servers pushes their load onto the rest; and a few
-        // requests prove little. What peers fail would have to be exceeded clearly.
-        double expected = total * (double) peerFailed / peerTotal;
-        if (failed <= expected + SURE * Math.sqrt(Math.max(1, expected))) {
-            return;
+        if (target.health.ejectIfFailing(now, peers)) {
+            servers.log(target, "passive Unhealthy: " + target.health.failuresInWindow() + " of "
+                + target.health.requestsInWindow() + " failed");
         }
-        target.passive = Health.UNHEALTHY;
-        target.reactivateAt = now + REACTIVATION;
-        log(target, "passive Unhealthy: " + failed + " of " + total + " failed");
     }
 
     /** Those it draws from, and what stands before them that is not available and may recover. */
@@ -905,7 +852,7 @@
 
     @Override
     public void probed(long now, long server, Outcome outcome, long spent, double[] load) {
-        Target target = targets.get(server);
+        Target target = servers.find(server);
         if (target == null) {
             return;
         }
@@ -914,25 +861,21 @@
             return; // says nothing about the server
         }
         if (outcome == Outcome.OK) {
-            target.probeFailures = 0;
             recovered(target, now);
-            if (target.active == Health.UNHEALTHY) {
-                log(target, "active Healthy: probe answered");
+            if (target.health.probeSucceeded()) {
+                servers.log(target, "active Healthy: probe answered");
             }
-            target.active = Health.HEALTHY;
         } else if ((outcome == Outcome.TIMEOUT || outcome == Outcome.RESET) && target.answeredSinceProbe) {
             // Danger: a busy server answers probes late, and a connection may break under one; real answers
             // prove that it lives.
-            target.probeFailures = 0;
+            target.health.probeInconclusive();
         } else {
             if (outcome == Outcome.CONNECT_FAILED) {
                 broke(target, now);
             }
-            target.probeFailures++;
-            if (target.probeFailures >= PROBE_THRESHOLD && target.active != Health.UNHEALTHY) {
-                target.active = Health.UNHEALTHY;
+            if (target.health.probeFailed()) {
                 broke(target, now);
-                log(target, "active Unhealthy: " + target.probeFailures + " probes failed");
+                servers.log(target, "active Unhealthy: " + target.health.probeFailures() + " probes failed");
             }
         }
         target.answeredSinceProbe = false;
@@ -958,7 +901,7 @@
     private void recovered(Target target, long now) {
         if (target.broken) {
             target.broken = false;
-            if (!cold(target, now) && now - target.brokenAt >= BREAK_LEAST) {
+            if (!target.cold(now) && now - target.brokenAt >= BREAK_LEAST) {
                 chill(target, now, now, now + SUSPICION, "answers again after a break");
             }
         }
@@ -970,7 +913,7 @@
         target.coldGranted = random.nextDouble(); // a whole one each, and a thousand agents send a thousand
         target.coldSpent = 0;
         target.coldAt = now;
-        log(target, "cold: " + why);
+        servers.log(target, "cold: " + why);
     }
 
     /** The part of its capacity that a cold server has at the least. */
@@ -982,14 +925,10 @@
 
     /** Danger: a server that has just started may need longer for one request than anybody waits. */
     private boolean warmEnough(Open req, Target target, long now) {
-        return !cold(target, now)
+        return !target.cold(now)
             || req.state.typical / warmth(target, now) < req.endAt - now;
     }
 
-    private boolean cold(Target target, long now) {
-        return now < target.coldUntil;
-    }
-
     /**
      * Requests this agent may send to a cold server now. Danger: all agents together push it over. Each
      * keeps to what it gets answered by a warm server, times the part that is surely warm. Danger: agents
@@ -1020,7 +959,7 @@
             double sum = 0;
             int n = 0;
             for (Target target : listed) {
-                boolean warm = target.listed.zone() == zone && target.ready && !cold(target, now);
+                boolean warm = target.listed.zone() == zone && target.ready && !target.cold(now);
                 sum += warm ? rate(target, now) : 0;
                 n += warm ? 1 : 0;
             }
@@ -1049,14 +988,15 @@
             warmRate(zone, now); // as long as there are warm ones: they may leave with this list
         }
         if (kind != ListKind.DELTA) {
-            Set<Long> complete = entries.stream().map(Server::id).collect(Collectors.toSet());
-            List.copyOf(listed).stream().filter(each -> !complete.contains(each.id)).forEach(this::remove);
+            servers.retain(entries);
         }
         for (Server entry : entries) {
-            apply(now, entry);
+            Target started = servers.apply(entry);
+            if (started != null) {
+                restart(now, started);
+            }
         }
-        // By this agent's own hash: its first few are its subset, and no two agents have the same.
-        listed.sort(Comparator.comparingLong(each -> mix(each.id ^ mix(settings.agent()))));
+        servers.order(settings.agent());
         // So many agents have a server in their subset; reckoned once all are listed.
         double part = Math.min(1, (double) subset(SUBSET_LEAST) / Math.max(1, listed.size()));
         for (Target target : listed) {
@@ -1068,65 +1008,14 @@
         release(now);
     }
 
-    private void apply(long now, Server entry) {
-        if (entry.phase() == Phase.GONE) {
-            Target gone = targets.get(entry.id());
-            if (gone != null) {
-                remove(gone);
-            }
-            return;
-        }
-        Target target = targets.computeIfAbsent(entry.id(), id -> new Target(id));
-        Server before = target.listed;
-        if (before == null || target.gone) {
-            listed.add(target);
-        }
-        target.gone = false;
-        target.listed = entry;
-        boolean ready = entry.phase() == Phase.READY;
-        if (before != null && target.ready != ready) {
-            log(target, ready ? "ready" : "draining: nothing new is sent");
-        }
-        target.ready = ready;
-        if (entry.startedAt() > 0 && (before == null || entry.startedAt() != before.startedAt())) {
-            restart(now, target);
-        }
-    }
-
     private void restart(long now, Target target) {
-        target.active = Health.UNKNOWN;
-        target.passive = Health.UNKNOWN;
-        target.probeFailures = 0;
+        target.health.reset();
         target.broken = false;
         target.limit = 0;
         target.stretch = 1;
-        target.window.clear();
         long warmAt = target.listed.startedAt() + settings.obligations().coldTime();
         if (now < warmAt) {
             chill(target, now, target.listed.startedAt(), warmAt, "listed as just started");
         }
     }
-
-    private void remove(Target target) {
-        if (listed.remove(target)) {
-            log(target, "gone from the list");
-        }
-        target.ready = false;
-        target.gone = true;
-        forget(target);
-    }
-
-    /** Danger: servers come and go for ever. What is known of one goes with it once nothing is out. */
-    private void forget(Target target) {
-        if (target.gone && target.inFlight == 0) {
-            targets.remove(target.id);
-        }
-    }
-
-    private void log(Target target, String what) {
-        if (target.gone) {
-            return; // nobody is to look after it
-        }
-        actions.log("server " + target.id + " " + what);
-    }
 }
--- a/src/main/java/gatefront/Target.java
+++ b/src/main/java/gatefront/Target.java
@@ -1,12 +1,11 @@
 package gatefront;
 
 import gatefront.Balancer.Server;
+import gatefront.policy.BackendHealth;
+import gatefront.policy.HealthParameters;
 
 /** What one agent knows of one server. State only: {@link Rules} decides. */
 final class Target {
-    /** The states of a health check. */
-    enum Health { UNKNOWN, HEALTHY, UNHEALTHY }
-
     final long id;
     /** Its line of the server list. */
     Server listed;
@@ -15,15 +14,10 @@
     /** Whether the list has it no more. */
     boolean gone;
 
-    Health active = Health.UNKNOWN;
-    int probeFailures;
+    final BackendHealth health;
     boolean probeOut;
     boolean answeredSinceProbe;
 
-    Health passive = Health.UNKNOWN;
-    long reactivateAt;
-    final FailureWindow window = new FailureWindow();
-
     /** This agent's attempts that are out. */
     int inFlight;
     /** How many it may have in flight at once; 0 until reckoned. */
@@ -55,7 +49,17 @@
     double answerRate;
     long answerRateAt;
 
-    Target(long id) {
+    Target(long id, HealthParameters parameters) {
         this.id = id;
+        this.health = new BackendHealth(parameters);
+    }
+
+    /** Whether it may still be warming up. */
+    boolean cold(long now) {
+        return now < coldUntil;
+    }
+
+    int inFlight() {
+        return inFlight;
     }
 }
--- a/src/main/java/gatefront/FailureWindow.java
+++ b/src/main/java/gatefront/policy/FailureWindow.java
@@ -1,10 +1,11 @@
-package gatefront;
+package gatefront.policy;
 
 import java.util.Arrays;
 
 /** Failures and totals of one server over a sliding window of equal slots. */
 final class FailureWindow {
-    private static final int SLOTS = 10;
+    /** Slots that the window slides by. */
+    static final int SLOTS = 10;
 
     private final int[] failures = new int[SLOTS];
     private final int[] totals = new int[SLOTS];
