--- a/src/main/java/slateslip/configuration/FieldReader.java
+++ b/src/main/java/slateslip/configuration/FieldReader.java
@@ -10,7 +10,7 @@
  * Reads the fields of JSON objects by name. A value of another type is skipped and remembered as
  * the problem of its field; {@code null} reads as a missing field. The text has to be well formed.
  */
-final class FieldReader implements AutoCloseable {
+public final class FieldReader implements AutoCloseable {
   /** Two readers that are open at once in a thread would share a buffer: only one is opened. */
   private static final JsonStream STREAMS =
       JsonStream.builder().bufferRecycling(BufferRecycleStrategy.THREAD_LOCAL).build();
@@ -30,13 +30,27 @@
     this.problems = problems;
   }
 
+  /**
+   * Opens a reader with problems of its own; no other may be open in this thread.
+   *
+   * @param json one value
+   */
+  public FieldReader(byte[] json) {
+    this(json, new Problems());
+  }
+
+  /** The first problem, with the name of its field; null if there is none. */
+  public String problem() {
+    return problems.first();
+  }
+
   /** Reports a problem of a field. */
-  void report(String fieldName, String reason) {
+  public void report(String fieldName, String reason) {
     problems.report(fieldName, reason);
   }
 
   /** Opens an object; false if the value is of another type, which is skipped. */
-  boolean beginObject() {
+  public boolean beginObject() {
     if (!is(JsonReader.Token.BEGIN_OBJECT, "is not an object")) {
       return false;
     }
@@ -45,7 +59,7 @@
   }
 
   /** Goes on to the next field of the open object; closes it if there is none. */
-  boolean nextField() {
+  public boolean nextField() {
     if (reader.hasNextField()) {
       field = reader.nextField();
       return true;
@@ -55,12 +69,12 @@
   }
 
   /** Name of the field that is read next. */
-  String field() {
+  public String field() {
     return field;
   }
 
   /** Opens an array; false if the value is of another type, which is skipped. */
-  boolean beginArray() {
+  public boolean beginArray() {
     if (!is(JsonReader.Token.BEGIN_ARRAY, "is not a list")) {
       return false;
     }
@@ -69,7 +83,7 @@
   }
 
   /** Goes on to the next element of the open array; closes it if there is none. */
-  boolean nextElement() {
+  public boolean nextElement() {
     if (reader.hasNextElement()) {
       return true;
     }
@@ -78,19 +92,19 @@
   }
 
   /** A string; null if it is missing or of another type. */
-  String text() {
+  public String text() {
     return is(JsonReader.Token.STRING, "is not a string") ? reader.readString() : null;
   }
 
   /** A number; the fallback if it is missing or of another type. */
-  double number(double fallback) {
+  public double number(double fallback) {
     return is(JsonReader.Token.NUMBER, "is not a number")
         ? Double.parseDouble(reader.readRaw())
         : fallback;
   }
 
   /** A number of at least 0, rounded up; the fallback if it is missing or of another type. */
-  long count(long fallback) {
+  public long count(long fallback) {
     double number = number((double) fallback);
     if (number < 0) {
       report(field, "is below 0");
@@ -100,19 +114,19 @@
   }
 
   /** As {@link #count}, cut off at the largest {@code int}. */
-  int smallCount(int fallback) {
+  public int smallCount(int fallback) {
     return (int) Math.min(Integer.MAX_VALUE, count(fallback));
   }
 
   /** A boolean; the fallback if it is missing or of another type. */
-  boolean flag(boolean fallback) {
+  public boolean flag(boolean fallback) {
     return is(JsonReader.Token.BOOLEAN, "is neither true nor false")
         ? reader.readBoolean()
         : fallback;
   }
 
   /** A list of strings; empty if it is missing or of another type. */
-  List<String> texts() {
+  public List<String> texts() {
     List<String> texts = new ArrayList<>();
     if (!beginArray()) {
       return texts;
@@ -126,7 +140,8 @@
     return texts;
   }
 
-  void skip() {
+  /** Passes over the value. */
+  public void skip() {
     reader.skipValue();
   }
 
