--- a/src/main/java/slateslip/configuration/FieldReader.java
+++ b/src/main/java/slateslip/configuration/FieldReader.java
@@ -11,36 +11,42 @@
  * the problem of its field; {@code null} reads as a missing field. The text has to be well formed.
  */
 public final class FieldReader implements AutoCloseable {
-  /** JSON of a value that is missing. */
-  static final String NULL = "null";
-
-  /** Recycled buffers would be shared by a reader and one that is opened before it is closed. */
+  /** Two readers that are open at once in a thread would share a buffer: only one is opened. */
   private static final JsonStream STREAMS =
-      JsonStream.builder().bufferRecycling(BufferRecycleStrategy.NO_RECYCLING).build();
+      JsonStream.builder().bufferRecycling(BufferRecycleStrategy.THREAD_LOCAL).build();
 
   private final JsonReader reader;
+  private final Problems problems;
   private String field = "";
-  private String problem;
 
-  /** Reads a well-formed document. */
-  public FieldReader(byte[] json) {
+  /**
+   * Opens a reader; no other may be open in this thread.
+   *
+   * @param json one value
+   * @param problems where fields of a wrong type are reported
+   */
+  FieldReader(byte[] json, Problems problems) {
     reader = STREAMS.reader(json);
+    this.problems = problems;
   }
 
-  FieldReader(String json) {
-    reader = STREAMS.reader(json);
+  /**
+   * Opens a reader with problems of its own; no other may be open in this thread.
+   *
+   * @param json one value
+   */
+  public FieldReader(byte[] json) {
+    this(json, new Problems());
   }
 
   /** The first problem, with the name of its field; null if there is none. */
   public String problem() {
-    return problem;
+    return problems.first();
   }
 
-  /** Remembers a problem, unless there is an earlier one. */
+  /** Reports a problem of a field. */
   public void report(String fieldName, String reason) {
-    if (problem == null) {
-      problem = fieldName + " " + reason;
-    }
+    problems.report(fieldName, reason);
   }
 
   /** Opens an object; false if the value is of another type, which is skipped. */
@@ -68,7 +74,7 @@
   }
 
   /** Opens an array; false if the value is of another type, which is skipped. */
-  boolean beginArray() {
+  public boolean beginArray() {
     if (!is(JsonReader.Token.BEGIN_ARRAY, "is not a list")) {
       return false;
     }
@@ -77,7 +83,7 @@
   }
 
   /** Goes on to the next element of the open array; closes it if there is none. */
-  boolean nextElement() {
+  public boolean nextElement() {
     if (reader.hasNextElement()) {
       return true;
     }
@@ -91,13 +97,15 @@
   }
 
   /** A number; the fallback if it is missing or of another type. */
-  double number(double fallback) {
-    return is(JsonReader.Token.NUMBER, "is not a number") ? reader.readDouble() : fallback;
+  public double number(double fallback) {
+    return is(JsonReader.Token.NUMBER, "is not a number")
+        ? Double.parseDouble(reader.readRaw())
+        : fallback;
   }
 
   /** A number of at least 0, rounded up; the fallback if it is missing or of another type. */
   public long count(long fallback) {
-    double number = number(fallback);
+    double number = number((double) fallback);
     if (number < 0) {
       report(field, "is below 0");
       return fallback;
@@ -111,14 +119,14 @@
   }
 
   /** A boolean; the fallback if it is missing or of another type. */
-  boolean flag(boolean fallback) {
+  public boolean flag(boolean fallback) {
     return is(JsonReader.Token.BOOLEAN, "is neither true nor false")
         ? reader.readBoolean()
         : fallback;
   }
 
   /** A list of strings; empty if it is missing or of another type. */
-  List<String> texts() {
+  public List<String> texts() {
     List<String> texts = new ArrayList<>();
     if (!beginArray()) {
       return texts;
@@ -132,12 +140,7 @@
     return texts;
   }
 
-  /** The value's JSON, as it stands in the text. */
-  String raw() {
-    return reader.isNullValue() ? NULL : reader.readRaw();
-  }
-
-  /** Skips a value. */
+  /** Passes over the value. */
   public void skip() {
     reader.skipValue();
   }
