Control state: a wiped machine's former node leaves the witnesses when the new one joins

It is gone for good, so it leaves in the same view. The membership is reviewed every 20 ms instead of at each input.

--- a/src/main/java/slateslip/coordination/ControlReplica.java
+++ b/src/main/java/slateslip/coordination/ControlReplica.java
@@ -262,8 +262,7 @@
 
   private boolean wantsToPropose() {
     if (primary.leading()) {
-      return primary.active()
-          && (primary.laterViewAccepted() || primary.wantedView().isPresent());
+      return primary.active() && primary.wantsChange();
     }
     return follower.wantsToLead();
   }
--- a/src/main/java/slateslip/coordination/MembershipPolicy.java
+++ b/src/main/java/slateslip/coordination/MembershipPolicy.java
@@ -137,7 +137,9 @@
     needed.stream().filter(node -> !witnesses.contains(node)).forEach(witnesses::add);
     List<NodeId> newcomers = newcomers(view, others);
     newcomers.stream().filter(node -> !witnesses.contains(node)).forEach(witnesses::add);
-    witnesses.removeIf(node -> !needed.contains(node) && succeeded(node, witnesses, others));
+    List<NodeId> superseded =
+        witnesses.stream().filter(node -> superseded(node, witnesses, others)).toList();
+    witnesses.removeAll(superseded);
     long excess = witnesses.stream().filter(node -> !view.hasWitness(node)).count();
     List<NodeId> silent =
         witnesses.stream()
@@ -170,13 +172,20 @@
         && other.patienceMicros() <= Timing.JOIN_AFTER;
   }
 
-  /** Whether its machine has come back as another node, its disk lost. */
-  private static boolean succeeded(
+  /**
+   * Whether its machine has come back as another node, its disk lost: the node is gone for good, and
+   * would only make majorities harder.
+   */
+  private static boolean superseded(
       NodeId node, List<NodeId> witnesses, List<Standing> others) {
-    return standing(others, node).filter(Standing::well).isEmpty()
+    return wellFor(others, node) == 0
         && witnesses.stream()
             .filter(other -> !other.equals(node) && other.address().equals(node.address()))
-            .anyMatch(other -> standing(others, other).filter(Standing::well).isPresent());
+            .anyMatch(other -> wellFor(others, other) > 0);
+  }
+
+  private static long wellFor(List<Standing> others, NodeId node) {
+    return standing(others, node).map(Standing::wellMicros).orElse(0L);
   }
 
   private static long silence(List<Standing> others, NodeId node) {
--- a/src/main/java/slateslip/coordination/PeerTable.java
+++ b/src/main/java/slateslip/coordination/PeerTable.java
@@ -1,8 +1,8 @@
 package slateslip.coordination;
 
 import java.util.ArrayDeque;
-import java.util.Collection;
 import java.util.Deque;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -16,6 +16,7 @@
 
   private final ReplicaContext context;
   private final Map<NodeId, Peer> peers = new TreeMap<>();
+  private List<Peer> targets = List.of();
   private final Deque<Round> rounds = new ArrayDeque<>();
   private long round;
   private long tenureBegan;
@@ -36,10 +37,6 @@
     return peers.computeIfAbsent(node, Peer::new);
   }
 
-  Collection<Peer> all() {
-    return peers.values();
-  }
-
   /**
    * Begins a tenure: nothing said in an earlier one counts.
    *
@@ -51,6 +48,7 @@
       peers.clear();
     }
     peers.values().forEach(Peer::beginTenure);
+    review();
   }
 
   /** Opens a round. */
@@ -71,22 +69,23 @@
     }
   }
 
-  /** The view's other nodes, and those heard of late. */
-  Set<NodeId> targets() {
-    Set<NodeId> targets = new TreeSet<>(context.view().witnesses());
+  /** The view's other nodes, and those heard of late, as of the last review. */
+  List<Peer> targets() {
+    return targets;
+  }
+
+  /** Finds out anew who is in the view or was heard of late, and forgets others. */
+  void review() {
+    Set<NodeId> nodes = new TreeSet<>(context.view().witnesses());
     for (Peer peer : peers.values()) {
       if (context.now - peer.heardAt < Timing.GUEST_KEPT) {
-        targets.add(peer.node);
+        nodes.add(peer.node);
       }
     }
-    targets.remove(context.self);
-    return targets;
-  }
-
-  /** Forgets nodes that are neither in the view nor heard. */
-  void forgetStrangers() {
-    Set<NodeId> targets = targets();
-    peers.keySet().removeIf(node -> !targets.contains(node) && !keptForPenalty(node));
+    nodes.remove(context.self);
+    peers.keySet().removeIf(node -> !nodes.contains(node) && !keptForPenalty(node));
+    targets = nodes.stream().map(this::of).toList();
+    targets.forEach(peer -> peer.watch(context.now, tenureBegan));
   }
 
   private boolean keptForPenalty(NodeId node) {
--- a/src/main/java/slateslip/coordination/PrimaryRole.java
+++ b/src/main/java/slateslip/coordination/PrimaryRole.java
@@ -16,6 +16,8 @@
   private long lastRoundAt;
   private long resignedUntil;
   private long lastChangeAt;
+  private long reviewedAt;
+  private boolean reviewDue;
 
   PrimaryRole(ReplicaContext context, PeerTable peers, ClientCalls calls) {
     this.context = context;
@@ -126,6 +128,7 @@
     peer.heardAt = context.now;
     if (peer.status == null) {
       peer.status = status;
+      peers.review();
     }
     heartbeat(peer);
   }
@@ -135,12 +138,14 @@
     if (!leading) {
       return;
     }
-    watch();
+    if (context.now - reviewedAt >= Timing.REVIEW) {
+      review();
+    }
     if (context.now - lastRoundAt >= Timing.HEARTBEAT) {
       beginRound();
     }
     if (selfInstalled()) {
-      peers.targets().forEach(node -> replicate(peers.of(node)));
+      peers.targets().forEach(this::replicate);
     }
     commit();
     if (serving()) {
@@ -155,17 +160,18 @@
     }
   }
 
-  private void watch() {
-    peers.all().forEach(peer -> peer.watch(context.now, peers.tenureBegan()));
+  private void review() {
+    reviewedAt = context.now;
+    reviewDue = true;
+    peers.review();
     boolean resigned = context.now < resignedUntil;
     active = peers.hearsMajority() && !resigned;
   }
 
   private void beginRound() {
-    peers.forgetStrangers();
     peers.beginRound();
     lastRoundAt = context.now;
-    peers.targets().forEach(node -> heartbeat(peers.of(node)));
+    peers.targets().forEach(this::heartbeat);
   }
 
   private void heartbeat(Peer peer) {
@@ -231,7 +237,16 @@
         new DurableRecord.Entry(sequence, committed, record.get()),
         record.get().length,
         () -> {});
-    peers.targets().forEach(node -> replicate(peers.of(node)));
+    peers.targets().forEach(this::replicate);
+  }
+
+  /** Whether the view should be changed; found out once a review. */
+  boolean wantsChange() {
+    if (!reviewDue) {
+      return false;
+    }
+    reviewDue = false;
+    return laterViewAccepted() || wantedView().isPresent();
   }
 
   /** The view that should follow, if the present one won't do. */
@@ -244,9 +259,9 @@
   }
 
   /** Whether a witness has accepted a view that this node has not heard the end of. */
-  boolean laterViewAccepted() {
+  private boolean laterViewAccepted() {
     return context.witness.hasAccepted()
-        || peers.all().stream()
+        || peers.targets().stream()
             .filter(peer -> context.view().hasWitness(peer.node))
             .anyMatch(this::hasAcceptedLater);
   }
@@ -259,11 +274,10 @@
 
   private List<MembershipPolicy.Standing> standings() {
     List<MembershipPolicy.Standing> standings = new ArrayList<>();
-    for (NodeId node : peers.targets()) {
-      Peer peer = peers.of(node);
+    for (Peer peer : peers.targets()) {
       standings.add(
           new MembershipPolicy.Standing(
-              node,
+              peer.node,
               peers.well(peer),
               peer.hasDurable(tenure, openSequence),
               peer.hasDurable(tenure, context.store.lastSequence()),
--- a/src/main/java/slateslip/coordination/Timing.java
+++ b/src/main/java/slateslip/coordination/Timing.java
@@ -79,6 +79,9 @@
   /** After resigning, until the primary may try to go on. */
   static final long RESIGNED = 1_000 * MILLI;
 
+  /** Between two reviews of who is well. */
+  static final long REVIEW = 20 * MILLI;
+
   /** Longest time between two wake-ups. */
   static final long TICK = 50 * MILLI;
 
