--- a/src/main/java/slateslip/cli/ProgramStart.java
+++ b/src/main/java/slateslip/cli/ProgramStart.java
@@ -3,7 +3,7 @@
 import java.nio.file.Path;
 import slateslip.settings.NodeSettings;
 
-/** Starts a program; it returns when the program serves, or throws if it cannot. */
+/** Starts a program; it returns when the program serves or has ended, and throws if it cannot start. */
 @FunctionalInterface
 public interface ProgramStart {
   /**
--- a/src/main/java/slateslip/controlplane/ControlAgent.java
+++ b/src/main/java/slateslip/controlplane/ControlAgent.java
@@ -27,6 +27,7 @@
 import slateslip.distribution.exchange.OperatorAnswer;
 import slateslip.distribution.exchange.OperatorCall;
 import slateslip.distribution.sessions.SessionTable;
+import slateslip.logging.LogContext;
 import slateslip.protocol.coordination.PeerFrame;
 import slateslip.settings.NodeSettings;
 
@@ -208,6 +209,7 @@
   }
 
   private void configurationChanged() {
+    LogContext.version(state.version());
     subscribers.pump();
     reportProgress(false);
     waits.check();
--- a/src/main/java/slateslip/controlplane/ReplicaHost.java
+++ b/src/main/java/slateslip/controlplane/ReplicaHost.java
@@ -10,11 +10,12 @@
 import org.jboss.logging.Logger;
 import slateslip.coordination.ClientResult;
 import slateslip.coordination.ControlReplica;
-import slateslip.coordination.Effects;
 import slateslip.coordination.Effects.RoleStatus;
+import slateslip.coordination.Effects;
 import slateslip.coordination.NodeAddress;
 import slateslip.coordination.ReplicaInput;
 import slateslip.coordination.View;
+import slateslip.logging.LogContext;
 import slateslip.protocol.coordination.PeerFrame;
 import slateslip.protocol.coordination.PeerMessageCodec;
 
@@ -116,6 +117,7 @@
     boolean changed =
         role == null || now.epoch() != role.epoch() || now.serving() != role.serving();
     if (changed) {
+      LogContext.epoch(now.epoch());
       LOG.infof(
           "epoch %d, primary %s, %s", now.epoch(), now.primary(), now.serving() ? "serving" : "");
     }
--- a/src/main/java/slateslip/dataplane/DataPlane.java
+++ b/src/main/java/slateslip/dataplane/DataPlane.java
@@ -24,6 +24,7 @@
 import slateslip.dataplane.subscription.Subscription;
 import slateslip.dataplane.subscription.SubscriptionClient;
 import slateslip.dataplane.subscription.SubscriptionOutput;
+import slateslip.logging.LogContext;
 import slateslip.routing.FleetRouter;
 import slateslip.settings.NodeSettings;
 
@@ -129,6 +130,7 @@
   private void configure(FleetConfiguration configuration) {
     ingress.apply(configuration.limits());
     forwarder.tableChanged(new RoutingTable(configuration));
+    LogContext.version(configuration.version());
     LOG.infof("configuration %d in force", configuration.version());
   }
 
