Control state: the simulation crashes nodes in the middle of exchanges, holds up what is cut, and is checked by mutations

Also checked now: no two views of one epoch. Four faults put into the protocol (acknowledging before the sync, ignoring the accepted view, forgetting votes, acknowledging an old epoch) are each caught.

--- a/src/test/java/slateslip/simulation/control/CheckedHistory.java
+++ b/src/test/java/slateslip/simulation/control/CheckedHistory.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import slateslip.coordination.NodeId;
+import slateslip.coordination.View;
 
 /** What must never happen, checked at each step. */
 final class CheckedHistory {
@@ -23,6 +24,7 @@
   private final Set<LedgerState.Change> acknowledged = new HashSet<>();
   private final Set<LedgerState.Change> refused = new HashSet<>();
   private final Map<Long, NodeId> acknowledgers = new HashMap<>();
+  private final Map<Long, View> views = new HashMap<>();
   private long acknowledgedVersion;
 
   /** A replica applies a change behind others. */
@@ -46,6 +48,14 @@
     committed.add(change);
   }
 
+  /** Somebody takes a view as decided. */
+  void decided(View view) {
+    View first = views.putIfAbsent(view.epoch(), view);
+    if (first != null && !first.equals(view)) {
+      throw new Violation("two views of one epoch: " + first + " and " + view);
+    }
+  }
+
   /** A primary acknowledges the commit of a change. */
   void committedBy(NodeId primary, long epoch, LedgerState.Change change) {
     NodeId first = acknowledgers.putIfAbsent(epoch, primary);
--- a/src/test/java/slateslip/simulation/control/ControlWorld.java
+++ b/src/test/java/slateslip/simulation/control/ControlWorld.java
@@ -7,6 +7,8 @@
 import java.util.SplittableRandom;
 import slateslip.coordination.ClientResult;
 import slateslip.coordination.NodeAddress;
+import slateslip.coordination.NodeId;
+import slateslip.coordination.PeerMessage;
 import slateslip.coordination.ReplicaInput;
 import slateslip.protocol.coordination.PeerFrame;
 
@@ -43,7 +45,7 @@
     this.shape = shape;
     this.mutation = mutation;
     random = new SplittableRandom(seed);
-    network = new SimulatedNetwork(events, random.split(), this::deliver, this::filtered);
+    network = new SimulatedNetwork(events, random.split(), this::deliver, mutation, this::sent);
     losses = new LossCount(events);
     injector = new FaultInjector(this, random.split());
     for (int i = 0; i < shape.nodes(); i++) {
@@ -54,17 +56,10 @@
     }
   }
 
-  private slateslip.coordination.PeerMessage filtered(
-      slateslip.coordination.NodeId from,
-      NodeAddress to,
-      slateslip.coordination.PeerMessage message) {
-    return mutation.pass(message);
-  }
-
   private SimulatedNode newNode() {
     NodeAddress address = new NodeAddress(FIRST_ADDRESS + addresses++);
     SimulatedNode node =
-        new SimulatedNode(events, random.split(), network, history, this::answered, address);
+        new SimulatedNode(events, random.split(), network, history, this::answered, address, mutation);
     mutation.apply(node.disk());
     nodes.add(node);
     return node;
@@ -148,7 +143,27 @@
     nodes.stream()
         .filter(node -> node.address().equals(to))
         .findFirst()
-        .ifPresent(node -> node.deliver(mutation.arriving(frame)));
+        .ifPresent(node -> deliver(node, frame));
+  }
+
+  private void sent(NodeId from, PeerMessage message) {
+    if (message instanceof PeerMessage.Decided decided) {
+      history.decided(decided.view());
+    } else if (message instanceof PeerMessage.Heartbeat heartbeat) {
+      history.decided(heartbeat.view());
+    }
+    nodes.stream()
+        .filter(node -> node.address().equals(from.address()))
+        .findFirst()
+        .ifPresent(node -> injector.sent(node, message));
+  }
+
+  private void deliver(SimulatedNode node, PeerFrame frame) {
+    mutation
+        .wrongAnswer(frame.message(), node.role().epoch())
+        .ifPresent(
+            answer -> network.send(node.role().self(), frame.from().address(), answer));
+    node.deliver(frame);
   }
 
   private void answered(SimulatedNode node, ClientResult result) {
--- a/src/test/java/slateslip/simulation/control/Fault.java
+++ b/src/test/java/slateslip/simulation/control/Fault.java
@@ -44,18 +44,30 @@
     LOSE_POWER_ALL_AND_WIPE,
     LOSE_POWER_AFTER_ACKNOWLEDGEMENT,
     WIPE_AFTER_ACKNOWLEDGEMENT,
-    KILL_HALF_WAY
+    KILL_HALF_WAY,
+    CRASH_AT_MESSAGES,
+    CRASH_PRIMARY_THEN_AT_MESSAGES
   }
 
+  private static final int EXTRA_CRASHES = 3;
   private static final int MOST_FAULTS = 9;
   private static final int NODE_CHOICES = 1_000;
   private static final long LEAST_MICROS = 20_000;
   private static final long MOST_MICROS = 3_000_000;
   private static final long SHORT_MICROS = 300_000;
 
+  /** All kinds, those that strike in the middle of an exchange more than once. */
+  static List<Kind> kinds() {
+    List<Kind> kinds = new ArrayList<>(List.of(Kind.values()));
+    for (int i = 0; i < EXTRA_CRASHES; i++) {
+      kinds.add(Kind.CRASH_AT_MESSAGES);
+      kinds.add(Kind.CRASH_PRIMARY_THEN_AT_MESSAGES);
+    }
+    return kinds;
+  }
+
   /** A random schedule over some time, in order. */
-  static List<Fault> schedule(SplittableRandom random, long micros) {
-    Kind[] kinds = Kind.values();
+  static List<Fault> schedule(SplittableRandom random, long micros, List<Kind> kinds) {
     List<Fault> faults = new ArrayList<>();
     int count = 1 + random.nextInt(MOST_FAULTS);
     long clustered = random.nextLong(micros);
@@ -66,7 +78,7 @@
       faults.add(
           new Fault(
               at,
-              kinds[random.nextInt(kinds.length)],
+              kinds.get(random.nextInt(kinds.size())),
               random.nextInt(NODE_CHOICES),
               random.nextLong(LEAST_MICROS, most)));
     }
--- a/src/test/java/slateslip/simulation/control/FaultInjector.java
+++ b/src/test/java/slateslip/simulation/control/FaultInjector.java
@@ -5,6 +5,7 @@
 import java.util.SplittableRandom;
 import slateslip.coordination.ClientResult;
 import slateslip.coordination.NodeAddress;
+import slateslip.coordination.PeerMessage;
 
 /** Makes faults happen, and end. */
 final class FaultInjector {
@@ -18,10 +19,12 @@
   private final SplittableRandom random;
   private boolean stopped;
   private Fault awaitsAcknowledgement;
+  private final ArmedCrashes armed;
 
   FaultInjector(ControlWorld world, SplittableRandom random) {
     this.world = world;
     this.random = random;
+    armed = new ArmedCrashes(random.split());
   }
 
   /** Nothing more happens. */
@@ -47,6 +50,11 @@
       case LOSE_POWER_AFTER_ACKNOWLEDGEMENT, WIPE_AFTER_ACKNOWLEDGEMENT ->
           awaitsAcknowledgement = fault;
       case KILL_HALF_WAY -> killHalfWay(fault);
+      case CRASH_AT_MESSAGES -> armed.arm(fault);
+      case CRASH_PRIMARY_THEN_AT_MESSAGES -> {
+        armed.arm(fault);
+        kill(node, fault.micros());
+      }
       default -> injectLasting(fault, node);
     }
   }
@@ -125,6 +133,7 @@
 
   private void kill(SimulatedNode node, long micros) {
     node.kill();
+    loseUnsent(node);
     restartIn(node, micros);
   }
 
@@ -134,6 +143,7 @@
 
   private void losePower(SimulatedNode node, long micros) {
     node.losePower();
+    loseUnsent(node);
     restartIn(node, micros);
   }
 
@@ -141,6 +151,13 @@
     losePower(node, LEAST_DOWN + random.nextLong(RESTART_SPREAD));
   }
 
+  /** What the process had not handed to the network yet is lost with it, at times. */
+  private void loseUnsent(SimulatedNode node) {
+    if (random.nextBoolean()) {
+      world.network().resetAll(node.address(), others(node));
+    }
+  }
+
   private void restartIn(SimulatedNode node, long micros) {
     world.losses().troubled(node, world.events().now() + micros);
     later(micros, () -> world.restart(node));
@@ -187,6 +204,18 @@
     later(delay, () -> inject(new Fault(0, kind, fault.target(), fault.micros())));
   }
 
+  /** A node has sent a message, maybe the one at which it is to crash. */
+  void sent(SimulatedNode node, PeerMessage message) {
+    if (stopped || !armed.strikes(message)) {
+      return;
+    }
+    if (random.nextBoolean()) {
+      losePower(node, armed.micros());
+    } else {
+      kill(node, armed.micros());
+    }
+  }
+
   /** A node has just acknowledged something. */
   void acknowledged(SimulatedNode node, ClientResult result) {
     Fault fault = awaitsAcknowledgement;
--- a/src/test/java/slateslip/simulation/control/Mutation.java
+++ b/src/test/java/slateslip/simulation/control/Mutation.java
@@ -1,10 +1,12 @@
 package slateslip.simulation.control;
 
-import java.util.function.UnaryOperator;
+import java.util.List;
+import java.util.Optional;
 import slateslip.coordination.Ballot;
+import slateslip.coordination.DurableRecord;
 import slateslip.coordination.PeerMessage;
 import slateslip.coordination.View;
-import slateslip.protocol.coordination.PeerFrame;
+import slateslip.coordination.WitnessState;
 
 /** A fault in the protocol, put in to see that the checks find it. */
 enum Mutation {
@@ -12,25 +14,67 @@
   NONE,
   /** Writes are said to be durable before they are synced. */
   ACKNOWLEDGES_BEFORE_SYNC,
-  /** A witness doesn't tell of the value that it accepted. */
-  FORGETS_ACCEPTED_VIEW;
+  /** A proposer does not learn of the view that a witness has accepted. */
+  IGNORES_ACCEPTED_VIEW,
+  /** A witness forgets its votes at a restart. */
+  FORGETS_VOTES,
+  /** A member acknowledges records of an epoch that it has left. */
+  ACKNOWLEDGES_OLD_EPOCH;
 
+  /** Kinds of faults that bring it to light. */
+  List<Fault.Kind> kinds() {
+    return switch (this) {
+      case IGNORES_ACCEPTED_VIEW, FORGETS_VOTES ->
+          List.of(
+              Fault.Kind.KILL,
+              Fault.Kind.CRASH_AT_MESSAGES,
+              Fault.Kind.CRASH_PRIMARY_THEN_AT_MESSAGES);
+      case ACKNOWLEDGES_OLD_EPOCH -> List.of(Fault.Kind.CUT_OFF_PRIMARY);
+      default -> Fault.kinds();
+    };
+  }
+
+  /** Changes what a disk does. */
   void apply(SimulatedDisk disk) {
     if (this == ACKNOWLEDGES_BEFORE_SYNC) {
       disk.lie();
     }
   }
 
+  /** Changes a message on its way. */
   PeerMessage pass(PeerMessage message) {
-    if (this == FORGETS_ACCEPTED_VIEW && message instanceof PeerMessage.Promise promise) {
+    if (this == IGNORES_ACCEPTED_VIEW && message instanceof PeerMessage.Promise promise) {
       return new PeerMessage.Promise(
           promise.baseEpoch(), promise.ballot(), Ballot.NONE, View.NONE, promise.status());
     }
     return message;
   }
 
-  PeerFrame arriving(PeerFrame frame) {
-    UnaryOperator<PeerFrame> same = UnaryOperator.identity();
-    return same.apply(frame);
+  /** Changes what a disk gives back. */
+  DurableRecord recovered(DurableRecord record) {
+    if (this != FORGETS_VOTES) {
+      return record;
+    }
+    if (record instanceof DurableRecord.Vote vote) {
+      return new DurableRecord.Vote(WitnessState.decided(vote.witness().decided()));
+    }
+    if (record instanceof DurableRecord.Snapshot snapshot) {
+      return new DurableRecord.Snapshot(
+          snapshot.self(),
+          WitnessState.decided(snapshot.witness().decided()),
+          snapshot.installed(),
+          snapshot.state());
+    }
+    return record;
+  }
+
+  /** What a node wrongly answers to a message of an epoch before its own. */
+  Optional<PeerMessage> wrongAnswer(PeerMessage message, long epoch) {
+    boolean old = message instanceof PeerMessage.Append append && append.tenure().epoch() < epoch;
+    if (this == ACKNOWLEDGES_OLD_EPOCH && old) {
+      PeerMessage.Append append = (PeerMessage.Append) message;
+      return Optional.of(new PeerMessage.Synced(append.tenure(), append.sequence()));
+    }
+    return Optional.empty();
   }
 }
--- a/src/test/java/slateslip/simulation/control/ScheduleReplay.java
+++ b/src/test/java/slateslip/simulation/control/ScheduleReplay.java
@@ -15,7 +15,7 @@
     long seed = Long.parseLong(arguments[0]);
     ScheduleRunner runner = new ScheduleRunner(Mutation.NONE);
     List<Fault> faults =
-        arguments.length > 1 ? runner.shortened(seed) : ScheduleRunner.faults(seed);
+        arguments.length > 1 ? runner.shortened(seed) : runner.faults(seed);
     System.out.println(ScheduleRunner.shape(seed));
     faults.forEach(System.out::println);
     SimulatedNode.trace = true;
--- a/src/test/java/slateslip/simulation/control/ScheduleRunner.java
+++ b/src/test/java/slateslip/simulation/control/ScheduleRunner.java
@@ -7,6 +7,9 @@
 
 /** Plays seeded schedules; a seed repeats what it did. */
 final class ScheduleRunner {
+  /** The violation of a schedule after which nobody takes a change in time. */
+  static final String NOTHING_TAKEN = "no change was taken within the bound after the faults";
+
   private static final long BEGIN = 1_500_000;
   private static final long FAULTS_FOR = 6_000_000;
   private static final long LIVENESS_BOUND = 3_000_000;
@@ -39,8 +42,10 @@
     return SHAPES[new SplittableRandom(seed ^ SHAPE_STREAM).nextInt(SHAPES.length)];
   }
 
-  static List<Fault> faults(long seed) {
-    return Fault.schedule(new SplittableRandom(seed + SHAPE_STREAM), FAULTS_FOR);
+  /** The faults of a seed, of the kinds that go with the mutation. */
+  List<Fault> faults(long seed) {
+    SplittableRandom random = new SplittableRandom(seed + SHAPE_STREAM);
+    return Fault.schedule(random, FAULTS_FOR, mutation.kinds());
   }
 
   Result play(long seed) {
@@ -48,7 +53,7 @@
   }
 
   Result play(long seed, List<Fault> faults) {
-    WorldShape shape = shape(seed);
+    WorldShape shape = mutation == Mutation.NONE ? shape(seed) : SHAPES[0];
     ControlWorld world = new ControlWorld(shape, seed, mutation);
     try {
       world.begin(2);
@@ -58,7 +63,7 @@
       world.heal(withLosses ? shape.faultTolerance() : 0);
       long taken = world.timeToTakeChange(LIVENESS_BOUND);
       if (taken < 0) {
-        return failed(world, "no change was taken within the bound after the faults");
+        return failed(world, NOTHING_TAKEN);
       }
       world.checkEnd();
       return new Result(Optional.empty(), taken, world.changesTaken());
--- a/src/test/java/slateslip/simulation/control/SimulatedDisk.java
+++ b/src/test/java/slateslip/simulation/control/SimulatedDisk.java
@@ -25,6 +25,7 @@
 
   private final EventQueue events;
   private final SplittableRandom random;
+  private final Mutation mutation;
   private final FaultyFolder folder = new FaultyFolder();
   private final Deque<Effects.DurableWrite> queue = new ArrayDeque<>();
   private RingStorage ring;
@@ -37,7 +38,8 @@
   private long fullUntil;
   private boolean lies;
 
-  SimulatedDisk(EventQueue events, SplittableRandom random) {
+  SimulatedDisk(EventQueue events, SplittableRandom random, Mutation mutation) {
+    this.mutation = mutation;
     this.events = events;
     this.random = random;
   }
@@ -60,7 +62,7 @@
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
-    return ring.recovered().stream().map(SimulatedDisk::decode).toList();
+    return ring.recovered().stream().map(SimulatedDisk::decode).map(mutation::recovered).toList();
   }
 
   private static DurableRecord decode(byte[] bytes) {
--- a/src/test/java/slateslip/simulation/control/SimulatedNetwork.java
+++ b/src/test/java/slateslip/simulation/control/SimulatedNetwork.java
@@ -1,9 +1,10 @@
 package slateslip.simulation.control;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.SplittableRandom;
 import slateslip.coordination.NodeAddress;
 import slateslip.coordination.NodeId;
@@ -17,16 +18,16 @@
  * a new connection without order; some messages come twice.
  */
 final class SimulatedNetwork {
+  /** Sees what is sent, before it is on its way. */
+  interface Watcher {
+    void sent(NodeId from, PeerMessage message);
+  }
+
   /** Takes what arrives. */
   interface Receiver {
     void deliver(NodeAddress to, PeerFrame frame);
   }
 
-  /** Changes or drops a message on its way: a mutation. Null drops it. */
-  interface Filter {
-    PeerMessage pass(NodeId from, NodeAddress to, PeerMessage message);
-  }
-
   private record Link(NodeAddress from, NodeAddress to) {}
 
   private static final long LEAST_DELAY = 300;
@@ -38,10 +39,11 @@
   private final EventQueue events;
   private final SplittableRandom random;
   private final Receiver receiver;
-  private final Filter filter;
+  private final Mutation mutation;
+  private final Watcher watcher;
   private final Map<Link, Long> lastArrival = new HashMap<>();
   private final Map<Link, Integer> connections = new HashMap<>();
-  private final Set<Link> cuts = new HashSet<>();
+  private final Map<Link, Deque<Runnable>> cuts = new HashMap<>();
   private final SlowLinks slow = new SlowLinks();
 
   /** Extra delay of links. */
@@ -54,19 +56,18 @@
   }
 
   SimulatedNetwork(
-      EventQueue events, SplittableRandom random, Receiver receiver, Filter filter) {
+      EventQueue events, SplittableRandom random, Receiver receiver, Mutation mutation, Watcher watcher) {
+    this.watcher = watcher;
     this.events = events;
     this.random = random;
     this.receiver = receiver;
-    this.filter = filter;
+    this.mutation = mutation;
   }
 
   void send(NodeId from, NodeAddress to, PeerMessage sent) {
-    PeerMessage message = filter.pass(from, to, sent);
+    PeerMessage message = mutation.pass(sent);
+    watcher.sent(from, message);
     Link link = new Link(from.address(), to);
-    if (message == null || cuts.contains(link)) {
-      return;
-    }
     PeerFrame frame = new PeerFrame(from, sometimesEncoded(from, message));
     long delay = random.nextLong(LEAST_DELAY, MOST_DELAY) + slow.of(from.address(), to);
     long arrival = Math.max(lastArrival.getOrDefault(link, 0L), events.now() + delay);
@@ -89,23 +90,38 @@
   }
 
   private void arrive(Link link, int connection, PeerFrame frame) {
-    boolean old = connection != connections.getOrDefault(link, 0);
-    if (cuts.contains(link) || old && random.nextBoolean()) {
+    Deque<Runnable> heldUp = cuts.get(link);
+    if (heldUp != null) {
+      heldUp.addLast(() -> arrive(link, connection, frame));
       return;
     }
-    receiver.deliver(link.to(), frame);
+    boolean old = connection != connections.getOrDefault(link, 0);
+    if (!old || random.nextBoolean()) {
+      receiver.deliver(link.to(), frame);
+    }
   }
 
   /** Nothing passes from one to the other any more. */
   void cut(NodeAddress from, NodeAddress to) {
-    cuts.add(new Link(from, to));
+    cuts.putIfAbsent(new Link(from, to), new ArrayDeque<>());
   }
 
-  /** The link passes again, on a new connection. */
+  /** The link passes again: what it held up comes now, or is lost with its connection. */
   void join(NodeAddress from, NodeAddress to) {
-    Link link = new Link(from, to);
-    cuts.remove(link);
-    reset(link);
+    join(new Link(from, to));
+  }
+
+  private void join(Link link) {
+    Deque<Runnable> heldUp = cuts.remove(link);
+    if (heldUp == null) {
+      return;
+    }
+    if (random.nextBoolean()) {
+      reset(link);
+    }
+    if (random.nextInt(3) > 0) {
+      heldUp.forEach(arrival -> events.in(0, arrival));
+    }
   }
 
   /** All connections of a machine are reset: what is under way comes late or never. */
@@ -127,7 +143,7 @@
   }
 
   void heal() {
-    cuts.clear();
+    List.copyOf(cuts.keySet()).forEach(this::join);
     slow.extra.clear();
   }
 }
--- a/src/test/java/slateslip/simulation/control/SimulatedNode.java
+++ b/src/test/java/slateslip/simulation/control/SimulatedNode.java
@@ -49,14 +49,15 @@
       SimulatedNetwork network,
       CheckedHistory history,
       Clients clients,
-      NodeAddress address) {
+      NodeAddress address,
+      Mutation mutation) {
     this.events = events;
     this.random = random;
     this.network = network;
     this.history = history;
     this.clients = clients;
     this.address = address;
-    disk = new SimulatedDisk(events, random.split());
+    disk = new SimulatedDisk(events, random.split(), mutation);
   }
 
   NodeAddress address() {
@@ -120,7 +121,13 @@
     print(effects);
     role = effects.role();
     effects.writes().forEach(disk::start);
-    effects.sends().forEach(send -> network.send(role.self(), send.to(), send.message()));
+    int current = life;
+    for (Effects.Send send : effects.sends()) {
+      network.send(role.self(), send.to(), send.message());
+      if (life != current) {
+        return;
+      }
+    }
     effects.results().forEach(result -> clients.answered(this, result));
     wakeAt(effects.wakeAtMicros());
   }
