--- a/src/main/java/slateslip/controlplane/ControlApi.java
+++ b/src/main/java/slateslip/controlplane/ControlApi.java
@@ -6,8 +6,10 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.eclipse.jetty.server.Connector;
 import org.eclipse.jetty.server.HttpConfiguration;
@@ -117,20 +119,16 @@
       fail(context, BAD_REQUEST, "If-Match is not the version that the change builds on");
       return;
     }
-    if (context.contentLength() > MAX_BODY_BYTES) {
-      fail(context, TOO_LARGE, "the body is longer than " + MAX_BODY_BYTES + " bytes");
-      return;
-    }
-    call(context, new OperatorCall(method, base, context.bodyAsBytes()));
+    withBody(context, MAX_BODY_BYTES, body -> call(context, new OperatorCall(method, base, body)));
   }
 
   private void readConfiguration(Context context) {
-    call(context, new OperatorCall(OperatorCall.Method.GET, 0, new byte[0]));
+    OperatorCall call = new OperatorCall(OperatorCall.Method.GET, 0, new byte[0]);
+    context.future(() -> call(context, call));
   }
 
-  private void call(Context context, OperatorCall call) {
-    later(
-        context,
+  private CompletableFuture<?> call(Context context, OperatorCall call) {
+    return onLoop(
         answer -> agent.call(call, answer),
         (OperatorAnswer answer) -> {
           if (answer.status() == OperatorAnswer.OK) {
@@ -142,27 +140,27 @@
   }
 
   private void heartbeat(Context context) {
-    if (context.contentLength() > MAX_INSTANCE_BYTES) {
-      fail(context, TOO_LARGE, "the body is longer than " + MAX_INSTANCE_BYTES + " bytes");
-      return;
-    }
-    InstanceReading reading = InstanceReader.read(context.pathParam("id"), context.bodyAsBytes());
+    String id = context.pathParam("id");
+    withBody(context, MAX_INSTANCE_BYTES, body -> heartbeat(context, InstanceReader.read(id, body)));
+  }
+
+  private CompletableFuture<?> heartbeat(Context context, InstanceReading reading) {
     if (reading instanceof InstanceReading.Valid valid) {
-      later(
-          context,
+      return onLoop(
           acknowledged -> agent.heartbeat(valid.session(), acknowledged),
           (Boolean acknowledged) -> acknowledge(context, acknowledged));
-    } else if (reading instanceof InstanceReading.Invalid invalid) {
-      fail(context, BAD_REQUEST, invalid.message());
     }
+    fail(context, BAD_REQUEST, ((InstanceReading.Invalid) reading).message());
+    return CompletableFuture.completedFuture(null);
   }
 
   private void depart(Context context) {
     String id = context.pathParam("id");
-    later(
-        context,
-        acknowledged -> agent.depart(id, acknowledged),
-        (Boolean acknowledged) -> acknowledge(context, acknowledged));
+    context.future(
+        () ->
+            onLoop(
+                acknowledged -> agent.depart(id, acknowledged),
+                (Boolean acknowledged) -> acknowledge(context, acknowledged)));
   }
 
   private static void acknowledge(Context context, boolean acknowledged) {
@@ -174,17 +172,39 @@
   }
 
   private void text(Context context, String type, Supplier<String> source) {
-    later(
-        context,
-        (Consumer<String> answer) -> answer.accept(source.get()),
-        (String found) -> context.contentType(type).result(found));
+    context.future(
+        () ->
+            onLoop(
+                (Consumer<String> answer) -> answer.accept(source.get()),
+                (String found) -> context.contentType(type).result(found)));
+  }
+
+  /** Reads the body without holding a thread, then goes on with it. */
+  private static void withBody(
+      Context context, int limit, Function<byte[], CompletableFuture<?>> next) {
+    context.future(
+        () ->
+            RequestBody.read(context.req(), limit)
+                .thenCompose(next::apply)
+                .handle((done, failure) -> failure == null ? null : failed(context, failure)));
+  }
+
+  private static Void failed(Context context, Throwable failure) {
+    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    if (cause instanceof RequestBody.TooLong tooLong) {
+      context.header("Connection", "close");
+      fail(context, TOO_LARGE, tooLong.getMessage());
+    } else {
+      fail(context, BAD_REQUEST, "the body did not come whole");
+    }
+    return null;
   }
 
   /** Hands a task to the event loop, and its answer back to the call without holding a thread. */
-  private <T> void later(Context context, Consumer<Consumer<T>> task, Consumer<T> write) {
+  private <T> CompletableFuture<?> onLoop(Consumer<Consumer<T>> task, Consumer<T> write) {
     CompletableFuture<T> answer = new CompletableFuture<>();
     loop.execute(() -> task.accept(answer::complete));
-    context.future(() -> answer.thenAccept(write));
+    return answer.thenAccept(write);
   }
 
   private static void fail(Context context, int status, String message) {
