--- a/src/test/java/slateslip/controlplane/ControlPlaneTest.java
+++ b/src/test/java/slateslip/controlplane/ControlPlaneTest.java
@@ -92,7 +92,7 @@
     assertInvalid(whole.replace("\"ready\"", "\"gone\""), "state");
     assertInvalid(whole.replace(",\"seq\":1", ""), "seq");
     assertInvalid(whole.substring(1), "more bytes follow");
-    assertInvalid("{\"service\"", "expected");
+    assertInvalid("{\"service\"", "at byte 10");
     assertInvalid("[]", "not an object");
     assertInvalid("", "ends early");
     assertThat(status(), containsString("\"sessions\":0"));
