--- a/src/main/java/slateslip/configuration/FieldReader.java
+++ b/src/main/java/slateslip/configuration/FieldReader.java
@@ -25,27 +25,13 @@
    * @param json one value
    * @param problems where fields of a wrong type are reported
    */
-  FieldReader(byte[] json, Problems problems) {
+  public FieldReader(byte[] json, Problems problems) {
     reader = STREAMS.reader(json);
     this.problems = problems;
   }
 
-  /**
-   * Opens a reader with problems of its own; no other may be open in this thread.
-   *
-   * @param json one value
-   */
-  public FieldReader(byte[] json) {
-    this(json, new Problems());
-  }
-
-  /** The first problem, with the name of its field; null if there is none. */
-  public String problem() {
-    return problems.first();
-  }
-
   /** Reports a problem of a field. */
-  public void report(String fieldName, String reason) {
+  void report(String fieldName, String reason) {
     problems.report(fieldName, reason);
   }
 
@@ -74,7 +60,7 @@
   }
 
   /** Opens an array; false if the value is of another type, which is skipped. */
-  public boolean beginArray() {
+  boolean beginArray() {
     if (!is(JsonReader.Token.BEGIN_ARRAY, "is not a list")) {
       return false;
     }
@@ -83,7 +69,7 @@
   }
 
   /** Goes on to the next element of the open array; closes it if there is none. */
-  public boolean nextElement() {
+  boolean nextElement() {
     if (reader.hasNextElement()) {
       return true;
     }
@@ -97,7 +83,7 @@
   }
 
   /** A number; the fallback if it is missing or of another type. */
-  public double number(double fallback) {
+  double number(double fallback) {
     return is(JsonReader.Token.NUMBER, "is not a number")
         ? Double.parseDouble(reader.readRaw())
         : fallback;
@@ -119,14 +105,14 @@
   }
 
   /** A boolean; the fallback if it is missing or of another type. */
-  public boolean flag(boolean fallback) {
+  boolean flag(boolean fallback) {
     return is(JsonReader.Token.BOOLEAN, "is neither true nor false")
         ? reader.readBoolean()
         : fallback;
   }
 
   /** A list of strings; empty if it is missing or of another type. */
-  public List<String> texts() {
+  List<String> texts() {
     List<String> texts = new ArrayList<>();
     if (!beginArray()) {
       return texts;
@@ -140,7 +126,7 @@
     return texts;
   }
 
-  /** Passes over the value. */
+  /** Skips a value. */
   public void skip() {
     reader.skipValue();
   }
