--- /dev/null
+++ b/src/main/java/slateslip/simulation/engine/PromptMemory.java
@@ -0,0 +1,121 @@
+package slateslip.simulation.engine;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import slateslip.routing.RequestFacts.PromptPart;
+
+/**
+ * An engine's memory in blocks, shared by running requests and kept prompt parts.
+ *
+ * <p>A kept part that no running request uses gives way to others, the one unused longest first.
+ */
+final class PromptMemory {
+  private final long capacityTokens;
+  private final int blockTokens;
+  private final Map<Long, KeptPart> keptParts = new LinkedHashMap<>(16, 0.75f, true);
+  private long usedTokens;
+  private long pinnedTokens;
+  private long privateTokens;
+
+  PromptMemory(long capacityTokens, int blockTokens) {
+    this.capacityTokens = capacityTokens;
+    this.blockTokens = blockTokens;
+  }
+
+  /** Tokens as whole blocks. */
+  long inBlocks(long tokens) {
+    return (tokens + blockTokens - 1) / blockTokens * blockTokens;
+  }
+
+  /** How many parts from the start of a prompt are kept without a gap; each counts as used now. */
+  int keptPrefix(List<PromptPart> prompt) {
+    int count = 0;
+    for (PromptPart part : prompt) {
+      if (keptParts.get(part.id()) == null) {
+        break;
+      }
+      count++;
+    }
+    return count;
+  }
+
+  /** Whether a part is kept; does not count as a use. */
+  boolean keeps(long partId) {
+    return keptParts.containsKey(partId);
+  }
+
+  /** Protects a kept part while a running request uses it. */
+  void pin(PromptPart part) {
+    KeptPart kept = keptParts.get(part.id());
+    if (kept.pins == 0) {
+      pinnedTokens += kept.tokens;
+    }
+    kept.pins++;
+  }
+
+  /** Ends one {@link #pin}. */
+  void unpin(PromptPart part) {
+    KeptPart kept = keptParts.get(part.id());
+    kept.pins--;
+    if (kept.pins == 0) {
+      pinnedTokens -= kept.tokens;
+    }
+  }
+
+  /** Takes memory for one request alone, evicting unused parts; false changes nothing. */
+  boolean reserve(long tokens) {
+    if (pinnedTokens + privateTokens + tokens > capacityTokens) {
+      return false;
+    }
+    Iterator<KeptPart> leastRecentFirst = keptParts.values().iterator();
+    while (usedTokens + tokens > capacityTokens) {
+      KeptPart candidate = leastRecentFirst.next();
+      if (candidate.pins == 0) {
+        usedTokens -= candidate.tokens;
+        leastRecentFirst.remove();
+      }
+    }
+    usedTokens += tokens;
+    privateTokens += tokens;
+    return true;
+  }
+
+  /** Gives back what {@link #reserve} took. */
+  void release(long tokens) {
+    usedTokens -= tokens;
+    privateTokens -= tokens;
+  }
+
+  /** Keeps a part that was read into reserved memory and pins it; a second copy is freed. */
+  void publish(PromptPart part) {
+    long tokens = inBlocks(part.tokens());
+    release(tokens);
+    KeptPart kept = keptParts.get(part.id());
+    if (kept == null) {
+      keptParts.put(part.id(), new KeptPart(tokens));
+      usedTokens += tokens;
+    }
+    pin(part);
+  }
+
+  /** Tokens that cannot give way. */
+  long lockedTokens() {
+    return pinnedTokens + privateTokens;
+  }
+
+  /** Tokens in use, kept parts included. */
+  long usedTokens() {
+    return usedTokens;
+  }
+
+  private static final class KeptPart {
+    private final long tokens;
+    private int pins;
+
+    KeptPart(long tokens) {
+      this.tokens = tokens;
+    }
+  }
+}
