Simulation: a seeded world that plays unchanged routers under schedules of faults

Not in yet: the test that all 200 schedules break no rule, which waits for the router's quota and budget.

--- /dev/null
+++ b/src/main/java/slateslip/simulation/dataplane/DataPlaneHost.java
@@ -0,0 +1,415 @@
+package slateslip.simulation.dataplane;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import slateslip.routing.RequestRouter;
+import slateslip.routing.RouterInput;
+import slateslip.routing.RouterInput.AttemptOutcome;
+import slateslip.routing.RouterInput.AttemptOutcome.Kind;
+import slateslip.routing.RouterInput.BackendLoad;
+import slateslip.routing.RouterOutput;
+import slateslip.simulation.dataplane.Violation.Rule;
+
+/** Stands for the sockets of one data plane: feeds its router and carries out what it asks for. */
+final class DataPlaneHost {
+  /** How long after trouble rules with a time bound do not hold. */
+  private static final long CONTACT_MICROS = 3_000_000;
+
+  /** How long a request may be held beyond its route's time-out. */
+  private static final long HELD_SLACK_MICROS = 250_000;
+
+  private static final long PROBE_TIMEOUT_MICROS = 1_000_000;
+  private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
+
+  /** Whether the process runs. */
+  enum Condition {
+    UP,
+    FROZEN,
+    DOWN,
+    DARK
+  }
+
+  private final DataPlaneWorld world;
+  private final EventLoop loop;
+  private final int index;
+  private final int zone;
+  private final Map<Long, Exchange> exchanges = new TreeMap<>();
+  private final Deque<Runnable> heldInbound = new ArrayDeque<>();
+  private final Deque<RouterInput> pendingInputs = new ArrayDeque<>();
+  private RequestRouter router;
+  private Condition condition = Condition.DOWN;
+  private int incarnation;
+  private long nextRequest;
+  private long troubledMicros = -CONTACT_MICROS;
+  private boolean feeding;
+
+  DataPlaneHost(DataPlaneWorld world, int index, int zone) {
+    this.world = world;
+    this.loop = world.loop();
+    this.index = index;
+    this.zone = zone;
+  }
+
+  int index() {
+    return index;
+  }
+
+  int zone() {
+    return zone;
+  }
+
+  Condition condition() {
+    return condition;
+  }
+
+  int openExchanges() {
+    return exchanges.size();
+  }
+
+  /** Whether rules with a time bound do not hold for it at present. */
+  boolean recentlyTroubled() {
+    return loop.nowMicros() - troubledMicros < CONTACT_MICROS;
+  }
+
+  void start(RequestRouter newRouter) {
+    router = newRouter;
+    condition = Condition.UP;
+    incarnation++;
+    troubledMicros = loop.nowMicros();
+  }
+
+  void stop(boolean dark) {
+    troubledMicros = loop.nowMicros();
+    condition = dark ? Condition.DARK : Condition.DOWN;
+    for (Exchange exchange : exchanges.values()) {
+      if (!dark && !exchange.over) {
+        toClient(exchange, () -> exchange.content.client().broken(exchange.content));
+      }
+      for (BackendCall call : exchange.live.values()) {
+        call.close();
+        if (!dark) {
+          world.network().hostClosed(call, world.control().backend(call.backendId()));
+        }
+      }
+    }
+    exchanges.clear();
+    heldInbound.clear();
+    pendingInputs.clear();
+  }
+
+  void freeze() {
+    condition = Condition.FROZEN;
+    troubledMicros = loop.nowMicros();
+  }
+
+  void thaw() {
+    troubledMicros = loop.nowMicros();
+    condition = Condition.UP;
+    while (!heldInbound.isEmpty()) {
+      heldInbound.poll().run();
+    }
+  }
+
+  /** A client's whole request has come. */
+  void accept(ClientTry content) {
+    inbound(() -> read(content));
+  }
+
+  /** A client has closed its connection. */
+  void clientGone(ClientTry content) {
+    inbound(
+        () -> {
+          for (Exchange exchange : List.copyOf(exchanges.values())) {
+            if (exchange.content == content && !exchange.over) {
+              exchange.over = true;
+              feed(new RouterInput.ClientGone(exchange.id));
+              forgetIfDone(exchange);
+            }
+          }
+        });
+  }
+
+  /** Something has come back on the connection of a call. */
+  void replied(BackendCall call, BackendReply reply, BackendLoad load) {
+    inbound(
+        () -> {
+          Exchange exchange = exchanges.get(call.request());
+          if (exchange != null && exchange.live.get(call.attempt()) == call) {
+            handle(exchange, call, reply, load);
+          }
+        });
+  }
+
+  /** Hands an input to the router, when the process runs. */
+  void tell(RouterInput input) {
+    inbound(() -> feed(input));
+  }
+
+  private void inbound(Runnable action) {
+    switch (condition) {
+      case UP -> action.run();
+      case FROZEN -> heldInbound.add(action);
+      default -> {
+        // nobody is there
+      }
+    }
+  }
+
+  private void read(ClientTry content) {
+    Exchange exchange = new Exchange(nextRequest++, content, loop.nowMicros());
+    exchanges.put(exchange.id, exchange);
+    long holdMillis =
+        Math.min(content.requestClass().timeoutMillis(), content.facts().deadlineMillis());
+    loop.after(holdMillis * 1_000 + HELD_SLACK_MICROS, () -> checkHeld(exchange));
+    feed(new RouterInput.RequestArrived(exchange.id, content.facts()));
+  }
+
+  private void checkHeld(Exchange exchange) {
+    boolean stillOpen = exchanges.get(exchange.id) == exchange && !exchange.over;
+    if (stillOpen && condition == Condition.UP && troubledMicros < exchange.acceptedMicros) {
+      world.checker().broken(Rule.HELD, exchange.content.attemptId());
+    }
+  }
+
+  private void handle(Exchange exchange, BackendCall call, BackendReply reply, BackendLoad load) {
+    if (reply instanceof BackendReply.Event event) {
+      passEvent(exchange, call, event, load);
+    } else if (reply instanceof BackendReply.Success) {
+      begin(exchange, call);
+      exchange.over = true;
+      toClient(exchange, () -> exchange.content.client().whole(exchange.content));
+      end(exchange, call, Kind.SUCCESS, 200, load);
+    } else if (reply instanceof BackendReply.Failure failure) {
+      exchange.failures.put(call.attempt(), failure.status());
+      end(exchange, call, Kind.ERROR_ANSWER, failure.status(), load);
+    } else if (reply instanceof BackendReply.NotExecuted) {
+      end(exchange, call, Kind.NOT_EXECUTED, 503, load);
+    } else if (reply instanceof BackendReply.OtherInstance) {
+      end(exchange, call, Kind.OTHER_INSTANCE, 421, load);
+    } else if (reply instanceof BackendReply.NotConnected) {
+      end(exchange, call, Kind.NOT_SENT, 0, load);
+    } else {
+      end(exchange, call, Kind.BROKEN, 0, load);
+    }
+  }
+
+  private void passEvent(
+      Exchange exchange, BackendCall call, BackendReply.Event event, BackendLoad load) {
+    if (exchange.over) {
+      return;
+    }
+    begin(exchange, call);
+    exchange.lastEventId = event.id();
+    exchange.over = event.last();
+    toClient(
+        exchange,
+        () -> exchange.content.client().event(exchange.content, event.id(), event.last()));
+    if (event.last()) {
+      end(exchange, call, Kind.SUCCESS, 200, load);
+    }
+  }
+
+  private void begin(Exchange exchange, BackendCall call) {
+    if (exchange.begun.add(call.attempt())) {
+      feed(new RouterInput.AttemptStarted(exchange.id, call.attempt()));
+    }
+  }
+
+  private void end(Exchange exchange, BackendCall call, Kind kind, int status, BackendLoad load) {
+    call.close();
+    exchange.live.remove(call.attempt());
+    feed(
+        new RouterInput.AttemptEnded(
+            exchange.id,
+            call.attempt(),
+            new AttemptOutcome(kind, status),
+            load,
+            exchange.lastEventId));
+    forgetIfDone(exchange);
+  }
+
+  private void forgetIfDone(Exchange exchange) {
+    if (exchange.over && exchange.live.isEmpty()) {
+      exchanges.remove(exchange.id);
+    }
+  }
+
+  private void feed(RouterInput input) {
+    pendingInputs.add(input);
+    if (feeding) {
+      return;
+    }
+    feeding = true;
+    while (!pendingInputs.isEmpty()) {
+      List<RouterOutput> outputs = router.handle(loop.nowMicros(), pendingInputs.poll());
+      new ArrayList<>(outputs).forEach(this::perform);
+    }
+    feeding = false;
+  }
+
+  private void perform(RouterOutput output) {
+    if (output instanceof RouterOutput.SendAttempt send) {
+      send(send);
+    } else if (output instanceof RouterOutput.Answer answer) {
+      answer(answer);
+    } else if (output instanceof RouterOutput.RelayError relay) {
+      relay(relay);
+    } else if (output instanceof RouterOutput.Break breakOff) {
+      Exchange exchange = finalAnswer(breakOff.request());
+      if (exchange != null) {
+        toClient(exchange, () -> exchange.content.client().broken(exchange.content));
+      }
+    } else if (output instanceof RouterOutput.CancelAttempt cancel) {
+      cancel(cancel);
+    } else if (output instanceof RouterOutput.Probe probe) {
+      probe(probe.backendId());
+    } else if (output instanceof RouterOutput.WakeAt wake) {
+      int current = incarnation;
+      loop.at(wake.atMicros(), () -> wake(current));
+    }
+  }
+
+  private void wake(int ofIncarnation) {
+    if (ofIncarnation == incarnation) {
+      tell(new RouterInput.Wake());
+    }
+  }
+
+  private void send(RouterOutput.SendAttempt send) {
+    Exchange exchange = exchanges.get(send.request());
+    if (exchange == null || exchange.over || !exchange.numbers.add(send.attempt())) {
+      world.checker().broken(Rule.ATTEMPTS, "request " + send.request() + " is over");
+      return;
+    }
+    long deadlineMicros =
+        send.deadlineMillis() == 0
+            ? exchange.acceptedMicros + exchange.content.facts().deadlineMillis() * 1_000
+            : loop.nowMicros() + send.deadlineMillis() * 1_000;
+    long clientHas = exchange.content.facts().lastEventId();
+    long resumeAfter = send.resumeAfter() == RouterOutput.AS_SENT ? clientHas : send.resumeAfter();
+    BackendCall call =
+        new BackendCall(this, exchange.content, send, Math.max(0, resumeAfter), deadlineMicros);
+    exchange.live.put(send.attempt(), call);
+    world.network().send(call, world.control().backend(send.backendId()));
+    if (send.firstEventTimeoutMicros() > 0) {
+      loop.after(send.firstEventTimeoutMicros(), () -> inbound(() -> timeOut(exchange, call)));
+    }
+  }
+
+  private void timeOut(Exchange exchange, BackendCall call) {
+    boolean silent = !exchange.begun.contains(call.attempt());
+    if (exchange.live.get(call.attempt()) == call && silent) {
+      world.network().hostClosed(call, world.control().backend(call.backendId()));
+      end(exchange, call, Kind.TIMEOUT, 0, null);
+    }
+  }
+
+  private void answer(RouterOutput.Answer answer) {
+    Exchange exchange = finalAnswer(answer.request());
+    if (exchange == null) {
+      return;
+    }
+    if (!exchange.begun.isEmpty()) {
+      world.checker().broken(Rule.ANSWERS, exchange.content.attemptId() + " was begun");
+    }
+    if (PROMISES.contains(answer.status())) {
+      world.checker().promised(exchange.content.attemptId());
+    }
+    toClient(
+        exchange,
+        () ->
+            exchange
+                .content
+                .client()
+                .answered(exchange.content, answer.status(), answer.retryAfterMicros()));
+  }
+
+  private void relay(RouterOutput.RelayError relay) {
+    Exchange exchange = finalAnswer(relay.request());
+    if (exchange == null) {
+      return;
+    }
+    Integer status = exchange.failures.get(relay.attempt());
+    if (status == null) {
+      world.checker().broken(Rule.ANSWERS, exchange.content.attemptId() + " has no such failure");
+      return;
+    }
+    toClient(exchange, () -> exchange.content.client().answered(exchange.content, status, 0));
+  }
+
+  /** Marks a request as answered; null, with the rule noted, if it was already. */
+  private Exchange finalAnswer(long request) {
+    Exchange exchange = exchanges.get(request);
+    if (exchange == null || exchange.over) {
+      world.checker().broken(Rule.ANSWERS, "request " + request + " answered again");
+      return null;
+    }
+    exchange.over = true;
+    forgetIfDone(exchange);
+    return exchange;
+  }
+
+  private void cancel(RouterOutput.CancelAttempt cancel) {
+    Exchange exchange = exchanges.get(cancel.request());
+    BackendCall call = exchange == null ? null : exchange.live.get(cancel.attempt());
+    if (call == null) {
+      return;
+    }
+    world.network().hostClosed(call, world.control().backend(call.backendId()));
+    end(exchange, call, Kind.CANCELLED, 0, null);
+  }
+
+  private void probe(String backendId) {
+    world.measurements().probed();
+    SimulatedBackend backend = world.control().backend(backendId);
+    long delay = world.network().delay(this, backend);
+    int current = incarnation;
+    loop.after(delay, () -> probeArrived(backend, backendId, delay, current));
+  }
+
+  private void probeArrived(SimulatedBackend backend, String id, long delay, int ofIncarnation) {
+    RouterInput.ProbeOutcome seen = backend.probe();
+    boolean silent = seen == RouterInput.ProbeOutcome.TIMEOUT;
+    boolean answers = seen != RouterInput.ProbeOutcome.UNREACHABLE && !silent;
+    RouterInput.ProbeOutcome outcome =
+        answers && !backend.id().equals(id) ? RouterInput.ProbeOutcome.OTHER_INSTANCE : seen;
+    BackendLoad load = answers ? backend.load() : null;
+    loop.after(
+        silent ? PROBE_TIMEOUT_MICROS : delay,
+        () -> {
+          if (ofIncarnation == incarnation) {
+            tell(new RouterInput.ProbeEnded(id, outcome, load));
+          }
+        });
+  }
+
+  private void toClient(Exchange exchange, Runnable action) {
+    loop.after(world.plan().network().client(), action);
+  }
+
+  /** One client request inside the data plane. */
+  private static final class Exchange {
+    private final long id;
+    private final ClientTry content;
+    private final long acceptedMicros;
+    private final Map<Integer, BackendCall> live = new TreeMap<>();
+    private final Set<Integer> numbers = new HashSet<>();
+    private final Set<Integer> begun = new HashSet<>();
+    private final Map<Integer, Integer> failures = new HashMap<>();
+    private long lastEventId = -1;
+    private boolean over;
+
+    Exchange(long id, ClientTry content, long acceptedMicros) {
+      this.id = id;
+      this.content = content;
+      this.acceptedMicros = acceptedMicros;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/slateslip/simulation/dataplane/DataPlaneWorld.java
@@ -0,0 +1,256 @@
+package slateslip.simulation.dataplane;
+
+import java.util.ArrayList;
+import java.util.List;
+import slateslip.configuration.RoutingTable;
+import slateslip.routing.RequestRouter;
+import slateslip.simulation.dataplane.Violation.Rule;
+
+/** One run: real routers against emulated backends and clients, under a schedule of faults. */
+public final class DataPlaneWorld {
+  /** How long after the last request everything must have ended. */
+  private static final long SETTLE_MICROS = 15_000_000;
+
+  private static final long RELEASE_SERVES_MICROS = 2_500_000;
+  private static final long RELEASE_CHECK_MICROS = 100_000;
+
+  private final WorldPlan plan;
+  private final RouterFactory factory;
+  private final EventLoop loop = new EventLoop();
+  private final RuleChecker checker;
+  private final SimulatedNetwork network;
+  private final SimulatedControl control;
+  private final Ingress ingress;
+  private final Measurements measurements;
+  private final FaultWindows windows;
+  private final List<DataPlaneHost> hosts = new ArrayList<>();
+  private final List<ClientRequest> requests = new ArrayList<>();
+  private long attempts;
+  private long digest;
+
+  /** Makes the router of a data plane. */
+  public interface RouterFactory {
+    /**
+     * A router that knows nothing yet.
+     *
+     * @param zone name of its zone
+     * @param seed of its random choices
+     */
+    RequestRouter create(String zone, long seed);
+  }
+
+  /**
+   * What a run gave.
+   *
+   * @param violations broken rules in the order in which they were seen
+   * @param measurements what clients and engines saw
+   * @param digest of all answers and their times; equal for equal plans
+   * @param requests how many requests clients began
+   */
+  public record Result(
+      List<Violation> violations, Measurements measurements, long digest, int requests) {}
+
+  private DataPlaneWorld(WorldPlan plan, RouterFactory factory) {
+    this.plan = plan;
+    this.factory = factory;
+    this.checker = new RuleChecker(plan, loop);
+    this.windows = new FaultWindows(plan.faults(), loop);
+    this.network = new SimulatedNetwork(plan, loop, windows);
+    this.control =
+        new SimulatedControl(plan, loop, new RoutingTable(WorldPlans.configuration(plan)));
+    this.ingress = new Ingress(plan, loop);
+    this.measurements = new Measurements();
+  }
+
+  /** Plays a plan to its end. */
+  public static Result run(WorldPlan plan, RouterFactory factory) {
+    DataPlaneWorld world = new DataPlaneWorld(plan, factory);
+    world.build();
+    new Traffic(world, world.windows).begin();
+    plan.faults().forEach(fault -> world.loop.at(fault.atMicros(), () -> world.strike(fault)));
+    world.loop.runUntil(plan.durationMicros() + SETTLE_MICROS);
+    world.checkEnd();
+    return new Result(
+        world.checker.violations(), world.measurements, world.digest, world.requests.size());
+  }
+
+  private void build() {
+    for (WorldPlan.BackendGroup group : plan.backends()) {
+      for (int i = 0; i < group.count(); i++) {
+        control.add(backend(group, i));
+      }
+    }
+    for (int i = 0; i < plan.dataPlanes(); i++) {
+      addHost();
+    }
+  }
+
+  private SimulatedBackend backend(WorldPlan.BackendGroup group, int index) {
+    int zone = index % plan.zones();
+    return group.engine() == null
+        ? new PlainBackend(loop, network, checker, group, index, zone)
+        : new EngineBackend(loop, network, checker, measurements, group, index, zone);
+  }
+
+  private void addHost() {
+    DataPlaneHost host = new DataPlaneHost(this, hosts.size(), hosts.size() % plan.zones());
+    hosts.add(host);
+    startHost(host);
+    ingress.add(host);
+  }
+
+  private void startHost(DataPlaneHost host) {
+    long seed = plan.seed() * 31 + host.index() + loop.nowMicros();
+    host.start(factory.create(WorldPlans.zoneName(host.zone()), seed));
+    control.attach(host);
+  }
+
+  private void strike(Fault fault) {
+    switch (fault.kind()) {
+      case BACKEND_CRASH, BACKEND_DARK -> crashBackend(fault);
+      case BACKEND_RELEASE -> release(backendOf(fault));
+      case DATA_PLANE_CRASH, DATA_PLANE_DARK -> crashHost(fault);
+      case DATA_PLANE_FREEZE -> freezeHost(fault);
+      case DATA_PLANE_JOIN -> control.join(this::addHost);
+      case RESETS, HOT_KEY, HOT_TENANT, BURST -> {
+        // looked up in the windows where they matter
+      }
+      default -> throw new IllegalStateException("unknown fault");
+    }
+  }
+
+  private SimulatedBackend backendOf(Fault fault) {
+    return control.backends().get(fault.target() % control.backends().size());
+  }
+
+  private void crashBackend(Fault fault) {
+    SimulatedBackend backend = backendOf(fault);
+    if (backend.condition() != SimulatedBackend.Condition.UP) {
+      return;
+    }
+    backend.stop(fault.kind() == Fault.Kind.BACKEND_DARK);
+    control.silent(backend.id());
+    loop.after(fault.forMicros(), () -> restart(backend));
+  }
+
+  private void restart(SimulatedBackend backend) {
+    backend.restart();
+    control.started(backend);
+  }
+
+  private void release(SimulatedBackend backend) {
+    if (backend.condition() != SimulatedBackend.Condition.UP) {
+      return;
+    }
+    backend.drain();
+    control.draining(backend, backend::drainAcknowledged);
+    loop.after(RELEASE_SERVES_MICROS, () -> endRelease(backend));
+  }
+
+  private void endRelease(SimulatedBackend backend) {
+    if (backend.openCalls() > 0) {
+      loop.after(RELEASE_CHECK_MICROS, () -> endRelease(backend));
+      return;
+    }
+    control.left(backend.id());
+    backend.stop(false);
+    loop.after(RELEASE_CHECK_MICROS, () -> restart(backend));
+  }
+
+  private void crashHost(Fault fault) {
+    DataPlaneHost host = hosts.get(fault.target() % hosts.size());
+    if (host.condition() != DataPlaneHost.Condition.UP) {
+      return;
+    }
+    host.stop(fault.kind() == Fault.Kind.DATA_PLANE_DARK);
+    ingress.changed(host);
+    loop.after(
+        fault.forMicros(),
+        () -> {
+          startHost(host);
+          ingress.changed(host);
+        });
+  }
+
+  private void freezeHost(Fault fault) {
+    DataPlaneHost host = hosts.get(fault.target() % hosts.size());
+    if (host.condition() != DataPlaneHost.Condition.UP) {
+      return;
+    }
+    host.freeze();
+    ingress.changed(host);
+    loop.after(
+        fault.forMicros(),
+        () -> {
+          host.thaw();
+          ingress.changed(host);
+        });
+  }
+
+  private void checkEnd() {
+    for (DataPlaneHost host : hosts) {
+      if (host.openExchanges() > 0) {
+        checker.broken(
+            Rule.ANSWERS,
+            host.openExchanges() + " requests without an end at data plane " + host.index());
+      }
+    }
+    for (ClientRequest request : requests) {
+      if (!request.done()) {
+        checker.broken(Rule.ANSWERS, "a client still waits for " + request.requestClass().name());
+      }
+    }
+    checker.checkWindows();
+  }
+
+  void begin(ClientRequest request) {
+    requests.add(request);
+    request.begin();
+  }
+
+  String nextAttemptId() {
+    return Long.toHexString(0x1000_0000L + attempts++);
+  }
+
+  void digest(long one, long two, long three) {
+    digest = digest * 1_000_003 + one * 31 + two;
+    digest = digest * 1_000_003 + three;
+  }
+
+  int tokensPerEvent(String service) {
+    return plan.backends().stream()
+        .filter(group -> group.service().equals(service))
+        .findFirst()
+        .orElseThrow()
+        .engine()
+        .tokensPerEvent();
+  }
+
+  WorldPlan plan() {
+    return plan;
+  }
+
+  EventLoop loop() {
+    return loop;
+  }
+
+  RuleChecker checker() {
+    return checker;
+  }
+
+  SimulatedNetwork network() {
+    return network;
+  }
+
+  SimulatedControl control() {
+    return control;
+  }
+
+  Ingress ingress() {
+    return ingress;
+  }
+
+  Measurements measurements() {
+    return measurements;
+  }
+}
--- /dev/null
+++ b/src/main/java/slateslip/simulation/dataplane/SimulatedBackend.java
@@ -0,0 +1,173 @@
+package slateslip.simulation.dataplane;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import slateslip.distribution.BackendSession;
+import slateslip.routing.RouterInput.BackendLoad;
+import slateslip.routing.RouterInput.ProbeOutcome;
+
+/** A backend's machine; each start of its program is a new incarnation with a new id. */
+abstract class SimulatedBackend {
+  /** Whether the backend's program runs and can be reached. */
+  enum Condition {
+    UP,
+    DRAINING,
+    /** Nothing listens: connections are refused. */
+    DOWN,
+    /** Nothing answers at all. */
+    DARK
+  }
+
+  final EventLoop loop;
+  final SimulatedNetwork network;
+  final RuleChecker checker;
+
+  private final String service;
+  private final int index;
+  private final int zone;
+  private final int slots;
+  private final Set<BackendCall> open = new LinkedHashSet<>();
+  private Condition condition = Condition.UP;
+  private int incarnation = 1;
+  private long drainAcknowledgedMicros = -1;
+
+  SimulatedBackend(
+      EventLoop loop,
+      SimulatedNetwork network,
+      RuleChecker checker,
+      String service,
+      int index,
+      int zone,
+      int slots) {
+    this.loop = loop;
+    this.network = network;
+    this.checker = checker;
+    this.service = service;
+    this.index = index;
+    this.zone = zone;
+    this.slots = slots;
+  }
+
+  /** Takes a call that is meant for this incarnation. */
+  abstract void accept(BackendCall call);
+
+  /** Drops what is known of a call whose connection has gone. */
+  abstract void abandon(BackendCall call);
+
+  /** Starts empty. */
+  abstract void reset();
+
+  abstract BackendLoad load();
+
+  /** Whether a probe would find neither a slot nor a place to wait. */
+  abstract boolean full();
+
+  String id() {
+    return service + "-" + index + "-" + incarnation;
+  }
+
+  String service() {
+    return service;
+  }
+
+  int zone() {
+    return zone;
+  }
+
+  Condition condition() {
+    return condition;
+  }
+
+  /** When its draining was acknowledged; -1 if it was not. */
+  long drainAcknowledgedMicros() {
+    return drainAcknowledgedMicros;
+  }
+
+  void drainAcknowledged() {
+    drainAcknowledgedMicros = loop.nowMicros();
+  }
+
+  int openCalls() {
+    return open.size();
+  }
+
+  BackendSession session() {
+    return new BackendSession(
+        id(),
+        service,
+        "10.0." + zone + "." + (index + 1) + ":8080",
+        WorldPlans.zoneName(zone),
+        "v1",
+        slots,
+        condition == Condition.DRAINING,
+        0,
+        incarnation);
+  }
+
+  /** A call has come in. */
+  void arrive(BackendCall call) {
+    checker.reached(call, this);
+    if (!call.backendId().equals(id())) {
+      network.reply(call, this, new BackendReply.OtherInstance(), null);
+      return;
+    }
+    open.add(call);
+    accept(call);
+  }
+
+  /** The data plane has closed the connection of a call. */
+  void connectionClosed(BackendCall call) {
+    if (open.remove(call)) {
+      abandon(call);
+    }
+  }
+
+  /** Sends an event; the call stays open. */
+  void event(BackendCall call, long eventId, boolean last) {
+    network.reply(call, this, new BackendReply.Event(eventId, last), load());
+    if (last) {
+      open.remove(call);
+    }
+  }
+
+  /** Sends a whole answer or the end of a stream. */
+  void finish(BackendCall call, BackendReply reply) {
+    open.remove(call);
+    network.reply(call, this, reply, load());
+  }
+
+  /** What a probe would see now. */
+  ProbeOutcome probe() {
+    return switch (condition) {
+      case UP -> full() ? ProbeOutcome.FULL : ProbeOutcome.HEALTHY;
+      case DRAINING -> ProbeOutcome.UNHEALTHY;
+      case DOWN -> ProbeOutcome.UNREACHABLE;
+      case DARK -> ProbeOutcome.TIMEOUT;
+    };
+  }
+
+  void drain() {
+    condition = Condition.DRAINING;
+  }
+
+  /** Ends: loudly, with its connections reset, or without a word. */
+  void stop(boolean dark) {
+    condition = dark ? Condition.DARK : Condition.DOWN;
+    for (BackendCall call : List.copyOf(open)) {
+      checker.crashedDuring(call, this);
+      if (!dark) {
+        network.reply(call, this, new BackendReply.Reset(), null);
+      }
+    }
+    open.clear();
+    reset();
+  }
+
+  /** Starts again as a new incarnation. */
+  void restart() {
+    condition = Condition.UP;
+    incarnation++;
+    drainAcknowledgedMicros = -1;
+  }
+}
--- /dev/null
+++ b/src/main/java/slateslip/simulation/dataplane/WorldPlans.java
@@ -0,0 +1,218 @@
+package slateslip.simulation.dataplane;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import slateslip.configuration.FleetConfiguration;
+import slateslip.configuration.IngressLimits;
+import slateslip.configuration.Route;
+import slateslip.configuration.RouteKind;
+import slateslip.configuration.Service;
+import slateslip.configuration.Tenant;
+import slateslip.simulation.dataplane.RequestClass.SharedPart;
+import slateslip.simulation.dataplane.RequestClass.Size;
+import slateslip.simulation.dataplane.WorldPlan.BackendGroup;
+import slateslip.simulation.dataplane.WorldPlan.Bounds;
+import slateslip.simulation.dataplane.WorldPlan.NetworkPlan;
+import slateslip.simulation.dataplane.WorldPlan.TenantPlan;
+import slateslip.simulation.engine.EngineParameters;
+
+/** Names used in a world, its configuration, and random plans. */
+public final class WorldPlans {
+  static final String HOST = "world.example";
+  static final long UNCACHED_TOKENS = 200;
+
+  private static final String ENGINES = "engines";
+  private static final String LEDGER = "ledger";
+  private static final long SECOND = 1_000_000;
+  private static final long DURATION_MICROS = 10 * SECOND;
+  private static final int MOST_FAULTS = 8;
+
+  /** Kinds that random schedules draw from. */
+  private static final Fault.Kind[] KINDS = Fault.Kind.values();
+
+  private WorldPlans() {}
+
+  static String zoneName(int zone) {
+    return "zone-" + (char) ('a' + zone);
+  }
+
+  static String tenantName(int index) {
+    return "tenant-" + index;
+  }
+
+  static String key(int tenant) {
+    return "key-" + tenant;
+  }
+
+  static String path(RequestClass requestClass) {
+    return "/" + requestClass.name() + "/ask";
+  }
+
+  /** The operator's configuration of a plan. */
+  static FleetConfiguration configuration(WorldPlan plan) {
+    List<Route> routes = plan.classes().stream().map(WorldPlans::route).toList();
+    List<Service> services = plan.backends().stream().map(WorldPlans::service).toList();
+    List<Tenant> tenants = new ArrayList<>();
+    for (int i = 0; i < plan.tenants().size(); i++) {
+      double quota = plan.tenants().get(i).tokensPerSecond();
+      tenants.add(
+          new Tenant(tenantName(i), List.of(key(i)), -1, true, UNCACHED_TOKENS, quota, quota));
+    }
+    return new FleetConfiguration(1, routes, services, IngressLimits.DEFAULT, tenants);
+  }
+
+  private static Route route(RequestClass requestClass) {
+    return new Route(
+        requestClass.name(),
+        HOST,
+        "/" + requestClass.name() + "/",
+        requestClass.kind(),
+        requestClass.timeoutMillis(),
+        requestClass.targetLatencyMillis(),
+        requestClass.priority(),
+        List.of(new Route.WeightedService(requestClass.service(), 1)),
+        requestClass.maxAttempts(),
+        false,
+        requestClass.kind() == RouteKind.STREAMING,
+        requestClass.resumable(),
+        requestClass.gapAimMillis());
+  }
+
+  private static Service service(BackendGroup group) {
+    EngineParameters engine = group.engine();
+    return new Service(
+        group.service(),
+        "/health",
+        360,
+        engine == null
+            ? null
+            : new Service.Engine(engine.slots(), engine.memoryTokens(), engine.tokensPerEvent()));
+  }
+
+  /** A small world with random faults: everything follows from the seed. */
+  public static WorldPlan random(long seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    int dataPlanes = 1 + random.nextInt(4);
+    List<Fault> faults = new ArrayList<>();
+    int count = 1 + random.nextInt(MOST_FAULTS);
+    for (int i = 0; i < count; i++) {
+      faults.add(fault(random));
+    }
+    EngineParameters small = EngineParameters.DENSE_70B.withRoom(8, 16, 60_000);
+    return new WorldPlan(
+        seed,
+        DURATION_MICROS,
+        3,
+        dataPlanes,
+        70,
+        smallClasses(),
+        List.of(
+            new BackendGroup(ENGINES, 3, small, 0, 0), new BackendGroup(LEDGER, 3, null, 4, 12)),
+        List.of(new TenantPlan(1, 0), new TenantPlan(1, 20_000), new TenantPlan(0.5, 8_000)),
+        new NetworkPlan(200, 900, 1_000),
+        new Bounds(2 * SECOND, 0.2, 10 * SECOND, 52, 8 * SECOND, 0.1, 8_000),
+        faults);
+  }
+
+  private static Fault fault(SplittableRandom random) {
+    Fault.Kind kind = KINDS[random.nextInt(KINDS.length)];
+    long atMicros = random.nextLong(SECOND / 2, DURATION_MICROS - SECOND);
+    long forMicros = random.nextLong(SECOND / 5, 4 * SECOND);
+    int target = random.nextInt(6);
+    double strength =
+        switch (kind) {
+          case RESETS -> 0.1 + 0.8 * random.nextDouble();
+          case HOT_KEY -> 0.2 + 0.5 * random.nextDouble();
+          case HOT_TENANT -> 3 + 9 * random.nextDouble();
+          case BURST -> 1.5 + 2 * random.nextDouble();
+          default -> 0;
+        };
+    int bounded = kind == Fault.Kind.HOT_TENANT ? target % 3 : target;
+    return new Fault(kind, atMicros, forMicros, bounded, strength);
+  }
+
+  private static List<RequestClass> smallClasses() {
+    return List.of(
+        new RequestClass(
+            "diagnosis",
+            ENGINES,
+            RouteKind.STREAMING,
+            true,
+            600,
+            400,
+            4_000,
+            4_000,
+            0,
+            2,
+            1,
+            2,
+            3,
+            0.3,
+            List.of(new SharedPart(new Size(1_500, 0.7, 5_000), 12, 0.3)),
+            new Size(400, 1, 4_000),
+            new Size(8, 1, 30),
+            Size.NONE,
+            0),
+        new RequestClass(
+            "report",
+            ENGINES,
+            RouteKind.STREAMING,
+            false,
+            1_000,
+            400,
+            5_000,
+            3_000,
+            1,
+            1,
+            1,
+            1,
+            2,
+            0.2,
+            List.of(new SharedPart(new Size(300, 0.4, 600), 4, 0)),
+            new Size(300, 1, 3_000),
+            new Size(6, 1, 20),
+            Size.NONE,
+            0),
+        new RequestClass(
+            "entry",
+            LEDGER,
+            RouteKind.NON_IDEMPOTENT,
+            false,
+            150,
+            0,
+            1_000,
+            1_000,
+            2,
+            2,
+            1,
+            2,
+            1,
+            0.1,
+            List.of(),
+            Size.NONE,
+            Size.NONE,
+            new Size(30, 0.5, 220),
+            0.01),
+        new RequestClass(
+            "lookup",
+            LEDGER,
+            RouteKind.IDEMPOTENT,
+            false,
+            150,
+            0,
+            1_000,
+            1_000,
+            2,
+            3,
+            1,
+            1,
+            1,
+            0.1,
+            List.of(),
+            Size.NONE,
+            Size.NONE,
+            new Size(20, 0.5, 200),
+            0.01));
+  }
+}
--- a/src/main/java/slateslip/simulation/engine/EngineModel.java
+++ b/src/main/java/slateslip/simulation/engine/EngineModel.java
@@ -153,8 +153,7 @@
         waiting.remove(next);
         running.add(next);
         outputs.add(
-            new EngineOutput.Admitted(
-                next.request().id(), next.keptTokens(), next.tokensToRead()));
+            new EngineOutput.Admitted(next.request().id(), next.keptTokens(), next.tokensToRead()));
         continue;
       }
       EngineJob victim = running.isEmpty() ? null : running.last();
@@ -228,6 +227,9 @@
     if (!makeRoom(job)) {
       return;
     }
+    if (!job.started()) {
+      outputs.add(new EngineOutput.Started(job.request().id()));
+    }
     boolean eventDone = job.putOut();
     if (eventDone) {
       outputs.add(new EngineOutput.Event(job.request().id(), job.eventId(), job.complete()));
--- a/src/main/java/slateslip/simulation/engine/EngineOutput.java
+++ b/src/main/java/slateslip/simulation/engine/EngineOutput.java
@@ -21,6 +21,9 @@
    */
   record Admitted(long request, long keptTokens, long readTokens) implements EngineOutput {}
 
+  /** The request has put out its first token here: from now on it has run. */
+  record Started(long request) implements EngineOutput {}
+
   /**
    * One event of a stream.
    *
--- a/src/main/java/slateslip/simulation/engine/EngineParameters.java
+++ b/src/main/java/slateslip/simulation/engine/EngineParameters.java
@@ -32,8 +32,7 @@
 
   /** A 70-billion-parameter model on four accelerators; figures of the deployment pv-slateslip. */
   public static final EngineParameters DENSE_70B =
-      new EngineParameters(
-          64, 192, 577_468, 16, 3.7, 0.0193, 0.0102, 63.9, 0.367, 1.0, 2_048, 5);
+      new EngineParameters(64, 192, 577_468, 16, 3.7, 0.0193, 0.0102, 63.9, 0.367, 1.0, 2_048, 5);
 
   /** The same engine with other room. */
   public EngineParameters withRoom(int newSlots, int newQueueLimit, long newMemoryTokens) {
--- a/src/main/java/slateslip/simulation/engine/PromptMemory.java
+++ b/src/main/java/slateslip/simulation/engine/PromptMemory.java
@@ -105,11 +105,6 @@
     return pinnedTokens + privateTokens;
   }
 
-  /** Tokens in use, kept parts included. */
-  long usedTokens() {
-    return usedTokens;
-  }
-
   private static final class KeptPart {
     private final long tokens;
     private int pins;
--- a/src/test/java/slateslip/simulation/engine/EngineModelTest.java
+++ b/src/test/java/slateslip/simulation/engine/EngineModelTest.java
@@ -43,7 +43,8 @@
     submit(engine, 0, request(1, 6, part(7, 100)));
     submit(engine, 1_000, request(2, 1, part(8, 5_000)));
     run(engine);
-    // Token 1 at 1 ms; the step to 12 ms has begun when the long prompt comes. Chunks of 2,000, 2,000
+    // Token 1 at 1 ms; the step to 12 ms has begun when the long prompt comes. Chunks of 2,000,
+    // 2,000
     // and 1,000 then make iterations of 20 + 11, 20 + 11 and 10 + 11 ms; one more step ends at 106.
     assertThat(eventTimes(1), contains(12_000L, 74_000L, 106_000L));
     assertThat(eventTimes(2), contains(95_000L));
@@ -106,7 +107,8 @@
     submit(engine, 0, request(1, 12, part(1, 40)));
     submit(engine, 0, request(2, 12, part(2, 40)));
     run(engine);
-    // Token 11 of the older one needs a third block: the newer one gives way and reads 40 + 10 anew,
+    // Token 11 of the older one needs a third block: the newer one gives way and reads 40 + 10
+    // anew,
     // of which its prompt is still kept: only the tokens that it had put out are read.
     assertThat(told.stream().filter(t -> t.output().equals(new Preempted(2))).count(), is(1L));
     assertThat(
