--- /dev/null
+++ b/src/main/java/slateslip/experiment/ExperimentFile.java
@@ -0,0 +1,234 @@
+package slateslip.experiment;
+
+import io.avaje.json.JsonException;
+import io.avaje.json.mapper.JsonMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import slateslip.configuration.RouteKind;
+import slateslip.experiment.Experiment.Variant;
+import slateslip.experiment.policy.PlacementPolicy;
+import slateslip.simulation.dataplane.Fault;
+import slateslip.simulation.dataplane.RequestClass;
+import slateslip.simulation.dataplane.RequestClass.SharedPart;
+import slateslip.simulation.dataplane.RequestClass.Size;
+import slateslip.simulation.dataplane.WorldPlan;
+import slateslip.simulation.dataplane.WorldPlan.BackendGroup;
+import slateslip.simulation.dataplane.WorldPlan.Bounds;
+import slateslip.simulation.dataplane.WorldPlan.NetworkPlan;
+import slateslip.simulation.dataplane.WorldPlan.TenantPlan;
+import slateslip.simulation.engine.EngineParameters;
+
+/** Reads an experiment and the deployment that it names, both JSON. */
+public final class ExperimentFile {
+  private static final double MICROS_PER_SECOND = 1e6;
+  private static final double MICROS_PER_MILLI = 1e3;
+
+  private ExperimentFile() {}
+
+  /** What reading gave. */
+  public sealed interface Reading {
+    /** A whole experiment. */
+    record Valid(Experiment experiment) implements Reading {}
+
+    /** The file, the field at fault and the reason. */
+    record Invalid(String message) implements Reading {}
+  }
+
+  /** Reads a file; the deployment's path is relative to it. */
+  public static Reading read(Path file) {
+    try {
+      Fields fields = parse(file);
+      Path deploymentFile = file.resolveSibling(fields.text("deployment"));
+      return new Reading.Valid(experiment(fields, deployment(deploymentFile)));
+    } catch (Fields.Problem problem) {
+      return new Reading.Invalid(file + ": " + problem.getMessage());
+    }
+  }
+
+  private static Fields parse(Path file) throws Fields.Problem {
+    try {
+      Map<String, Object> values =
+          JsonMapper.builder().build().fromJsonObject(Files.readString(file));
+      return new Fields("", values);
+    } catch (IOException unreadable) {
+      throw new Fields.Problem(file.toString(), "cannot be read: " + unreadable);
+    } catch (JsonException malformed) {
+      throw new Fields.Problem(file.toString(), "is not JSON: " + malformed.getMessage());
+    }
+  }
+
+  private static Experiment experiment(Fields fields, WorldPlan deployment) throws Fields.Problem {
+    double load = fields.number("load", 1);
+    List<Fault> faults = new ArrayList<>();
+    for (Fields fault : fields.objects("faults")) {
+      faults.add(fault(fault));
+    }
+    List<WorldPlan> plans = new ArrayList<>();
+    for (long seed : fields.wholeNumbers("seeds")) {
+      plans.add(
+          new WorldPlan(
+              seed,
+              Math.round(fields.number("duration_s") * MICROS_PER_SECOND),
+              deployment.zones(),
+              deployment.dataPlanes(),
+              deployment.requestsPerSecond() * load,
+              deployment.classes(),
+              deployment.backends(),
+              deployment.tenants(),
+              deployment.network(),
+              deployment.bounds(),
+              faults));
+    }
+    if (plans.isEmpty()) {
+      throw fields.problem("seeds", "names none");
+    }
+    return new Experiment(fields.text("name"), plans, variants(fields));
+  }
+
+  private static List<Variant> variants(Fields fields) throws Fields.Problem {
+    List<Variant> variants = new ArrayList<>();
+    for (Fields variant : fields.objects("variants")) {
+      PlacementPolicy policy = variant.has("policy") ? policy(variant.object("policy")) : null;
+      variants.add(new Variant(variant.text("name"), policy));
+    }
+    if (variants.isEmpty()) {
+      throw fields.problem("variants", "names none");
+    }
+    return variants;
+  }
+
+  private static PlacementPolicy policy(Fields fields) throws Fields.Problem {
+    return new PlacementPolicy(
+        fields.flag("own_zone_only", false),
+        fields.whole("choices"),
+        fields.number("other_zone_millis", 0),
+        fields.number("reading_weight", 1),
+        fields.whole("assumed_kept", 0),
+        fields.number("pending_weight", 0),
+        fields.number("waiting_millis", 0),
+        fields.number("running_millis", 0),
+        fields.number("bound_factor", 0));
+  }
+
+  private static Fault fault(Fields fields) throws Fields.Problem {
+    return new Fault(
+        oneOf(fields, "kind", Fault.Kind.class),
+        Math.round(fields.number("at_s") * MICROS_PER_SECOND),
+        Math.round(fields.number("for_s", 0) * MICROS_PER_SECOND),
+        fields.whole("target", 0),
+        fields.number("strength", 0));
+  }
+
+  private static WorldPlan deployment(Path file) throws Fields.Problem {
+    Fields fields = parse(file);
+    List<RequestClass> classes = new ArrayList<>();
+    for (Fields requestClass : fields.objects("classes")) {
+      classes.add(requestClass(requestClass));
+    }
+    List<BackendGroup> backends = new ArrayList<>();
+    for (Fields group : fields.objects("backends")) {
+      backends.add(backends(group));
+    }
+    List<TenantPlan> tenants = new ArrayList<>();
+    for (Fields tenant : fields.objects("tenants")) {
+      tenants.add(new TenantPlan(tenant.number("share"), tenant.number("tokens_per_second", 0)));
+    }
+    Fields network = fields.object("network");
+    return new WorldPlan(
+        0,
+        0,
+        fields.whole("zones"),
+        fields.whole("data_planes"),
+        fields.number("requests_per_second"),
+        classes,
+        backends,
+        tenants,
+        new NetworkPlan(
+            micros(network, "in_zone_ms"),
+            micros(network, "cross_zone_ms"),
+            micros(network, "client_ms")),
+        Bounds.STANDARD,
+        List.of());
+  }
+
+  private static long micros(Fields fields, String name) throws Fields.Problem {
+    return Math.round(fields.number(name) * MICROS_PER_MILLI);
+  }
+
+  private static BackendGroup backends(Fields fields) throws Fields.Problem {
+    EngineParameters engine = fields.has("engine") ? engine(fields.object("engine")) : null;
+    return new BackendGroup(
+        fields.text("service"),
+        fields.whole("count"),
+        engine,
+        fields.whole("slots", 0),
+        fields.whole("queue", 0));
+  }
+
+  private static EngineParameters engine(Fields fields) throws Fields.Problem {
+    return new EngineParameters(
+        fields.whole("slots"),
+        fields.whole("queue"),
+        fields.whole("memory_tokens"),
+        fields.whole("block_tokens"),
+        fields.number("step_ms"),
+        fields.number("step_ms_per_request"),
+        fields.number("context_ms_per_thousand"),
+        fields.number("prefill_tokens_per_ms"),
+        fields.number("pairs_ms_per_million"),
+        fields.number("first_token_ms"),
+        fields.whole("prefill_chunk_tokens"),
+        fields.whole("tokens_per_event"));
+  }
+
+  private static RequestClass requestClass(Fields fields) throws Fields.Problem {
+    List<SharedPart> parts = new ArrayList<>();
+    for (Fields part : fields.objects("shared_parts")) {
+      parts.add(new SharedPart(size(part, "tokens"), part.whole("things"), part.number("skew", 0)));
+    }
+    return new RequestClass(
+        fields.text("name"),
+        fields.text("service"),
+        oneOf(fields, "kind", RouteKind.class),
+        fields.flag("resumable", false),
+        fields.whole("target_latency_ms"),
+        fields.whole("gap_aim_ms", 0),
+        fields.whole("deadline_ms"),
+        fields.whole("timeout_ms"),
+        fields.whole("priority"),
+        fields.whole("max_attempts"),
+        fields.whole("retries"),
+        fields.number("share"),
+        fields.number("worth"),
+        fields.number("late_worth"),
+        parts,
+        size(fields, "own_tokens"),
+        size(fields, "output_events"),
+        size(fields, "work_ms"),
+        fields.number("error_share", 0));
+  }
+
+  private static Size size(Fields fields, String name) throws Fields.Problem {
+    if (!fields.has(name)) {
+      return Size.NONE;
+    }
+    Fields size = fields.object(name);
+    return new Size(size.number("mean"), size.number("spread"), size.number("max"));
+  }
+
+  private static <T extends Enum<T>> T oneOf(Fields fields, String name, Class<T> type)
+      throws Fields.Problem {
+    String text = fields.text(name).toUpperCase(Locale.ROOT);
+    for (T constant : type.getEnumConstants()) {
+      if (constant.name().equals(text)) {
+        return constant;
+      }
+    }
+    throw fields.problem(name, "is none of " + List.of(type.getEnumConstants()));
+  }
+}
--- /dev/null
+++ b/src/main/java/slateslip/experiment/ResultTable.java
@@ -0,0 +1,71 @@
+package slateslip.experiment;
+
+import java.util.List;
+import java.util.Locale;
+import slateslip.experiment.ExperimentRun.VariantResult;
+import slateslip.simulation.dataplane.Measurements.Group;
+
+/** Prints results as a table: a line for each variant and class, then for each tenant. */
+final class ResultTable {
+  private static final String HEAD =
+      "| variant | group | requests | worth | in time | late | refused | failed |"
+          + " first p50 | p95 | p99 ms | pause p99 | kept | read again k |\n"
+          + "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n";
+
+  private ResultTable() {}
+
+  /** The whole table, in Markdown. */
+  static String format(List<VariantResult> results) {
+    StringBuilder table = new StringBuilder(HEAD);
+    for (VariantResult result : results) {
+      line(table, result.variant(), "all", result.measurements().whole());
+      result.measurements().byClass().forEach((name, g) -> line(table, result.variant(), name, g));
+    }
+    for (VariantResult result : results) {
+      result.measurements().byTenant().forEach((name, g) -> line(table, result.variant(), name, g));
+    }
+    for (VariantResult result : results) {
+      table.append(
+          String.format(
+              Locale.ROOT,
+              "%n%s: calls to another zone %.1f in 100, probes %d, rules broken %d%n",
+              result.variant(),
+              100 * result.measurements().otherZoneShare(),
+              result.measurements().probes(),
+              result.violations()));
+    }
+    return table.toString();
+  }
+
+  private static void line(StringBuilder table, String variant, String name, Group group) {
+    table.append(
+        String.format(
+            Locale.ROOT,
+            "| %s | %s | %d | %.3f | %.3f | %.3f | %.3f | %.3f | %.0f | %.0f | %.0f | %.0f | %s |"
+                + " %.0f |%n",
+            variant,
+            name,
+            group.total(),
+            group.worthShare(),
+            share(group.inTime(), group),
+            share(group.late(), group),
+            share(group.refused(), group),
+            share(group.failed(), group),
+            millis(group.firstMicros().getValueAtPercentile(50)),
+            millis(group.firstMicros().getValueAtPercentile(95)),
+            millis(group.firstMicros().getValueAtPercentile(99)),
+            millis(group.gapMicros().getValueAtPercentile(99)),
+            Double.isNaN(group.keptShare())
+                ? "-"
+                : String.format(Locale.ROOT, "%.3f", group.keptShare()),
+            group.sharedTokensReadAgain() / 1e3));
+  }
+
+  private static double share(long part, Group group) {
+    return group.total() == 0 ? 0 : (double) part / group.total();
+  }
+
+  private static double millis(long micros) {
+    return micros / 1e3;
+  }
+}
--- a/src/main/java/slateslip/simulation/dataplane/DataPlaneHost.java
+++ b/src/main/java/slateslip/simulation/dataplane/DataPlaneHost.java
@@ -297,7 +297,9 @@
     BackendCall call =
         new BackendCall(this, exchange.content, send, Math.max(0, resumeAfter), deadlineMicros);
     exchange.live.put(send.attempt(), call);
-    world.network().send(call, world.control().backend(send.backendId()));
+    SimulatedBackend backend = world.control().backend(send.backendId());
+    world.measurements().called(backend.zone() != zone);
+    world.network().send(call, backend);
     if (send.firstEventTimeoutMicros() > 0) {
       loop.after(send.firstEventTimeoutMicros(), () -> inbound(() -> timeOut(exchange, call)));
     }
--- a/src/main/java/slateslip/simulation/dataplane/Measurements.java
+++ b/src/main/java/slateslip/simulation/dataplane/Measurements.java
@@ -23,6 +23,8 @@
   private final Map<GroupKey, Group> groups = new TreeMap<>();
   private final Map<Long, Long> lastUseByPart = new HashMap<>();
   private long probes;
+  private long calls;
+  private long callsToOtherZones;
 
   /** A class and a tenant. */
   public record GroupKey(String requestClass, String tenant) implements Comparable<GroupKey> {
@@ -138,6 +140,25 @@
     return result;
   }
 
+  /** Takes over what another run gave. */
+  public void add(Measurements other) {
+    other.groups.forEach(
+        (key, group) -> groups.computeIfAbsent(key, name -> new Group()).add(group));
+    probes += other.probes;
+    calls += other.calls;
+    callsToOtherZones += other.callsToOtherZones;
+  }
+
+  /** Fraction of calls that went to a backend of another zone. */
+  public double otherZoneShare() {
+    return calls == 0 ? 0 : (double) callsToOtherZones / calls;
+  }
+
+  void called(boolean otherZone) {
+    calls++;
+    callsToOtherZones += otherZone ? 1 : 0;
+  }
+
   /** Health probes sent. */
   public long probes() {
     return probes;
