--- a/src/main/java/slateslip/experiment/policy/PolicyRouter.java
+++ b/src/main/java/slateslip/experiment/policy/PolicyRouter.java
@@ -14,6 +14,7 @@
 import slateslip.configuration.Service;
 import slateslip.configuration.Tenant;
 import slateslip.distribution.BackendSession;
+import slateslip.distribution.TenantDemand;
 import slateslip.routing.RequestFacts;
 import slateslip.routing.RequestFacts.PromptPart;
 import slateslip.routing.RequestRouter;
@@ -65,6 +66,11 @@
     return outputs;
   }
 
+  @Override
+  public List<TenantDemand> demand() {
+    return List.of();
+  }
+
   private void listBackends() {
     if (table == null) {
       return;
@@ -122,6 +128,7 @@
             backend.session().id(),
             Math.max(1, (request.endMicros - nowMicros) / 1_000),
             0,
+            0,
             request.route.priority(),
             request.tenant.name(),
             request.lastEventId >= 0 ? request.lastEventId : RouterOutput.AS_SENT));
--- a/src/main/java/slateslip/simulation/dataplane/DataPlaneHost.java
+++ b/src/main/java/slateslip/simulation/dataplane/DataPlaneHost.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import slateslip.distribution.TenantDemand;
 import slateslip.routing.RequestRouter;
 import slateslip.routing.RouterInput;
 import slateslip.routing.RouterInput.AttemptOutcome;
@@ -78,6 +79,16 @@
     return loop.nowMicros() - troubledMicros < CONTACT_MICROS;
   }
 
+  /** Number of its present life. */
+  int incarnation() {
+    return incarnation;
+  }
+
+  /** What tenants have asked for in its present life. */
+  List<TenantDemand> demand() {
+    return router.demand();
+  }
+
   void start(RequestRouter newRouter) {
     router = newRouter;
     condition = Condition.UP;
@@ -207,6 +218,7 @@
     }
     begin(exchange, call);
     exchange.lastEventId = event.id();
+    watchSilence(exchange, call);
     exchange.over = event.last();
     toClient(
         exchange,
@@ -297,6 +309,7 @@
     BackendCall call =
         new BackendCall(this, exchange.content, send, Math.max(0, resumeAfter), deadlineMicros);
     exchange.live.put(send.attempt(), call);
+    exchange.silenceMicros.put(send.attempt(), send.silenceTimeoutMicros());
     SimulatedBackend backend = world.control().backend(send.backendId());
     world.measurements().called(backend.zone() != zone);
     world.network().send(call, backend);
@@ -305,6 +318,27 @@
     }
   }
 
+  private void watchSilence(Exchange exchange, BackendCall call) {
+    long limit = exchange.silenceMicros.get(call.attempt());
+    boolean first = exchange.heardMicros.put(call.attempt(), loop.nowMicros()) == null;
+    if (limit > 0 && first) {
+      loop.after(limit, () -> inbound(() -> checkSilence(exchange, call, limit)));
+    }
+  }
+
+  private void checkSilence(Exchange exchange, BackendCall call, long limit) {
+    if (exchange.live.get(call.attempt()) != call) {
+      return;
+    }
+    long due = exchange.heardMicros.get(call.attempt()) + limit;
+    if (loop.nowMicros() < due) {
+      loop.at(due, () -> inbound(() -> checkSilence(exchange, call, limit)));
+      return;
+    }
+    world.network().hostClosed(call, world.control().backend(call.backendId()));
+    end(exchange, call, Kind.TIMEOUT, 0, null);
+  }
+
   private void timeOut(Exchange exchange, BackendCall call) {
     boolean silent = !exchange.begun.contains(call.attempt());
     if (exchange.live.get(call.attempt()) == call && silent) {
@@ -404,6 +438,8 @@
     private final Map<Integer, BackendCall> live = new TreeMap<>();
     private final Set<Integer> numbers = new HashSet<>();
     private final Set<Integer> begun = new HashSet<>();
+    private final Map<Integer, Long> silenceMicros = new HashMap<>();
+    private final Map<Integer, Long> heardMicros = new HashMap<>();
     private final Map<Integer, Integer> failures = new HashMap<>();
     private long lastEventId = -1;
     private boolean over;
--- a/src/main/java/slateslip/simulation/dataplane/Fault.java
+++ b/src/main/java/slateslip/simulation/dataplane/Fault.java
@@ -32,7 +32,7 @@
     HOT_TENANT,
     /** All clients send {@code strength} times their usual. */
     BURST,
-    /** Another data plane joins; the shares of the others shrink first. */
+    /** Another data plane joins. */
     DATA_PLANE_JOIN
   }
 
--- a/src/test/java/slateslip/simulation/dataplane/DataPlaneWorldTest.java
+++ b/src/test/java/slateslip/simulation/dataplane/DataPlaneWorldTest.java
@@ -4,11 +4,25 @@
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.greaterThan;
 
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import slateslip.routing.FleetRouter;
 
 /** Plays random schedules of faults against the routers, unchanged. */
 class DataPlaneWorldTest {
+  private static final long SCHEDULES = 200;
+
+  @Test
+  void randomSchedulesBreakNoRule() {
+    for (long seed = 1; seed <= SCHEDULES; seed++) {
+      WorldPlan plan = WorldPlans.random(seed);
+      DataPlaneWorld.Result result = DataPlaneWorld.run(plan, FleetRouter::new);
+      if (!result.violations().isEmpty()) {
+        throw new AssertionError(report(plan));
+      }
+    }
+  }
+
   @Test
   void seedRepeatsARunExactly() {
     for (long seed = 1; seed <= 5; seed++) {
@@ -19,4 +33,21 @@
       assertThat(again.violations(), equalTo(first.violations()));
     }
   }
+
+  /** The seed, the shortest schedule found and what it breaks. */
+  static String report(WorldPlan failing) {
+    WorldPlan shortest =
+        ScheduleShrinker.shrink(
+            failing, plan -> !DataPlaneWorld.run(plan, FleetRouter::new).violations().isEmpty());
+    DataPlaneWorld.Result result = DataPlaneWorld.run(shortest, FleetRouter::new);
+    return "seed "
+        + failing.seed()
+        + " breaks "
+        + result.violations().stream()
+            .limit(3)
+            .map(Object::toString)
+            .collect(Collectors.joining("; "))
+        + " under "
+        + shortest.faults().stream().map(Object::toString).collect(Collectors.joining("; "));
+  }
 }
