--- a/src/main/java/slateslip/simulation/dataplane/SimulatedControl.java
+++ b/src/main/java/slateslip/simulation/dataplane/SimulatedControl.java
@@ -11,8 +11,8 @@
 import slateslip.distribution.AgentShares;
 import slateslip.distribution.BackendSession;
 import slateslip.distribution.TenantDemand;
+import slateslip.distribution.quota.ShareAllocator;
 import slateslip.routing.RouterInput;
-import slateslip.routing.quota.ShareAllocator;
 
 /** Stands for the control plane: tells data planes the table, the backends and their shares. */
 final class SimulatedControl {
