--- a/src/main/java/gatefront/ServerTable.java
+++ b/src/main/java/gatefront/ServerTable.java
@@ -68,11 +68,11 @@
             log(target, ready ? "ready" : "draining: nothing new is sent");
         }
         target.ready = ready;
-        boolean started = entry.startedAt() > 0 && (before == null || entry.startedAt() != before.startedAt());
-        return started ? target : null;
+        boolean anew = before == null || entry.startedAt() != before.startedAt();
+        return entry.startedAt() > 0 && anew ? target : null;
     }
 
-    /** Orders the listed by an agent's own hash: its first few are its subset, and no two agents have the same. */
+    /** Orders the listed by an agent's own hash: the first few are its subset, and each agent has another. */
     void order(int agent) {
         listed.sort(Comparator.comparingLong(each -> RendezvousHash.weight(each.id, agent)));
     }
--- a/src/main/java/gatefront/WaitingReport.java
+++ b/src/main/java/gatefront/WaitingReport.java
@@ -25,7 +25,8 @@
      * @param held requests held for want of room
      * @param available whether a server may get requests by its health
      */
-    static String line(long now, long held, Collection<Target> listed, int ownZone, Predicate<Target> available) {
+    static String line(long now, long held, Collection<Target> listed, int ownZone,
+                       Predicate<Target> available) {
         String own = room(now, listed, each -> each.listed.zone() == ownZone, available);
         String others = room(now, listed, each -> each.listed.zone() != ownZone, available);
         return "waiting: " + held + "; own zone " + own + "; others " + others;
