--- /dev/null
+++ b/src/test/java/slateslip/simulation/dataplane/Mutants.java
@@ -0,0 +1,198 @@
+package slateslip.simulation.dataplane;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Function;
+import java.util.function.UnaryOperator;
+import java.util.stream.Stream;
+import slateslip.distribution.AgentShares;
+import slateslip.distribution.BackendSession;
+import slateslip.distribution.TenantDemand;
+import slateslip.routing.FleetRouter;
+import slateslip.routing.RequestRouter;
+import slateslip.routing.RouterInput;
+import slateslip.routing.RouterInput.AttemptOutcome;
+import slateslip.routing.RouterInput.AttemptOutcome.Kind;
+import slateslip.routing.RouterOutput;
+
+/** Routers with one fault each, made by changing what the real one is told or what it asks for. */
+final class Mutants {
+  private Mutants() {}
+
+  /**
+   * Takes a connection that broke after sending for a rejection, so that the request is repeated.
+   */
+  static DataPlaneWorld.RouterFactory repeatsAfterReset() {
+    return withInputs(
+        input ->
+            input instanceof RouterInput.AttemptEnded ended && ended.outcome().kind() == Kind.BROKEN
+                ? new RouterInput.AttemptEnded(
+                    ended.request(),
+                    ended.attempt(),
+                    new AttemptOutcome(Kind.NOT_EXECUTED, 503),
+                    ended.load(),
+                    ended.lastEventId())
+                : input);
+  }
+
+  /** Resumes a stream one event too far on. */
+  static DataPlaneWorld.RouterFactory resumesFromTheWrongEvent() {
+    return withOutputs(
+        output ->
+            output instanceof RouterOutput.SendAttempt send && send.resumeAfter() >= 0
+                ? Stream.of(
+                    new RouterOutput.SendAttempt(
+                        send.request(),
+                        send.attempt(),
+                        send.backendId(),
+                        send.deadlineMillis(),
+                        send.firstEventTimeoutMicros(),
+                        send.silenceTimeoutMicros(),
+                        send.priority(),
+                        send.tenant(),
+                        send.resumeAfter() + 1))
+                : Stream.of(output));
+  }
+
+  /** Starts a broken stream anew instead of resuming it. */
+  static DataPlaneWorld.RouterFactory startsBrokenStreamsAnew() {
+    return withOutputs(
+        output ->
+            output instanceof RouterOutput.SendAttempt send && send.resumeAfter() >= 0
+                ? Stream.of(
+                    new RouterOutput.SendAttempt(
+                        send.request(),
+                        send.attempt(),
+                        send.backendId(),
+                        send.deadlineMillis(),
+                        send.firstEventTimeoutMicros(),
+                        send.silenceTimeoutMicros(),
+                        send.priority(),
+                        send.tenant(),
+                        0))
+                : Stream.of(output));
+  }
+
+  /** Goes on sending to backends that drain. */
+  static DataPlaneWorld.RouterFactory ignoresDraining() {
+    return withInputs(
+        input ->
+            input instanceof RouterInput.BackendsChanged changed
+                ? new RouterInput.BackendsChanged(
+                    changed.backends().stream().map(Mutants::ready).toList())
+                : input);
+  }
+
+  /** Keeps the largest share of each quota that it ever had. */
+  static DataPlaneWorld.RouterFactory keepsItsLargestShares() {
+    return settings -> {
+      Map<String, Double> largest = new TreeMap<>();
+      return changed(
+          new FleetRouter(settings),
+          input -> {
+            if (!(input instanceof RouterInput.SharesChanged told)) {
+              return input;
+            }
+            for (AgentShares.TenantShare share : told.shares().tenants()) {
+              largest.merge(share.tenant(), share.fraction(), Math::max);
+            }
+            List<AgentShares.TenantShare> kept = new ArrayList<>();
+            largest.forEach((name, part) -> kept.add(new AgentShares.TenantShare(name, part)));
+            return new RouterInput.SharesChanged(new AgentShares(told.shares().agents(), kept));
+          },
+          Stream::of);
+    };
+  }
+
+  /** Takes the quotas of the whole fleet for its own. */
+  static DataPlaneWorld.RouterFactory takesWholeQuotas() {
+    return withInputs(
+        input ->
+            input instanceof RouterInput.SharesChanged told
+                ? new RouterInput.SharesChanged(
+                    new AgentShares(
+                        told.shares().agents(),
+                        told.shares().tenants().stream()
+                            .map(share -> new AgentShares.TenantShare(share.tenant(), 1))
+                            .toList()))
+                : input);
+  }
+
+  /** Takes the retry budget of the whole fleet for its own. */
+  static DataPlaneWorld.RouterFactory takesTheWholeRetryBudget() {
+    return withInputs(
+        input ->
+            input instanceof RouterInput.SharesChanged told
+                ? new RouterInput.SharesChanged(new AgentShares(1, told.shares().tenants()))
+                : input);
+  }
+
+  /** Gives each of its own answers twice. */
+  static DataPlaneWorld.RouterFactory answersTwice() {
+    return withOutputs(
+        output ->
+            output instanceof RouterOutput.Answer ? Stream.of(output, output) : Stream.of(output));
+  }
+
+  /** Refuses with a promise whatever it would have failed without one. */
+  static DataPlaneWorld.RouterFactory promisesWhatMayHaveRun() {
+    return withOutputs(
+        output ->
+            output instanceof RouterOutput.Answer answer && answer.status() == 502
+                ? Stream.of(new RouterOutput.Answer(answer.request(), 503, 0))
+                : Stream.of(output));
+  }
+
+  /** Says nothing when a request's time is over. */
+  static DataPlaneWorld.RouterFactory silentAtTheTimeout() {
+    return withOutputs(
+        output -> {
+          boolean timedOut = output instanceof RouterOutput.Answer answer && answer.status() == 504;
+          boolean broken = output instanceof RouterOutput.Break;
+          return timedOut || broken ? Stream.empty() : Stream.of(output);
+        });
+  }
+
+  private static BackendSession ready(BackendSession session) {
+    return new BackendSession(
+        session.id(),
+        session.service(),
+        session.address(),
+        session.zone(),
+        session.version(),
+        session.slots(),
+        false,
+        session.coldLeftMillis(),
+        session.sequence());
+  }
+
+  private static DataPlaneWorld.RouterFactory withInputs(UnaryOperator<RouterInput> change) {
+    return settings -> changed(new FleetRouter(settings), change, Stream::of);
+  }
+
+  private static DataPlaneWorld.RouterFactory withOutputs(
+      Function<RouterOutput, Stream<RouterOutput>> change) {
+    return settings -> changed(new FleetRouter(settings), UnaryOperator.identity(), change);
+  }
+
+  private static RequestRouter changed(
+      RequestRouter router,
+      UnaryOperator<RouterInput> changeInput,
+      Function<RouterOutput, Stream<RouterOutput>> changeOutput) {
+    return new RequestRouter() {
+      @Override
+      public List<RouterOutput> handle(long nowMicros, RouterInput input) {
+        return router.handle(nowMicros, changeInput.apply(input)).stream()
+            .flatMap(changeOutput)
+            .toList();
+      }
+
+      @Override
+      public List<TenantDemand> demand() {
+        return router.demand();
+      }
+    };
+  }
+}
