Build: the linter's findings are mended over all packages

Change: precedence made explicit, strings split whole, unused parameters removed, casts written out, builders by get().

--- a/src/main/java/slateslip/controlplane/ControlAgent.java
+++ b/src/main/java/slateslip/controlplane/ControlAgent.java
@@ -218,7 +218,7 @@
   /** Tells the primary how far the data planes here are, if that is news or it is time to. */
   private void reportProgress(boolean always) {
     long version = subscribers.progress().slowestVersion();
-    if (replica.isServing() || !always && version == reportedVersion) {
+    if (replica.isServing() || (!always && version == reportedVersion)) {
       return;
     }
     reportedVersion = version;
--- a/src/main/java/slateslip/coordination/DurableQueue.java
+++ b/src/main/java/slateslip/coordination/DurableQueue.java
@@ -10,7 +10,6 @@
  */
 final class DurableQueue {
   private static final long RECORD_OVERHEAD = 256;
-  private static final Runnable NOTHING = () -> {};
 
   private record InFlight(long token, long startedMicros, DurableMark mark, Runnable then) {}
 
@@ -100,7 +99,7 @@
   /** Writes the whole state anew if that is due after a failure, or writes were left out since. */
   void retry(long now, DurableMark mark) {
     if ((broken || missed) && inFlight.isEmpty() && now >= retryAt) {
-      startSnapshot(now, mark, NOTHING);
+      startSnapshot(now, mark, DurableQueue::doNothing);
     }
   }
 
@@ -110,4 +109,6 @@
         !inFlight.isEmpty() && now - inFlight.peekFirst().startedMicros() > Timing.DISK_BOUND;
     return !broken && !hung;
   }
+
+  private static void doNothing() {}
 }
--- a/src/main/java/slateslip/coordination/ReplicaStore.java
+++ b/src/main/java/slateslip/coordination/ReplicaStore.java
@@ -72,7 +72,7 @@
       commitTo(transfer.baseSequence());
     }
     boolean baseHere = transfer.baseSequence() <= appliedSequence;
-    if (order < 0 || !baseHere && !transfer.whole()) {
+    if (order < 0 || (!baseHere && !transfer.whole())) {
       return false;
     }
     if (transfer.lastSequence() < appliedSequence) {
--- a/src/main/java/slateslip/dataplane/HeaderNames.java
+++ b/src/main/java/slateslip/dataplane/HeaderNames.java
@@ -88,7 +88,7 @@
   /** Removes what concerns one connection only, also by what {@code Connection} names. */
   public static void removeHopByHop(HttpHeaders headers) {
     for (String options : headers.getAll(HttpHeaderNames.CONNECTION)) {
-      for (String option : options.split(",")) {
+      for (String option : options.split(",", -1)) {
         removeOption(headers, option.trim());
       }
     }
--- a/src/main/java/slateslip/dataplane/backend/AnswerReader.java
+++ b/src/main/java/slateslip/dataplane/backend/AnswerReader.java
@@ -211,7 +211,7 @@
     if (text == null) {
       return null;
     }
-    String[] parts = text.split(",");
+    String[] parts = text.split(",", -1);
     if (parts.length != 3) {
       return null;
     }
--- a/src/main/java/slateslip/dataplane/backend/BackendConnection.java
+++ b/src/main/java/slateslip/dataplane/backend/BackendConnection.java
@@ -75,7 +75,7 @@
     if (keepAlive == null) {
       return;
     }
-    for (String parameter : keepAlive.split(",")) {
+    for (String parameter : keepAlive.split(",", -1)) {
       String text = parameter.trim();
       if (text.startsWith(TIMEOUT_PARAMETER)) {
         long seconds = Decoders.digits(text.substring(TIMEOUT_PARAMETER.length()), 0);
--- a/src/main/java/slateslip/dataplane/backend/BackendPools.java
+++ b/src/main/java/slateslip/dataplane/backend/BackendPools.java
@@ -98,7 +98,7 @@
   private void listed(BackendSession session) {
     InetSocketAddress address = address(session.address());
     BackendPool pool = pools.get(session.id());
-    if (address == null || pool != null && pool.address.equals(address)) {
+    if (address == null || (pool != null && pool.address.equals(address))) {
       return;
     }
     if (pool != null) {
--- a/src/main/java/slateslip/dataplane/ingress/RequestHead.java
+++ b/src/main/java/slateslip/dataplane/ingress/RequestHead.java
@@ -84,7 +84,7 @@
 
   private static boolean hasControlCharacter(String text) {
     return text.chars()
-        .anyMatch(character -> character < ' ' && character != '\t' || character == 0x7f);
+        .anyMatch(character -> (character < ' ' && character != '\t') || character == 0x7f);
   }
 
   /** What a well-formed request says of itself; numbers that cannot be read count as not given. */
--- a/src/main/java/slateslip/dataplane/subscription/DataPlaneIdentity.java
+++ b/src/main/java/slateslip/dataplane/subscription/DataPlaneIdentity.java
@@ -19,13 +19,13 @@
    */
   long rank(String agent) {
     long distance = 4L - commonParts(agent);
-    long order = (agent.hashCode() * 31 + node.hashCode()) * HASH_FACTOR & HASH_MASK;
+    long order = ((long) (agent.hashCode() * 31 + node.hashCode()) * HASH_FACTOR) & HASH_MASK;
     return (distance << RANK_SHIFT) + order;
   }
 
   private int commonParts(String agent) {
-    String[] mine = address.split("\\.");
-    String[] theirs = agent.split("\\.");
+    String[] mine = address.split("\\.", -1);
+    String[] theirs = agent.split("\\.", -1);
     int common = 0;
     while (common < Math.min(mine.length, theirs.length) && mine[common].equals(theirs[common])) {
       common++;
--- a/src/main/java/slateslip/dataplane/subscription/Subscription.java
+++ b/src/main/java/slateslip/dataplane/subscription/Subscription.java
@@ -159,8 +159,8 @@
   private void closeIfDead(long now, ControlStream stream) {
     long silent = now - stream.heardMillis;
     boolean dead =
-        stream.isOpen() && silent > SILENT_MILLIS
-            || stream.state == ControlStream.State.DIALLING && silent > DIAL_MILLIS;
+        (stream.isOpen() && silent > SILENT_MILLIS)
+            || (stream.state == ControlStream.State.DIALLING && silent > DIAL_MILLIS);
     if (dead) {
       close(now, stream);
     }
@@ -179,7 +179,7 @@
     for (ControlStream stream : wanted) {
       boolean preferred = place++ < STREAMS;
       boolean due = stream.state == ControlStream.State.CLOSED && now >= stream.notBeforeMillis;
-      if (due && (inUse < STREAMS || preferred && inUse == STREAMS)) {
+      if (due && (inUse < STREAMS || (preferred && inUse == STREAMS))) {
         stream.dialled(now);
         inUse++;
         outputs.add(new SubscriptionOutput.Dial(stream.agent));
@@ -222,12 +222,12 @@
   // ---- the active stream ----
 
   private void chooseActive(long now) {
-    ControlStream best = best(now);
+    ControlStream best = best();
     if (best == null || best == active) {
       behindSinceMillis = Long.MAX_VALUE;
       return;
     }
-    if (active == null || !active.isCurrent() && best.isCurrent()) {
+    if (active == null || (!active.isCurrent() && best.isCurrent())) {
       activate(best);
     } else if (best.configurationVersion() > Math.max(configurationVersion(), active.configurationVersion())) {
       behindSinceMillis = Math.min(behindSinceMillis, now);
@@ -240,7 +240,7 @@
   }
 
   /** The open stream that knows most, with the lowest rank of those; null if no heartbeat has come. */
-  private ControlStream best(long now) {
+  private ControlStream best() {
     ControlStream best = null;
     for (ControlStream stream : streams.values()) {
       boolean eligible = stream.isOpen() && stream.heartbeat != null;
--- a/src/main/java/slateslip/distribution/quota/ShareAllocator.java
+++ b/src/main/java/slateslip/distribution/quota/ShareAllocator.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeSet;
 import slateslip.distribution.AgentShares;
 import slateslip.distribution.AgentShares.TenantShare;
@@ -136,7 +137,7 @@
     return allocations;
   }
 
-  private AgentShares shares(Agent agent, TreeSet<String> tenants) {
+  private AgentShares shares(Agent agent, Set<String> tenants) {
     List<TenantShare> shares = new ArrayList<>(tenants.size());
     tenants.forEach(
         tenant -> shares.add(new TenantShare(tenant, agent.cells.get(tenant).told)));
--- a/src/main/java/slateslip/experiment/ExperimentMain.java
+++ b/src/main/java/slateslip/experiment/ExperimentMain.java
@@ -68,12 +68,12 @@
 
   private static Options options() {
     Options options = new Options();
-    options.addOption(Option.builder().longOpt("help").desc("say this").build());
+    options.addOption(Option.builder().longOpt("help").desc("say this").get());
     options.addOption(
-        Option.builder().longOpt("lines").hasArg().desc("write JSON lines here").build());
-    options.addOption(Option.builder().longOpt("plot").hasArg().desc("write an SVG here").build());
+        Option.builder().longOpt("lines").hasArg().desc("write JSON lines here").get());
+    options.addOption(Option.builder().longOpt("plot").hasArg().desc("write an SVG here").get());
     options.addOption(
-        Option.builder().longOpt("threads").hasArg().desc("worlds played at once").build());
+        Option.builder().longOpt("threads").hasArg().desc("worlds played at once").get());
     return options;
   }
 }
--- a/src/main/java/slateslip/routing/OpenRequest.java
+++ b/src/main/java/slateslip/routing/OpenRequest.java
@@ -75,7 +75,7 @@
 
   /** Whether it may be sent again after an attempt that may have run. */
   boolean repeatable() {
-    return resumable() || route.kind() == RouteKind.IDEMPOTENT && !started;
+    return resumable() || (route.kind() == RouteKind.IDEMPOTENT && !started);
   }
 
   /** Whether its stream may be taken up at another backend. */
--- a/src/main/java/slateslip/routing/quota/TenantQuotas.java
+++ b/src/main/java/slateslip/routing/quota/TenantQuotas.java
@@ -85,7 +85,7 @@
       return true;
     }
     state.wanted += units;
-    if (state.window != null && !state.window.take(units, nowMicros)) {
+    if (state.window != null && !state.window.take((double) units, nowMicros)) {
       return false;
     }
     state.admitted += units;
@@ -96,14 +96,14 @@
   public void giveBack(Tenant tenant, long units) {
     State state = states.get(tenant.name());
     if (state != null && state.window != null) {
-      state.window.giveBack(units);
+      state.window.giveBack((double) units);
     }
   }
 
   /** Microseconds until a request of these units would be let in. */
   public long waitMicros(Tenant tenant, long units, long nowMicros) {
     State state = states.get(tenant.name());
-    return state == null || state.window == null ? 0 : state.window.waitMicros(units, nowMicros);
+    return state == null || state.window == null ? 0 : state.window.waitMicros((double) units, nowMicros);
   }
 
   /** What each tenant has asked for here since the start. */
