Control state: a witness that is gone for good is replaced within sync_s; silence outlasts a tenure

A newcomer replaces a witness silent for 1.5 s, the only silent one leaves after 2 s, and silence counts through the views of one leader.

--- a/src/main/java/slateslip/coordination/Peer.java
+++ b/src/main/java/slateslip/coordination/Peer.java
@@ -6,6 +6,7 @@
   private static final long MEGABYTE = 1 << 20;
 
   final NodeId node;
+  private final long knownSince;
   PeerStatus status;
   long heardAt = NEVER;
   long echoedSentAt = NEVER;
@@ -20,8 +21,10 @@
   private long owesSince;
   private long owesBound;
 
-  Peer(NodeId node) {
+  /** A node, known since a time. */
+  Peer(NodeId node, long knownSince) {
     this.node = node;
+    this.knownSince = knownSince;
   }
 
   /** Forgets what was sent in another tenure. */
@@ -65,21 +68,26 @@
   }
 
   /** How long no answer has come to what was sent. */
-  long silentFor(long now, long tenureBegan) {
-    return now - Math.max(echoedSentAt, tenureBegan);
+  long silentFor(long now, long leadingSince) {
+    return now - Math.max(echoedSentAt, leadingSince);
+  }
+
+  /** How long no answer has come, over all tenures of this leader. */
+  long unheardFor(long now) {
+    return now - Math.max(echoedSentAt, knownSince);
   }
 
   /** Whether it answers and its disk works. */
-  boolean well(long now, long tenureBegan) {
-    return silentFor(now, tenureBegan) < Timing.SILENCE
+  boolean well(long now, long leadingSince) {
+    return silentFor(now, leadingSince) < Timing.SILENCE
         && (status == null || status.diskHealthy())
         && !overdue(now);
   }
 
   /** Keeps the time since which it has been well. */
-  void watch(long now, long tenureBegan) {
+  void watch(long now, long leadingSince) {
     boolean heard = echoedSentAt > NEVER;
-    if (!heard || !well(now, tenureBegan)) {
+    if (!heard || !well(now, leadingSince)) {
       wellSince = Long.MAX_VALUE;
     } else if (wellSince == Long.MAX_VALUE) {
       wellSince = now;
--- a/src/main/java/slateslip/coordination/PeerTable.java
+++ b/src/main/java/slateslip/coordination/PeerTable.java
@@ -19,7 +19,7 @@
   private List<Peer> targets = List.of();
   private final Deque<Round> rounds = new ArrayDeque<>();
   private long round;
-  private long tenureBegan;
+  private long leadingSince;
 
   PeerTable(ReplicaContext context) {
     this.context = context;
@@ -29,22 +29,22 @@
     return round;
   }
 
-  long tenureBegan() {
-    return tenureBegan;
+  long leadingSince() {
+    return leadingSince;
   }
 
   Peer of(NodeId node) {
-    return peers.computeIfAbsent(node, Peer::new);
+    return peers.computeIfAbsent(node, added -> new Peer(added, context.now));
   }
 
   /**
-   * Begins a tenure: nothing said in an earlier one counts.
+   * Begins a tenure: what nodes have on disk of an earlier one doesn't count, their silence does.
    *
    * @param resumed whether this node has led until now
    */
   void beginTenure(boolean resumed) {
-    tenureBegan = context.now;
     if (!resumed) {
+      leadingSince = context.now;
       peers.clear();
     }
     peers.values().forEach(Peer::beginTenure);
@@ -85,15 +85,15 @@
     nodes.remove(context.self);
     peers.keySet().removeIf(node -> !nodes.contains(node) && !keptForPenalty(node));
     targets = nodes.stream().map(this::of).toList();
-    targets.forEach(peer -> peer.watch(context.now, tenureBegan));
+    targets.forEach(peer -> peer.watch(context.now, leadingSince));
   }
 
   private boolean keptForPenalty(NodeId node) {
-    return context.now - peers.get(node).droppedAt < Timing.WITNESS_REMOVED * 2;
+    return context.now - peers.get(node).droppedAt < Timing.DROPS_KEPT;
   }
 
   boolean well(Peer peer) {
-    return peer.well(context.now, tenureBegan);
+    return peer.well(context.now, leadingSince);
   }
 
   /** Whether a majority of the view's witnesses, this node among them, has answered of late. */
@@ -105,7 +105,7 @@
   }
 
   private boolean hears(NodeId node) {
-    return of(node).silentFor(context.now, tenureBegan) < Timing.SILENCE;
+    return of(node).silentFor(context.now, leadingSince) < Timing.SILENCE;
   }
 
   /** Whether a majority answered that round or a later one and has accepted no later view. */
--- a/src/main/java/slateslip/coordination/PrimaryRole.java
+++ b/src/main/java/slateslip/coordination/PrimaryRole.java
@@ -281,7 +281,7 @@
               peers.well(peer),
               peer.hasDurable(tenure, openSequence),
               peer.hasDurable(tenure, context.store.lastSequence()),
-              peer.silentFor(context.now, peers.tenureBegan()),
+              peer.unheardFor(context.now),
               peer.wellFor(context.now),
               peer.patience()));
     }
--- a/src/main/java/slateslip/coordination/Timing.java
+++ b/src/main/java/slateslip/coordination/Timing.java
@@ -68,10 +68,16 @@
   static final long DROPS_FORGOTTEN = 30_000 * MILLI;
 
   /** A witness that is silent for this long may be replaced by a newcomer. */
-  static final long WITNESS_REPLACED = 3_000 * MILLI;
+  static final long WITNESS_REPLACED = 1_500 * MILLI;
 
-  /** The only silent witness is removed after this, if enough are left. */
-  static final long WITNESS_REMOVED = 6_000 * MILLI;
+  /**
+   * The only silent witness is removed after this, if enough are left. A machine whose successor has
+   * run for sync_s (4 s in the users' sheets) counts no longer, so it must be gone by then.
+   */
+  static final long WITNESS_REMOVED = 2_000 * MILLI;
+
+  /** A dropped node is remembered for this long. */
+  static final long DROPS_KEPT = 12_000 * MILLI;
 
   /** Between two changes of the view that the primary wants. */
   static final long CHANGE_PAUSE = 100 * MILLI;
