--- a/src/main/java/slateslip/coordination/ControlReplica.java
+++ b/src/main/java/slateslip/coordination/ControlReplica.java
@@ -297,8 +297,7 @@
     @Override
     public Optional<View> ownValue(View base, Map<NodeId, PeerMessage.Promise> promises) {
       if (primary.leading()) {
-        View same =
-            new View(base.epoch() + 1, base.primary(), base.members(), base.witnesses());
+        View same = new View(base.epoch() + 1, base.primary(), base.members(), base.witnesses());
         return Optional.of(primary.wantedView().orElse(same));
       }
       if (!base.mayLeadNext(context.self, context.disk.durable().tenure().epoch())) {
--- a/src/main/java/slateslip/coordination/DurableQueue.java
+++ b/src/main/java/slateslip/coordination/DurableQueue.java
@@ -43,7 +43,8 @@
   }
 
   /**
-   * Starts a write. The state in memory holds its effect already, hence a snapshot may stand for it.
+   * Starts a write. The state in memory holds its effect already, hence a snapshot may stand for
+   * it.
    *
    * @param mark how far the state is on disk once this is written
    * @param bytes size of the record, about
--- a/src/main/java/slateslip/coordination/FollowerRole.java
+++ b/src/main/java/slateslip/coordination/FollowerRole.java
@@ -78,8 +78,7 @@
     if (!follows(message.tenure()) || !message.tenure().equals(context.store.installed())) {
       return;
     }
-    if (context.store.append(
-        message.sequence(), message.committedSequence(), message.record())) {
+    if (context.store.append(message.sequence(), message.committedSequence(), message.record())) {
       context.write(
           new DurableRecord.Entry(
               message.sequence(), message.committedSequence(), message.record()),
--- a/src/main/java/slateslip/coordination/MembershipPolicy.java
+++ b/src/main/java/slateslip/coordination/MembershipPolicy.java
@@ -60,11 +60,12 @@
     return Optional.of(new View(view.epoch() + 1, self, members, witnesses));
   }
 
-  private static boolean majorityWell(
-      List<NodeId> witnesses, NodeId self, List<Standing> others) {
+  private static boolean majorityWell(List<NodeId> witnesses, NodeId self, List<Standing> others) {
     long well =
         witnesses.stream()
-            .filter(node -> node.equals(self) || standing(others, node).filter(Standing::well).isPresent())
+            .filter(
+                node ->
+                    node.equals(self) || standing(others, node).filter(Standing::well).isPresent())
             .count();
     return well > witnesses.size() / 2;
   }
@@ -74,10 +75,7 @@
   }
 
   private static List<ViewMember> members(
-      View view,
-      NodeId self,
-      int faultTolerance,
-      List<Standing> others) {
+      View view, NodeId self, int faultTolerance, List<Standing> others) {
     List<ViewMember> kept = new ArrayList<>();
     List<ViewMember> unwell = new ArrayList<>();
     int installed = 0;
@@ -107,10 +105,7 @@
   }
 
   private static void addCandidates(
-      View view,
-      int faultTolerance,
-      List<Standing> others,
-      List<ViewMember> kept) {
+      View view, int faultTolerance, List<Standing> others, List<ViewMember> kept) {
     others.stream()
         .filter(other -> !view.hasMember(other.node()))
         .filter(other -> other.eligible() && other.caughtUp())
@@ -127,11 +122,7 @@
   }
 
   private static List<NodeId> witnesses(
-      View view,
-      NodeId self,
-      int faultTolerance,
-      List<Standing> others,
-      List<ViewMember> members) {
+      View view, NodeId self, int faultTolerance, List<Standing> others, List<ViewMember> members) {
     List<NodeId> needed = members.stream().map(ViewMember::node).toList();
     List<NodeId> witnesses = new ArrayList<>(view.witnesses());
     needed.stream().filter(node -> !witnesses.contains(node)).forEach(witnesses::add);
@@ -168,16 +159,14 @@
   }
 
   private static boolean joinsAlong(Standing other) {
-    return other.wellMicros() >= Timing.JOIN_ALONG
-        && other.patienceMicros() <= Timing.JOIN_AFTER;
+    return other.wellMicros() >= Timing.JOIN_ALONG && other.patienceMicros() <= Timing.JOIN_AFTER;
   }
 
   /**
-   * Whether its machine has come back as another node, its disk lost: the node is gone for good, and
-   * would only make majorities harder.
+   * Whether its machine has come back as another node, its disk lost: the node is gone for good,
+   * and would only make majorities harder.
    */
-  private static boolean superseded(
-      NodeId node, List<NodeId> witnesses, List<Standing> others) {
+  private static boolean superseded(NodeId node, List<NodeId> witnesses, List<Standing> others) {
     return wellFor(others, node) == 0
         && witnesses.stream()
             .filter(other -> !other.equals(node) && other.address().equals(node.address()))
@@ -203,8 +192,7 @@
             .filter(node -> !node.equals(self))
             .filter(node -> standing(others, node).filter(Standing::well).isEmpty())
             .toList();
-    boolean enoughLeft =
-        witnesses.size() - 1 >= Math.max(LEAST_WITNESSES, 2 * faultTolerance + 1);
+    boolean enoughLeft = witnesses.size() - 1 >= Math.max(LEAST_WITNESSES, 2 * faultTolerance + 1);
     if (silent.size() != 1 || !enoughLeft || needed.contains(silent.get(0))) {
       return;
     }
--- a/src/main/java/slateslip/coordination/Outbox.java
+++ b/src/main/java/slateslip/coordination/Outbox.java
@@ -5,7 +5,9 @@
 import java.util.Deque;
 import java.util.List;
 
-/** Collects what an input leads to. Messages to the node itself are handled within the same input. */
+/**
+ * Collects what an input leads to. Messages to the node itself are handled within the same input.
+ */
 final class Outbox {
   private final NodeAddress own;
   private final Deque<PeerMessage> toSelf = new ArrayDeque<>();
--- a/src/main/java/slateslip/coordination/PeerMessage.java
+++ b/src/main/java/slateslip/coordination/PeerMessage.java
@@ -19,8 +19,7 @@
    * @param active whether the primary hears a majority of the witnesses and means to go on
    * @param view the view, or {@link View#NONE} if the receiver is known to have it
    */
-  record Heartbeat(
-      Tenure tenure, long round, long committedSequence, boolean active, View view)
+  record Heartbeat(Tenure tenure, long round, long committedSequence, boolean active, View view)
       implements PeerMessage {}
 
   /**
--- a/src/main/java/slateslip/coordination/PrimaryRole.java
+++ b/src/main/java/slateslip/coordination/PrimaryRole.java
@@ -234,9 +234,7 @@
     long committed = context.store.appliedSequence();
     context.store.append(sequence, committed, record.get());
     context.write(
-        new DurableRecord.Entry(sequence, committed, record.get()),
-        record.get().length,
-        () -> {});
+        new DurableRecord.Entry(sequence, committed, record.get()), record.get().length, () -> {});
     peers.targets().forEach(this::replicate);
   }
 
@@ -314,8 +312,7 @@
   private void resignTo(Peer successor) {
     resignedUntil = context.now + Timing.RESIGNED;
     active = false;
-    context.outbox.send(
-        successor.node.address(), new PeerMessage.TakeOver(context.view().epoch()));
+    context.outbox.send(successor.node.address(), new PeerMessage.TakeOver(context.view().epoch()));
     beginRound();
   }
 }
--- a/src/main/java/slateslip/coordination/Proposer.java
+++ b/src/main/java/slateslip/coordination/Proposer.java
@@ -70,8 +70,7 @@
     startedAt = context.now;
     highestRound = Math.max(highestRound, context.witness.promised().round()) + 1;
     ballot = new Ballot(highestRound, context.self);
-    context.outbox.send(
-        context.self.address(), new PeerMessage.Prepare(base, ballot, consented));
+    context.outbox.send(context.self.address(), new PeerMessage.Prepare(base, ballot, consented));
   }
 
   /** Gives up a proposal and waits before the next one. */
@@ -128,10 +127,7 @@
   }
 
   private boolean concerns(NodeId from, long baseEpoch, Ballot of) {
-    return busy
-        && baseEpoch == base.epoch()
-        && of.equals(ballot)
-        && base.hasWitness(from);
+    return busy && baseEpoch == base.epoch() && of.equals(ballot) && base.hasWitness(from);
   }
 
   /** Chooses the value when it is time, and gives up a proposal that takes too long. */
--- a/src/main/java/slateslip/coordination/Timing.java
+++ b/src/main/java/slateslip/coordination/Timing.java
@@ -71,8 +71,8 @@
   static final long WITNESS_REPLACED = 1_500 * MILLI;
 
   /**
-   * The only silent witness is removed after this, if enough are left. A machine whose successor has
-   * run for sync_s (4 s in the users' sheets) counts no longer, so it must be gone by then.
+   * The only silent witness is removed after this, if enough are left. A machine whose successor
+   * has run for sync_s (4 s in the users' sheets) counts no longer, so it must be gone by then.
    */
   static final long WITNESS_REMOVED = 2_000 * MILLI;
 
--- a/src/main/java/slateslip/coordination/View.java
+++ b/src/main/java/slateslip/coordination/View.java
@@ -11,8 +11,7 @@
  * @param members who must sync a record before it is committed; each is a witness too
  * @param witnesses whose majority decides the view of the next epoch
  */
-public record View(
-    long epoch, NodeId primary, List<ViewMember> members, List<NodeId> witnesses) {
+public record View(long epoch, NodeId primary, List<ViewMember> members, List<NodeId> witnesses) {
   /** Known by a node that has heard of no view. */
   public static final View NONE = new View(0, NodeId.NONE, List.of(), List.of());
 
--- a/src/main/java/slateslip/coordination/Witness.java
+++ b/src/main/java/slateslip/coordination/Witness.java
@@ -54,8 +54,7 @@
         new WitnessState(state.decided(), message.ballot(), message.ballot(), message.value());
     context.writeVote(
         () ->
-            context.outbox.send(
-                from.address(), new PeerMessage.Accepted(epoch, message.ballot())));
+            context.outbox.send(from.address(), new PeerMessage.Accepted(epoch, message.ballot())));
   }
 
   private void refuse(
--- a/src/main/java/slateslip/protocol/coordination/DurableRecordCodec.java
+++ b/src/main/java/slateslip/protocol/coordination/DurableRecordCodec.java
@@ -139,8 +139,7 @@
     decoder.getDecided(decidedBytes, 0, decidedBytes.length);
     byte[] acceptedBytes = Fields.room(buffer, decoder.limit(), decoder.acceptedLength());
     decoder.getAccepted(acceptedBytes, 0, acceptedBytes.length);
-    return new DurableRecord.Vote(
-        witness(promised, acceptedBallot, decidedBytes, acceptedBytes));
+    return new DurableRecord.Vote(witness(promised, acceptedBallot, decidedBytes, acceptedBytes));
   }
 
   private static WitnessState witness(
--- a/src/main/java/slateslip/protocol/coordination/Images.java
+++ b/src/main/java/slateslip/protocol/coordination/Images.java
@@ -38,8 +38,7 @@
       members.next().sinceEpoch(member.sinceEpoch());
       Fields.put(members.node(), member.node());
     }
-    ViewImageEncoder.WitnessesEncoder witnesses =
-        encoder.witnessesCount(view.witnesses().size());
+    ViewImageEncoder.WitnessesEncoder witnesses = encoder.witnessesCount(view.witnesses().size());
     for (NodeId witness : view.witnesses()) {
       Fields.put(witnesses.next().node(), witness);
     }
--- a/src/main/java/slateslip/protocol/coordination/PeerMessageDecoder.java
+++ b/src/main/java/slateslip/protocol/coordination/PeerMessageDecoder.java
@@ -78,11 +78,13 @@
     byte[] viewBytes = Fields.room(buffer, decoder.limit(), decoder.viewLength());
     decoder.getView(viewBytes, 0, viewBytes.length);
     View view = Images.view(viewBytes);
-    return new PeerFrame(from, new PeerMessage.Heartbeat(tenure, round, committedSequence, active, view));
+    return new PeerFrame(
+        from, new PeerMessage.Heartbeat(tenure, round, committedSequence, active, view));
   }
 
   private PeerFrame readHeartbeatReply() {
-    HeartbeatReplyDecoder decoder = new HeartbeatReplyDecoder().wrapAndApplyHeader(buffer, 0, header);
+    HeartbeatReplyDecoder decoder =
+        new HeartbeatReplyDecoder().wrapAndApplyHeader(buffer, 0, header);
     check(HeartbeatReplyDecoder.BLOCK_LENGTH, HeartbeatReplyDecoder.SCHEMA_VERSION);
     NodeId from = Fields.node(decoder.sender());
     Tenure tenure = Fields.tenure(decoder.tenure());
@@ -124,7 +126,8 @@
     byte[] acceptedBytes = Fields.room(buffer, decoder.limit(), decoder.acceptedLength());
     decoder.getAccepted(acceptedBytes, 0, acceptedBytes.length);
     View accepted = Images.view(acceptedBytes);
-    return new PeerFrame(from, new PeerMessage.Promise(baseEpoch, ballot, acceptedBallot, accepted, status));
+    return new PeerFrame(
+        from, new PeerMessage.Promise(baseEpoch, ballot, acceptedBallot, accepted, status));
   }
 
   private PeerFrame readAccept() {
--- a/src/main/java/slateslip/protocol/coordination/PeerMessageEncoder.java
+++ b/src/main/java/slateslip/protocol/coordination/PeerMessageEncoder.java
@@ -101,7 +101,8 @@
   }
 
   private int write(PeerMessage.HeartbeatReply message) {
-    HeartbeatReplyEncoder encoder = new HeartbeatReplyEncoder().wrapAndApplyHeader(buffer, 0, header);
+    HeartbeatReplyEncoder encoder =
+        new HeartbeatReplyEncoder().wrapAndApplyHeader(buffer, 0, header);
     Fields.put(encoder.sender(), from);
     Fields.put(encoder.tenure(), message.tenure());
     encoder.round(message.round());
--- a/src/main/java/slateslip/storage/RecordFormat.java
+++ b/src/main/java/slateslip/storage/RecordFormat.java
@@ -47,8 +47,7 @@
     buffer.putInt(length).put(kind).putLong(generation).putLong(index);
   }
 
-  private static int checksum(
-      int length, byte kind, long generation, long index, byte[] payload) {
+  private static int checksum(int length, byte kind, long generation, long index, byte[] payload) {
     ByteBuffer header = ByteBuffer.allocate(CHECKED_HEADER_BYTES);
     putHeader(header, length, kind, generation, index);
     CRC32C crc = new CRC32C();
@@ -90,8 +89,7 @@
     }
     ByteBuffer payload = ByteBuffer.allocate(header.length());
     file.read(position + HEADER_BYTES, payload);
-    int checksum =
-        checksum(header.length(), header.kind(), generation, index, payload.array());
+    int checksum = checksum(header.length(), header.kind(), generation, index, payload.array());
     return checksum == header.checksum() ? Optional.of(payload.array()) : Optional.empty();
   }
 }
--- a/src/test/java/slateslip/simulation/FaultyFolder.java
+++ b/src/test/java/slateslip/simulation/FaultyFolder.java
@@ -88,8 +88,7 @@
     return overwritten(image, write.position() + first, write.bytes(), first, last);
   }
 
-  private static byte[] overwritten(
-      byte[] image, int position, byte[] bytes, int first, int last) {
+  private static byte[] overwritten(byte[] image, int position, byte[] bytes, int first, int last) {
     int end = position + last - first;
     byte[] result = Arrays.copyOf(image, Math.max(image.length, end));
     System.arraycopy(bytes, first, result, position, last - first);
@@ -180,8 +179,7 @@
       }
       byte[] written = new byte[bytes.remaining()];
       bytes.get(written);
-      content.current =
-          overwritten(content.current, (int) position, written, 0, written.length);
+      content.current = overwritten(content.current, (int) position, written, 0, written.length);
       content.unsynced.add(new UnsyncedWrite((int) position, written));
     }
 
--- a/src/test/java/slateslip/simulation/control/ControlScheduleTest.java
+++ b/src/test/java/slateslip/simulation/control/ControlScheduleTest.java
@@ -8,7 +8,9 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-/** Random schedules of faults; {@code -Dcontrol.seeds=N} plays more, {@code control.first} others. */
+/**
+ * Random schedules of faults; {@code -Dcontrol.seeds=N} plays more, {@code control.first} others.
+ */
 final class ControlScheduleTest {
   private static final long SEEDS = Long.getLong("control.seeds", 2_000);
   private static final long FIRST = Long.getLong("control.first", 1);
--- a/src/test/java/slateslip/simulation/control/ControlWorld.java
+++ b/src/test/java/slateslip/simulation/control/ControlWorld.java
@@ -59,7 +59,8 @@
   private SimulatedNode newNode() {
     NodeAddress address = new NodeAddress(FIRST_ADDRESS + addresses++);
     SimulatedNode node =
-        new SimulatedNode(events, random.split(), network, history, this::answered, address, mutation);
+        new SimulatedNode(
+            events, random.split(), network, history, this::answered, address, mutation);
     mutation.apply(node.disk());
     nodes.add(node);
     return node;
@@ -104,12 +105,10 @@
   void begin(int operatorCount) {
     for (SimulatedNode node : nodes) {
       events.in(
-          random.nextLong(START_SPREAD),
-          () -> node.start(seeds, true, shape.faultTolerance()));
+          random.nextLong(START_SPREAD), () -> node.start(seeds, true, shape.faultTolerance()));
     }
     for (int i = 0; i < operatorCount; i++) {
-      SimulatedOperator operator =
-          new SimulatedOperator(events, random.split(), history, this, i);
+      SimulatedOperator operator = new SimulatedOperator(events, random.split(), history, this, i);
       operators.add(operator);
       events.in(START_SPREAD, operator::start);
     }
@@ -161,15 +160,13 @@
   private void deliver(SimulatedNode node, PeerFrame frame) {
     mutation
         .wrongAnswer(frame.message(), node.role().epoch())
-        .ifPresent(
-            answer -> network.send(node.role().self(), frame.from().address(), answer));
+        .ifPresent(answer -> network.send(node.role().self(), frame.from().address(), answer));
     node.deliver(frame);
   }
 
   private void answered(SimulatedNode node, ClientResult result) {
     if (result instanceof ClientResult.Committed committed) {
-      LedgerState.Change change =
-          node.state().changes().get((int) committed.sequence() - 1);
+      LedgerState.Change change = node.state().changes().get((int) committed.sequence() - 1);
       history.committedBy(node.role().self(), node.role().epoch(), change);
     }
     if (firstProbe > 0 && result.clientToken() >= firstProbe) {
@@ -209,7 +206,8 @@
     firstProbe = lastToken + 1;
     while (!probeTaken && events.now() < begin + bound) {
       probing &= events.now() - probedAt < PROBE_PATIENCE;
-      nodes.stream().filter(node -> !probing && node.role().serving())
+      nodes.stream()
+          .filter(node -> !probing && node.role().serving())
           .findFirst()
           .ifPresent(this::probe);
       events.runUntil(events.now() + 10_000);
--- a/src/test/java/slateslip/simulation/control/EventQueue.java
+++ b/src/test/java/slateslip/simulation/control/EventQueue.java
@@ -4,8 +4,7 @@
 
 /** Simulated time: actions in the order of their times, those of one time in the order given. */
 final class EventQueue {
-  private record Event(long atMicros, long number, Runnable action)
-      implements Comparable<Event> {
+  private record Event(long atMicros, long number, Runnable action) implements Comparable<Event> {
     @Override
     public int compareTo(Event other) {
       int byTime = Long.compare(atMicros, other.atMicros);
--- a/src/test/java/slateslip/simulation/control/LedgerState.java
+++ b/src/test/java/slateslip/simulation/control/LedgerState.java
@@ -8,8 +8,8 @@
 import slateslip.coordination.ReplicatedState;
 
 /**
- * A replicated application like the operator's configuration: each change names the version on which
- * it builds, and one that was taken is taken again.
+ * A replicated application like the operator's configuration: each change names the version on
+ * which it builds, and one that was taken is taken again.
  */
 final class LedgerState implements ReplicatedState {
   /** What a command without a record gets. */
--- a/src/test/java/slateslip/simulation/control/ScheduleReplay.java
+++ b/src/test/java/slateslip/simulation/control/ScheduleReplay.java
@@ -14,8 +14,7 @@
   public static void main(String[] arguments) {
     long seed = Long.parseLong(arguments[0]);
     ScheduleRunner runner = new ScheduleRunner(Mutation.NONE);
-    List<Fault> faults =
-        arguments.length > 1 ? runner.shortened(seed) : runner.faults(seed);
+    List<Fault> faults = arguments.length > 1 ? runner.shortened(seed) : runner.faults(seed);
     System.out.println(ScheduleRunner.shape(seed));
     faults.forEach(System.out::println);
     SimulatedNode.trace = true;
--- a/src/test/java/slateslip/simulation/control/SimulatedDisk.java
+++ b/src/test/java/slateslip/simulation/control/SimulatedDisk.java
@@ -106,8 +106,7 @@
     }
     Effects.DurableWrite write = queue.removeFirst();
     busy = false;
-    folder.setMode(
-        events.now() < fullUntil ? FaultyFolder.Mode.FULL : FaultyFolder.Mode.WORKING);
+    folder.setMode(events.now() < fullUntil ? FaultyFolder.Mode.FULL : FaultyFolder.Mode.WORKING);
     boolean durable = put(write) == StorageOutcome.DURABLE;
     if (!lies) {
       tell(startedInLife, write.token(), durable);
@@ -149,9 +148,7 @@
     }
     folder.losePower(
         random,
-        random.nextInt(4) == 0
-            ? FaultyFolder.Loss.ALL_GONE
-            : FaultyFolder.Loss.EACH_AT_RANDOM);
+        random.nextInt(4) == 0 ? FaultyFolder.Loss.ALL_GONE : FaultyFolder.Loss.EACH_AT_RANDOM);
     life++;
     busy = false;
     queue.clear();
--- a/src/test/java/slateslip/simulation/control/SimulatedNetwork.java
+++ b/src/test/java/slateslip/simulation/control/SimulatedNetwork.java
@@ -14,8 +14,8 @@
 import slateslip.protocol.coordination.PeerMessageCodec;
 
 /**
- * Connections between nodes: in order on each, with delay; cut one way, reset, and between an old and
- * a new connection without order; some messages come twice.
+ * Connections between nodes: in order on each, with delay; cut one way, reset, and between an old
+ * and a new connection without order; some messages come twice.
  */
 final class SimulatedNetwork {
   /** Sees what is sent, before it is on its way. */
@@ -56,7 +56,11 @@
   }
 
   SimulatedNetwork(
-      EventQueue events, SplittableRandom random, Receiver receiver, Mutation mutation, Watcher watcher) {
+      EventQueue events,
+      SplittableRandom random,
+      Receiver receiver,
+      Mutation mutation,
+      Watcher watcher) {
     this.watcher = watcher;
     this.events = events;
     this.random = random;
@@ -75,8 +79,7 @@
     int connection = connections.getOrDefault(link, 0);
     events.at(arrival, () -> arrive(link, connection, frame));
     if (random.nextInt(TWICE_EVERY) == 0) {
-      events.at(
-          arrival + random.nextLong(LATE), () -> arrive(link, connection, frame));
+      events.at(arrival + random.nextLong(LATE), () -> arrive(link, connection, frame));
     }
   }
 
@@ -84,8 +87,7 @@
     if (random.nextInt(ENCODED_EVERY) != 0) {
       return message;
     }
-    Decoded<PeerFrame> decoded =
-        PeerMessageCodec.decode(PeerMessageCodec.encode(from, message));
+    Decoded<PeerFrame> decoded = PeerMessageCodec.decode(PeerMessageCodec.encode(from, message));
     return ((Decoded.Message<PeerFrame>) decoded).value().message();
   }
 
