--- /dev/null
+++ b/src/test/java/slateslip/controlplane/ControlPlaneFleetTest.java
@@ -0,0 +1,134 @@
+package slateslip.controlplane;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import slateslip.distribution.TenantDemand;
+import slateslip.distribution.ToControl;
+import slateslip.distribution.ToDataPlane;
+
+/** Three control agents on loopback: calls at any of them, and data planes at each. */
+class ControlPlaneFleetTest {
+  private static final int AGENTS = 3;
+
+  @TempDir Path folder;
+  private ControlPlaneStage stage;
+
+  @BeforeEach
+  void start() throws IOException {
+    stage = new ControlPlaneStage(folder, AGENTS);
+  }
+
+  @AfterEach
+  void stop() {
+    stage.close();
+  }
+
+  @Test
+  void aChangeAtAnyAgentIsKnownAtAll() throws Exception {
+    assertThat(config(2, "0", OperatorDocuments.whole(3)), is(200));
+    assertThat(config(1, "3", OperatorDocuments.whole(5)), is(200));
+    assertThat(config(0, "3", OperatorDocuments.whole(6)), is(412));
+    assertThat(config(0, "0", OperatorDocuments.whole(3)), is(200));
+    for (int agent = 0; agent < AGENTS; agent++) {
+      HttpResponse<String> read = stage.callUntilClear(agent, "GET", "/config", null, null);
+      assertThat(read.body(), containsString("\"version\":5"));
+    }
+  }
+
+  @Test
+  void dataPlanesAtAllAgentsGetConfigurationsAndSessions() throws Exception {
+    assertThat(config(0, "0", OperatorDocuments.whole(3)), is(200));
+    for (int agent = 0; agent < AGENTS; agent++) {
+      try (DataPlaneStandIn dataPlane =
+          new DataPlaneStandIn(stage.internalSocket(agent), "edge-" + agent)) {
+        dataPlane.await(message -> message instanceof ToDataPlane.ConfigurationSnapshot);
+        String id = "i-" + agent;
+        int other = (agent + 1) % AGENTS;
+        String body = OperatorDocuments.instance("ready", 1).replace("10.1.0.9", "10.1.0." + agent);
+        assertThat(instance(other, "PUT", id, body), is(200));
+        dataPlane.await(message -> isRegistered(message, id));
+        assertThat(instance(other, "DELETE", id, null), is(200));
+        dataPlane.await(message -> isGone(message, id));
+      }
+    }
+  }
+
+  @Test
+  void anAcknowledgedPatchHasReachedTheDataPlane() throws Exception {
+    assertThat(config(0, "0", OperatorDocuments.whole(3)), is(200));
+    try (DataPlaneStandIn dataPlane = new DataPlaneStandIn(stage.internalSocket(1), "edge")) {
+      dataPlane.await(message -> message instanceof ToDataPlane.ConfigurationSnapshot);
+      HttpResponse<String> answer =
+          stage.callUntilClear(2, "PATCH", "/config", "3", OperatorDocuments.patch(4, "added"));
+      assertThat(answer.statusCode(), is(200));
+      ToDataPlane message =
+          dataPlane.await(each -> each instanceof ToDataPlane.ConfigurationPatch);
+      assertThat(((ToDataPlane.ConfigurationPatch) message).toVersion(), is(4L));
+    }
+  }
+
+  @Test
+  void whatWasAcknowledgedOutlivesTheLossOfAnAgentAndOfAllProcesses() throws Exception {
+    assertThat(config(0, "0", OperatorDocuments.whole(3)), is(200));
+    stage.stop(0);
+    assertThat(config(1, "3", OperatorDocuments.whole(5)), is(200));
+    stage.stop(1);
+    stage.stop(2);
+    for (int agent = 0; agent < AGENTS; agent++) {
+      stage.restart(agent);
+    }
+    HttpResponse<String> read = stage.callUntilClear(0, "GET", "/config", null, null);
+    assertThat(read.body(), containsString("\"version\":5"));
+    assertThat(config(2, "3", OperatorDocuments.whole(5)), is(200));
+  }
+
+  @Test
+  void sharesComeBackToTheDataPlaneThatToldItsDemand() throws Exception {
+    assertThat(config(0, "0", OperatorDocuments.whole(3)), is(200));
+    for (int agent = 0; agent < AGENTS; agent++) {
+      try (DataPlaneStandIn dataPlane =
+          new DataPlaneStandIn(stage.internalSocket(agent), "edge-" + agent)) {
+        ToDataPlane shares = null;
+        while (shares == null) {
+          dataPlane.send(new ToControl.Demand(List.of(new TenantDemand("t", 100, 100))));
+          ToDataPlane next =
+              dataPlane.await(
+                  message ->
+                      message instanceof ToDataPlane.Shares
+                          || message instanceof ToDataPlane.Heartbeat);
+          shares = next instanceof ToDataPlane.Shares ? next : null;
+        }
+      }
+    }
+  }
+
+  private static boolean isRegistered(ToDataPlane message, String id) {
+    if (message instanceof ToDataPlane.SessionDelta delta) {
+      return delta.changed().stream().anyMatch(session -> session.id().equals(id));
+    }
+    return message instanceof ToDataPlane.SessionSnapshot snapshot
+        && snapshot.sessions().stream().anyMatch(session -> session.id().equals(id));
+  }
+
+  private static boolean isGone(ToDataPlane message, String id) {
+    return message instanceof ToDataPlane.SessionDelta delta && delta.gone().contains(id);
+  }
+
+  private int config(int agent, String base, String body) throws Exception {
+    return stage.callUntilClear(agent, "PUT", "/config", base, body).statusCode();
+  }
+
+  private int instance(int agent, String method, String id, String body) throws Exception {
+    return stage.callUntilClear(agent, method, "/instances/" + id, null, body).statusCode();
+  }
+}
