--- a/deploy/class-archives.sh
+++ b/deploy/class-archives.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
-# Makes the class archive of the control plane by a short run of it: it starts faster with one. Run at
-# the root of the repository, after the build; all that it writes is under target/.
+# Makes the class archive of the control plane by a short run of it: it starts faster with one, and
+# starts as well without. Run at the root of the repository, after the build; all that it writes is
+# under target/.
 set -e
 training=target/training
 port=$((20000 + $$ % 20000))
@@ -30,4 +31,6 @@
   > "$training/command" 2>&1 || cat "$training/command" >&2
 kill -TERM "$agent"
 wait "$agent" || true
-test -s target/slateslip-controlplane.jsa
+if ! test -s target/slateslip-controlplane.jsa; then
+  echo "no class archive came of the run, the control plane starts without: see $training/log" >&2
+fi
--- a/src/main/java/slateslip/controlplane/ControlAgent.java
+++ b/src/main/java/slateslip/controlplane/ControlAgent.java
@@ -93,8 +93,7 @@
             (to, message) -> links.send(to.toString(), message),
             this::configurationChanged);
     subscribers = new Subscribers(new Committed(), table, this::heartbeat, new StreamListener());
-    sessions =
-        new SessionService(clock, table, links, subscribers, waits, this::reachesMajority);
+    sessions = new SessionService(clock, table, links, subscribers, waits, this::reachesMajority);
     calls = new OperatorCalls(loop, replica, state, links, this::awaitDelivery);
     shares = new ShareService(identity.address(), clock, links, subscribers, new Allocator());
   }
--- a/src/main/java/slateslip/controlplane/ControlApi.java
+++ b/src/main/java/slateslip/controlplane/ControlApi.java
@@ -20,8 +20,8 @@
 import slateslip.distribution.exchange.OperatorCall;
 
 /**
- * The HTTP interface of a control agent: the operator's configuration, calls of backends, status and
- * metrics. Its few threads only read and write; all decisions are made on the event loop.
+ * The HTTP interface of a control agent: the operator's configuration, calls of backends, status
+ * and metrics. Its few threads only read and write; all decisions are made on the event loop.
  */
 final class ControlApi {
   private static final int MAX_THREADS = 10;
@@ -78,8 +78,7 @@
     config.showJavalinBanner = false;
     config.http.disableCompression();
     config.http.maxRequestSize = MAX_BODY_BYTES;
-    QueuedThreadPool threads =
-        new QueuedThreadPool(MAX_THREADS, MIN_THREADS, THREAD_IDLE_MILLIS);
+    QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS, THREAD_IDLE_MILLIS);
     threads.setName("http");
     config.jetty.threadPool = threads;
     config.jetty.modifyHttpConfiguration(ControlApi::configureHttp);
@@ -94,8 +93,7 @@
 
   private static Connector connector(
       Server jetty, HttpConfiguration http, InetSocketAddress address) {
-    ServerConnector connector =
-        new ServerConnector(jetty, 1, 1, new HttpConnectionFactory(http));
+    ServerConnector connector = new ServerConnector(jetty, 1, 1, new HttpConnectionFactory(http));
     connector.setHost(address.getHostString());
     connector.setPort(address.getPort());
     connector.setIdleTimeout(IDLE_MILLIS);
@@ -140,7 +138,8 @@
 
   private void heartbeat(Context context) {
     String id = context.pathParam("id");
-    withBody(context, MAX_INSTANCE_BYTES, body -> heartbeat(context, InstanceReader.read(id, body)));
+    withBody(
+        context, MAX_INSTANCE_BYTES, body -> heartbeat(context, InstanceReader.read(id, body)));
   }
 
   private CompletableFuture<?> heartbeat(Context context, InstanceReading reading) {
@@ -189,7 +188,10 @@
   }
 
   private static CompletableFuture<?> goOn(
-      Context context, byte[] body, Throwable failure, Function<byte[], CompletableFuture<?>> next) {
+      Context context,
+      byte[] body,
+      Throwable failure,
+      Function<byte[], CompletableFuture<?>> next) {
     if (failure == null) {
       return next.apply(body);
     }
--- a/src/main/java/slateslip/controlplane/ControlPlane.java
+++ b/src/main/java/slateslip/controlplane/ControlPlane.java
@@ -17,7 +17,8 @@
   private static final long RING_FILE_BYTES = 16L * 1024 * 1024;
   private static final long STOP_MILLIS = 500;
 
-  private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = group.next();
   private final RecordDisk disk;
   private final ControlAgent agent;
@@ -27,12 +28,9 @@
   private ControlPlane(NodeSettings settings) throws IOException {
     SteadyClock clock = new SteadyClock();
     AgentIdentity identity = AgentIdentity.draw(settings.ip().getHostAddress());
-    disk =
-        RecordDisk.open(
-            settings.dataDirectory(), new RingOptions(RING_FILES, RING_FILE_BYTES));
+    disk = RecordDisk.open(settings.dataDirectory(), new RingOptions(RING_FILES, RING_FILE_BYTES));
     agent = new ControlAgent(loop, clock, settings, identity, disk);
-    internal =
-        new InternalServer(group, new ExchangeCodec().encode(identity.greeting()), agent);
+    internal = new InternalServer(group, new ExchangeCodec().encode(identity.greeting()), agent);
     api =
         new ControlApi(
             settings.controlListen(), agent, loop, agent::statusJson, agent::metricsText);
--- a/src/main/java/slateslip/controlplane/InternalServer.java
+++ b/src/main/java/slateslip/controlplane/InternalServer.java
@@ -134,8 +134,7 @@
       if (exchange.decode(message) instanceof Decoded.Message<ExchangeMessage> decoded
           && decoded.value() instanceof ExchangeMessage.Greeting first) {
         peer = first.address();
-        context.writeAndFlush(
-            Framing.frame(context.alloc(), greeting), context.voidPromise());
+        context.writeAndFlush(Framing.frame(context.alloc(), greeting), context.voidPromise());
         listener.fromPeer(peer, first);
       } else {
         close(context, "no greeting");
--- a/src/main/java/slateslip/controlplane/OperatorCalls.java
+++ b/src/main/java/slateslip/controlplane/OperatorCalls.java
@@ -17,7 +17,9 @@
 import slateslip.protocol.exchange.AnswerCodec;
 import slateslip.protocol.exchange.ChangeCodec;
 
-/** Calls of the operator's: handled by the primary, forwarded by all others. Confined to the loop. */
+/**
+ * Calls of the operator's: handled by the primary, forwarded by all others. Confined to the loop.
+ */
 final class OperatorCalls {
   /** Callers try another agent after a second of silence. */
   private static final long FORWARD_BOUND_MILLIS = 900;
--- a/src/main/java/slateslip/controlplane/PeerLink.java
+++ b/src/main/java/slateslip/controlplane/PeerLink.java
@@ -17,8 +17,9 @@
 import slateslip.protocol.Framing;
 
 /**
- * The connection on which this agent sends to one other agent. It is dialled again whenever it breaks;
- * the first message that comes back on it is the peer's greeting. Confined to the event loop.
+ * The connection on which this agent sends to one other agent. It is dialled again whenever it
+ * breaks; the first message that comes back on it is the peer's greeting. Confined to the event
+ * loop.
  */
 final class PeerLink {
   private static final Logger LOG = Logger.getLogger(PeerLink.class);
--- a/src/main/java/slateslip/controlplane/PeerLinks.java
+++ b/src/main/java/slateslip/controlplane/PeerLinks.java
@@ -11,7 +11,10 @@
 import slateslip.protocol.Decoded;
 import slateslip.protocol.exchange.ExchangeCodec;
 
-/** The links to all other control agents, and which of them are in reach. Confined to the event loop. */
+/**
+ * The links to all other control agents, and which of them are in reach. Confined to the event
+ * loop.
+ */
 final class PeerLinks {
   private final EventLoop loop;
   private final SteadyClock clock;
--- a/src/main/java/slateslip/controlplane/RecordDisk.java
+++ b/src/main/java/slateslip/controlplane/RecordDisk.java
@@ -19,8 +19,8 @@
 import slateslip.storage.StorageOutcome;
 
 /**
- * The disk of a control agent, with a thread of its own that writes in the order of the calls. Records
- * that wait together are synced together.
+ * The disk of a control agent, with a thread of its own that writes in the order of the calls.
+ * Records that wait together are synced together.
  */
 final class RecordDisk {
   private static final Logger LOG = Logger.getLogger(RecordDisk.class);
--- a/src/main/java/slateslip/controlplane/ShareService.java
+++ b/src/main/java/slateslip/controlplane/ShareService.java
@@ -14,8 +14,8 @@
 import slateslip.distribution.quota.ShareAllocator.AgentAllocation;
 
 /**
- * Carries the demand of data planes to the agent that divides the fleet-wide limits, and their shares
- * back. Confined to the event loop.
+ * Carries the demand of data planes to the agent that divides the fleet-wide limits, and their
+ * shares back. Confined to the event loop.
  */
 final class ShareService {
   /** A new allocator listens for this long first, so that it divides among all data planes. */
@@ -48,11 +48,7 @@
   private record Origin(String peer, long reportedMicros) {}
 
   ShareService(
-      String self,
-      SteadyClock clock,
-      PeerLinks links,
-      Subscribers subscribers,
-      Holder holder) {
+      String self, SteadyClock clock, PeerLinks links, Subscribers subscribers, Holder holder) {
     this.self = self;
     this.clock = clock;
     this.links = links;
--- a/src/main/java/slateslip/controlplane/StatusReport.java
+++ b/src/main/java/slateslip/controlplane/StatusReport.java
@@ -30,9 +30,9 @@
     StringBuilder text = new StringBuilder();
     gauge(text, "epoch", "Newest decided epoch", status.epoch());
     gauge(text, "serving", "1 if this agent is the primary", status.serving() ? 1 : 0);
-    gauge(text, "current", "1 if the primary and a majority are in reach", status.current() ? 1 : 0);
     gauge(
-        text, "configuration_version", "Newest committed version", status.configurationVersion());
+        text, "current", "1 if the primary and a majority are in reach", status.current() ? 1 : 0);
+    gauge(text, "configuration_version", "Newest committed version", status.configurationVersion());
     gauge(text, "sessions", "Backends registered", status.sessions());
     gauge(text, "session_revision", "Revision of the session table", status.sessionRevision());
     gauge(text, "streams", "Streams of data planes", status.streams());
--- a/src/main/java/slateslip/controlplane/Subscribers.java
+++ b/src/main/java/slateslip/controlplane/Subscribers.java
@@ -69,8 +69,7 @@
       LOG.infof("data plane %s subscribed", message.node());
     }
     SubscriberDelivery stream =
-        streams.computeIfAbsent(
-            channel, key -> new SubscriberDelivery(configurations, sessions));
+        streams.computeIfAbsent(channel, key -> new SubscriberDelivery(configurations, sessions));
     stream.subscribe(message);
     send(channel, heartbeat.get());
     pump(channel, stream);
--- a/src/main/java/slateslip/controlplane/state/ConfigurationState.java
+++ b/src/main/java/slateslip/controlplane/state/ConfigurationState.java
@@ -22,8 +22,8 @@
 import slateslip.protocol.exchange.StateImageCodec;
 
 /**
- * The operator's configuration as replicated state: a command is a call of the operator's, a record is
- * the call once it has been found valid on top of the newest version.
+ * The operator's configuration as replicated state: a command is a call of the operator's, a record
+ * is the call once it has been found valid on top of the newest version.
  */
 public final class ConfigurationState implements ReplicatedState {
   /** Committed changes by which a call that is sent again is known. */
@@ -163,7 +163,8 @@
     if (image.document().length == 0) {
       return;
     }
-    if (!(ConfigurationDocument.parse(image.document()) instanceof ConfigurationOutcome.Parsed parsed)) {
+    if (!(ConfigurationDocument.parse(image.document())
+        instanceof ConfigurationOutcome.Parsed parsed)) {
       throw new IllegalStateException("a snapshot whose configuration is not valid");
     }
     document = parsed.document();
--- a/src/main/java/slateslip/distribution/ToControl.java
+++ b/src/main/java/slateslip/distribution/ToControl.java
@@ -11,7 +11,8 @@
    * @param incarnation drawn at random at its start
    * @param zone its zone
    * @param configurationVersion the version in force there; 0 if none
-   * @param active whether it wants configurations and sessions, or only {@link ToDataPlane.Heartbeat}
+   * @param active whether it wants configurations and sessions, or only {@link
+   *     ToDataPlane.Heartbeat}
    */
   record Subscribe(
       String node, long incarnation, String zone, long configurationVersion, boolean active)
--- a/src/main/java/slateslip/distribution/ToDataPlane.java
+++ b/src/main/java/slateslip/distribution/ToDataPlane.java
@@ -8,13 +8,15 @@
   record ConfigurationSnapshot(long version, byte[] document) implements ToDataPlane {}
 
   /** A change from one version to the next: the body of the operator's {@code PATCH}. */
-  record ConfigurationPatch(long fromVersion, long toVersion, byte[] patch) implements ToDataPlane {}
+  record ConfigurationPatch(long fromVersion, long toVersion, byte[] patch)
+      implements ToDataPlane {}
 
   /**
    * All backends that the control agent knows.
    *
    * @param revision of this agent's table; it starts anew with each stream
-   * @param complete false while the agent is still collecting after its start: what is missing may live
+   * @param complete false while the agent is still collecting after its start: what is missing may
+   *     live
    */
   record SessionSnapshot(long revision, boolean complete, List<BackendSession> sessions)
       implements ToDataPlane {}
--- a/src/main/java/slateslip/distribution/delivery/DeliveryProgress.java
+++ b/src/main/java/slateslip/distribution/delivery/DeliveryProgress.java
@@ -2,7 +2,9 @@
 
 import java.util.Collection;
 
-/** How far a control agent's data planes are: what the slowest of the active streams has in force. */
+/**
+ * How far a control agent's data planes are: what the slowest of the active streams has in force.
+ */
 public record DeliveryProgress(long slowestVersion, long slowestRevision) {
   /** Told where there are no active streams: nobody has to be waited for. */
   public static final long NOBODY = Long.MAX_VALUE;
--- a/src/main/java/slateslip/distribution/exchange/ExchangeMessage.java
+++ b/src/main/java/slateslip/distribution/exchange/ExchangeMessage.java
@@ -1,10 +1,12 @@
 package slateslip.distribution.exchange;
 
 import java.util.List;
-import slateslip.distribution.TenantDemand;
 import slateslip.distribution.AgentShares;
+import slateslip.distribution.TenantDemand;
 
-/** What control agents say to each other about sessions, calls of the operator's and data planes. */
+/**
+ * What control agents say to each other about sessions, calls of the operator's and data planes.
+ */
 public sealed interface ExchangeMessage {
   /**
    * The first message on a connection.
@@ -40,7 +42,9 @@
   /** Calls that changed nothing. */
   record SessionRenewals(List<SessionRenewal> renewals) implements ExchangeMessage {}
 
-  /** The changes of this number are in the sender's table and have been delivered to its streams. */
+  /**
+   * The changes of this number are in the sender's table and have been delivered to its streams.
+   */
   record SessionsStored(long number) implements ExchangeMessage {}
 
   /** A call of the operator's for the primary; {@code id} is the sender's own. */
@@ -52,7 +56,8 @@
   /**
    * How far the data planes at the sender are.
    *
-   * @param slowestVersion lowest version acknowledged by one of them; {@link Long#MAX_VALUE} if there are none
+   * @param slowestVersion lowest version acknowledged by one of them; {@link Long#MAX_VALUE} if
+   *     there are none
    */
   record Delivered(long slowestVersion) implements ExchangeMessage {}
 
--- a/src/main/java/slateslip/distribution/exchange/Reachability.java
+++ b/src/main/java/slateslip/distribution/exchange/Reachability.java
@@ -7,9 +7,9 @@
 import java.util.TreeMap;
 
 /**
- * Which control agents this one hears, and which hear it, by their beats. The number of a beat is the
- * steady time at which it was sent, so that an echoed number tells how old the echo is. Times are in
- * microseconds.
+ * Which control agents this one hears, and which hear it, by their beats. The number of a beat is
+ * the steady time at which it was sent, so that an echoed number tells how old the echo is. Times
+ * are in microseconds.
  */
 public final class Reachability {
   /** A peer that was not heard, or has not heard, for this long is out of reach. */
--- a/src/main/java/slateslip/distribution/exchange/SessionEntry.java
+++ b/src/main/java/slateslip/distribution/exchange/SessionEntry.java
@@ -9,5 +9,4 @@
  * @param registeredAgeMillis since its first call
  * @param heardAgeMillis since its newest call
  */
-public record SessionEntry(
-    BackendSession session, long registeredAgeMillis, long heardAgeMillis) {}
+public record SessionEntry(BackendSession session, long registeredAgeMillis, long heardAgeMillis) {}
--- a/src/main/java/slateslip/distribution/exchange/StateImage.java
+++ b/src/main/java/slateslip/distribution/exchange/StateImage.java
@@ -17,6 +17,5 @@
    * @param digestHigh first half of its digest
    * @param digestLow second half of its digest
    */
-  public record CommittedChange(
-      long baseVersion, long version, long digestHigh, long digestLow) {}
+  public record CommittedChange(long baseVersion, long version, long digestHigh, long digestLow) {}
 }
--- a/src/main/java/slateslip/distribution/sessions/EndedSessions.java
+++ b/src/main/java/slateslip/distribution/sessions/EndedSessions.java
@@ -6,7 +6,9 @@
 import java.util.Map;
 import java.util.OptionalLong;
 
-/** Incarnations that are not in the table any more, for as long as a late call of theirs may come. */
+/**
+ * Incarnations that are not in the table any more, for as long as a late call of theirs may come.
+ */
 final class EndedSessions {
   /** Longer than any call, or copy of another agent's table, can be under way. */
   private static final long KEPT_MICROS = 120_000_000;
--- a/src/main/java/slateslip/distribution/sessions/HintedHandoff.java
+++ b/src/main/java/slateslip/distribution/sessions/HintedHandoff.java
@@ -5,8 +5,8 @@
 import java.util.Set;
 
 /**
- * What a peer that is away has missed: ids of sessions that were heard, changed or ended meanwhile. If
- * there are too many, it needs the whole table.
+ * What a peer that is away has missed: ids of sessions that were heard, changed or ended meanwhile.
+ * If there are too many, it needs the whole table.
  */
 public final class HintedHandoff {
   /** Above this, the whole table takes hardly more than the hints. */
--- a/src/main/java/slateslip/distribution/sessions/SessionReplication.java
+++ b/src/main/java/slateslip/distribution/sessions/SessionReplication.java
@@ -149,8 +149,7 @@
   }
 
   private ExchangeMessage wholeTable(long nowMicros) {
-    return new ExchangeMessage.SessionChanges(
-        0, true, table.entries(nowMicros), table.departed());
+    return new ExchangeMessage.SessionChanges(0, true, table.entries(nowMicros), table.departed());
   }
 
   private ExchangeMessage changes(long nowMicros, long number, List<String> ids) {
--- a/src/main/java/slateslip/distribution/sessions/SessionTable.java
+++ b/src/main/java/slateslip/distribution/sessions/SessionTable.java
@@ -12,10 +12,10 @@
 /**
  * The sessions that one control agent knows: from backends that call it, and from other agents.
  *
- * <p>An incarnation id names one life of a backend. Its {@code sequence} orders what it says; an older
- * call changes nothing. Once it has said that it is gone, or another incarnation has its address, it
- * never comes back. A session that was not renewed for {@code expiryMicros} is dropped, and may come
- * back. Times are of the host's steady clock, in microseconds.
+ * <p>An incarnation id names one life of a backend. Its {@code sequence} orders what it says; an
+ * older call changes nothing. Once it has said that it is gone, or another incarnation has its
+ * address, it never comes back. A session that was not renewed for {@code expiryMicros} is dropped,
+ * and may come back. Times are of the host's steady clock, in microseconds.
  */
 public final class SessionTable {
   private static final long MICROS_PER_MILLI = 1_000;
--- a/src/main/java/slateslip/distribution/sessions/TableLog.java
+++ b/src/main/java/slateslip/distribution/sessions/TableLog.java
@@ -7,7 +7,9 @@
 import java.util.Map;
 import java.util.Optional;
 
-/** The newest changes of a table, so that a reader that has an older revision is told just these. */
+/**
+ * The newest changes of a table, so that a reader that has an older revision is told just these.
+ */
 final class TableLog {
   private static final int KEPT_CHANGES = 4_096;
 
--- a/src/main/java/slateslip/distribution/sessions/package-info.java
+++ b/src/main/java/slateslip/distribution/sessions/package-info.java
@@ -1,2 +1,4 @@
-/** Sessions of backends with control agents, as state machines without sockets, clocks or threads. */
+/**
+ * Sessions of backends with control agents, as state machines without sockets, clocks or threads.
+ */
 package slateslip.distribution.sessions;
--- a/src/main/java/slateslip/protocol/MessageBuffer.java
+++ b/src/main/java/slateslip/protocol/MessageBuffer.java
@@ -2,7 +2,10 @@
 
 import org.agrona.ExpandableArrayBuffer;
 
-/** A buffer that messages are written into one after the other; it does not keep the size of a large one. */
+/**
+ * A buffer that messages are written into one after the other; it does not keep the size of a large
+ * one.
+ */
 public final class MessageBuffer {
   private static final int INITIAL_BYTES = 512;
   private static final int KEPT_BYTES = 64 * 1024;
--- a/src/main/java/slateslip/protocol/MessageReader.java
+++ b/src/main/java/slateslip/protocol/MessageReader.java
@@ -56,7 +56,8 @@
   public static int checkedLength(DirectBuffer buffer, int offset, int length) {
     int left = buffer.capacity() - offset;
     if (length < 0 || length > left) {
-      throw new IndexOutOfBoundsException("a document of " + length + " bytes where " + left + " are");
+      throw new IndexOutOfBoundsException(
+          "a document of " + length + " bytes where " + left + " are");
     }
     return length;
   }
--- a/src/main/java/slateslip/protocol/distribution/DistributionCodec.java
+++ b/src/main/java/slateslip/protocol/distribution/DistributionCodec.java
@@ -9,8 +9,9 @@
 import slateslip.protocol.distribution.generated.MessageHeaderDecoder;
 
 /**
- * Writes and reads the messages between data planes and control agents: an SBE header and body, without
- * the frame's length. An error of the peer is a value, never thrown. Not safe for several threads.
+ * Writes and reads the messages between data planes and control agents: an SBE header and body,
+ * without the frame's length. An error of the peer is a value, never thrown. Not safe for several
+ * threads.
  */
 public final class DistributionCodec {
   private final DistributionEncoder encoder = new DistributionEncoder();
--- a/src/main/java/slateslip/protocol/distribution/DistributionDecoder.java
+++ b/src/main/java/slateslip/protocol/distribution/DistributionDecoder.java
@@ -25,9 +25,9 @@
 import slateslip.protocol.distribution.generated.SubscribeDecoder;
 
 /**
- * Reads messages of the distribution schema. Whatever reaches beyond the message's end raises {@link
- * IndexOutOfBoundsException}, by the buffer's own checks or by those here; an unknown value of a type
- * raises {@link IllegalArgumentException}.
+ * Reads messages of the distribution schema. Whatever reaches beyond the message's end raises
+ * {@link IndexOutOfBoundsException}, by the buffer's own checks or by those here; an unknown value
+ * of a type raises {@link IllegalArgumentException}.
  */
 final class DistributionDecoder {
   private final MessageHeaderDecoder header = new MessageHeaderDecoder();
@@ -38,8 +38,8 @@
       case SubscribeDecoder.TEMPLATE_ID -> readSubscribe(buffer);
       case AcknowledgeDecoder.TEMPLATE_ID -> readAcknowledge(buffer);
       case DemandDecoder.TEMPLATE_ID -> readDemand(buffer);
-      case PingDecoder.TEMPLATE_ID -> new ToControl.Ping(
-          new PingDecoder().wrapAndApplyHeader(buffer, 0, header).nonce());
+      case PingDecoder.TEMPLATE_ID ->
+          new ToControl.Ping(new PingDecoder().wrapAndApplyHeader(buffer, 0, header).nonce());
       default -> null;
     };
   }
@@ -52,8 +52,8 @@
       case SessionsDecoder.TEMPLATE_ID -> readSessions(buffer);
       case SharesDecoder.TEMPLATE_ID -> readShares(buffer);
       case HeartbeatDecoder.TEMPLATE_ID -> readHeartbeat(buffer);
-      case PongDecoder.TEMPLATE_ID -> new ToDataPlane.Pong(
-          new PongDecoder().wrapAndApplyHeader(buffer, 0, header).nonce());
+      case PongDecoder.TEMPLATE_ID ->
+          new ToDataPlane.Pong(new PongDecoder().wrapAndApplyHeader(buffer, 0, header).nonce());
       default -> null;
     };
   }
--- a/src/main/java/slateslip/protocol/exchange/ExchangeDecoder.java
+++ b/src/main/java/slateslip/protocol/exchange/ExchangeDecoder.java
@@ -40,12 +40,14 @@
       case BeatDecoder.TEMPLATE_ID -> readBeat(buffer);
       case SessionChangesDecoder.TEMPLATE_ID -> readChanges(buffer);
       case SessionRenewalsDecoder.TEMPLATE_ID -> readRenewals(buffer);
-      case SessionsStoredDecoder.TEMPLATE_ID -> new ExchangeMessage.SessionsStored(
-          new SessionsStoredDecoder().wrapAndApplyHeader(buffer, 0, header).number());
+      case SessionsStoredDecoder.TEMPLATE_ID ->
+          new ExchangeMessage.SessionsStored(
+              new SessionsStoredDecoder().wrapAndApplyHeader(buffer, 0, header).number());
       case ForwardedDecoder.TEMPLATE_ID -> readForwarded(buffer);
       case AnsweredDecoder.TEMPLATE_ID -> readAnswered(buffer);
-      case DeliveredDecoder.TEMPLATE_ID -> new ExchangeMessage.Delivered(
-          new DeliveredDecoder().wrapAndApplyHeader(buffer, 0, header).slowestVersion());
+      case DeliveredDecoder.TEMPLATE_ID ->
+          new ExchangeMessage.Delivered(
+              new DeliveredDecoder().wrapAndApplyHeader(buffer, 0, header).slowestVersion());
       case DemandsDecoder.TEMPLATE_ID -> readDemands(buffer);
       case AllottedDecoder.TEMPLATE_ID -> readAllotted(buffer);
       default -> null;
--- a/src/main/java/slateslip/protocol/exchange/ExchangeEncoder.java
+++ b/src/main/java/slateslip/protocol/exchange/ExchangeEncoder.java
@@ -158,17 +158,13 @@
     List<SessionRenewal> renewals = message.renewals();
     SessionRenewalsEncoder.RenewalsEncoder group = encoder.renewalsCount(renewals.size());
     for (SessionRenewal renewal : renewals) {
-      group
-          .next()
-          .heardAgeMillis(renewal.heardAgeMillis())
-          .instance(renewal.id());
+      group.next().heardAgeMillis(renewal.heardAgeMillis()).instance(renewal.id());
     }
     return encoder.encodedLength();
   }
 
   private int write(ExchangeMessage.Demands message) {
-    DemandsEncoder encoder =
-        new DemandsEncoder().wrapAndApplyHeader(written.buffer(), 0, header);
+    DemandsEncoder encoder = new DemandsEncoder().wrapAndApplyHeader(written.buffer(), 0, header);
     DemandsEncoder.AgentsEncoder agents = encoder.agentsCount(message.agents().size());
     for (AgentDemand demand : message.agents()) {
       DemandsEncoder.AgentsEncoder agent = agents.next().incarnation(demand.incarnation());
@@ -187,8 +183,7 @@
   }
 
   private int write(ExchangeMessage.Allotted message) {
-    AllottedEncoder encoder =
-        new AllottedEncoder().wrapAndApplyHeader(written.buffer(), 0, header);
+    AllottedEncoder encoder = new AllottedEncoder().wrapAndApplyHeader(written.buffer(), 0, header);
     AllottedEncoder.AgentsEncoder agents = encoder.agentsCount(message.agents().size());
     for (AllottedShares allotted : message.agents()) {
       AllottedEncoder.AgentsEncoder agent = agents.next().agents(allotted.shares().agents());
