--- a/src/main/java/slateslip/controlplane/ControlPlane.java
+++ b/src/main/java/slateslip/controlplane/ControlPlane.java
@@ -14,11 +14,13 @@
 /** A control agent with its sockets, disk and threads. */
 public final class ControlPlane {
   private static final int RING_FILES = 3;
-  private static final long RING_FILE_BYTES = 24L * 1024 * 1024;
+  private static final long RING_FILE_BYTES = 16L * 1024 * 1024;
   private static final long STOP_MILLIS = 500;
 
-  private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = group.next();
+  private final RecordDisk disk;
   private final ControlAgent agent;
   private final InternalServer internal;
   private final ControlApi api;
@@ -26,12 +28,9 @@
   private ControlPlane(NodeSettings settings) throws IOException {
     SteadyClock clock = new SteadyClock();
     AgentIdentity identity = AgentIdentity.draw(settings.ip().getHostAddress());
-    RecordDisk disk =
-        RecordDisk.open(
-            settings.dataDirectory(), new RingOptions(RING_FILES, RING_FILE_BYTES));
+    disk = RecordDisk.open(settings.dataDirectory(), new RingOptions(RING_FILES, RING_FILE_BYTES));
     agent = new ControlAgent(loop, clock, settings, identity, disk);
-    internal =
-        new InternalServer(group, new ExchangeCodec().encode(identity.greeting()), agent);
+    internal = new InternalServer(group, new ExchangeCodec().encode(identity.greeting()), agent);
     api =
         new ControlApi(
             settings.controlListen(), agent, loop, agent::statusJson, agent::metricsText);
@@ -59,6 +58,7 @@
   public void stop() {
     api.stop();
     internal.close();
+    disk.stop();
     group.shutdownGracefully(0, STOP_MILLIS, TimeUnit.MILLISECONDS).awaitUninterruptibly();
   }
 }
