--- a/src/main/java/slateslip/dataplane/DataPlaneMain.java
+++ b/src/main/java/slateslip/dataplane/DataPlaneMain.java
@@ -3,50 +3,32 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import org.jboss.logging.Logger;
+import slateslip.cli.CommandLine;
+import slateslip.cli.Program;
 import slateslip.settings.NodeSettings;
-import slateslip.settings.SettingsOutcome;
 import slateslip.settings.SettingsWatch;
 import sun.misc.Signal;
 
 /** Entry point of the data plane binary. */
 public final class DataPlaneMain {
   private static final Logger LOG = Logger.getLogger(DataPlaneMain.class);
-  private static final String SETTINGS_VARIABLE = "SLATESLIP_CONFIG";
-  private static final int FAILURE = 1;
 
   private DataPlaneMain() {}
 
-  /** Starts the data plane; it ends with SIGTERM. */
+  /** Starts the data plane, which ends with SIGTERM, or carries out a command. */
   public static void main(String[] arguments) {
-    String path = System.getenv(SETTINGS_VARIABLE);
-    if (path == null) {
-      System.err.println("slateslip-dataplane: " + SETTINGS_VARIABLE + " is not set");
-      System.exit(FAILURE);
-    }
-    Path file = Path.of(path);
-    SettingsOutcome outcome = NodeSettings.load(file);
-    if (outcome instanceof SettingsOutcome.Invalid invalid) {
-      System.err.println("slateslip-dataplane: " + invalid.message());
-      System.exit(FAILURE);
-    } else if (outcome instanceof SettingsOutcome.Valid valid) {
-      run(file, valid.settings());
-    }
+    CommandLine.main(Program.DATA_PLANE, DataPlaneMain::start, arguments);
   }
 
-  private static void run(Path file, NodeSettings settings) {
-    DataPlane dataPlane = null;
-    try {
-      dataPlane = DataPlane.start(settings);
-    } catch (IOException failed) {
-      System.err.println("slateslip-dataplane: " + failed.getMessage());
-      System.exit(FAILURE);
+  private static void start(Path settingsFile, NodeSettings settings) throws IOException {
+    if (settings.frontListen() == null || settings.readyListen() == null) {
+      throw new IOException("listen.front and listen.ready are needed by the data plane");
     }
-    SettingsWatch watch = new SettingsWatch(file, dataPlane::settingsChanged);
+    DataPlane dataPlane = DataPlane.start(settings);
+    SettingsWatch watch = new SettingsWatch(settingsFile, dataPlane::settingsChanged);
     Signal.handle(new Signal("HUP"), signal -> watch.read());
     watch.start();
-    DataPlane running = dataPlane;
-    Runtime.getRuntime().addShutdownHook(new Thread(() -> end(running)));
-    dataPlane.awaitEnd();
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> end(dataPlane)));
   }
 
   private static void end(DataPlane dataPlane) {
