--- a/src/main/java/slateslip/dataplane/DataPlaneMain.java
+++ b/src/main/java/slateslip/dataplane/DataPlaneMain.java
@@ -11,29 +11,28 @@
 
 /** Entry point of the data plane binary. */
 public final class DataPlaneMain {
-  private static final Logger LOG = Logger.getLogger(DataPlaneMain.class);
-
   private DataPlaneMain() {}
 
   /** Starts the data plane, which ends with SIGTERM, or carries out a command. */
   public static void main(String[] arguments) {
-    CommandLine.main(Program.DATA_PLANE, DataPlaneMain::start, arguments);
+    CommandLine.main(Program.DATA_PLANE, DataPlaneMain::run, arguments);
   }
 
-  private static void start(Path settingsFile, NodeSettings settings) throws IOException {
+  private static void run(Path file, NodeSettings settings) throws IOException {
     if (settings.frontListen() == null || settings.readyListen() == null) {
       throw new IOException("listen.front and listen.ready are needed by the data plane");
     }
     DataPlane dataPlane = DataPlane.start(settings);
-    SettingsWatch watch = new SettingsWatch(settingsFile, dataPlane::settingsChanged);
+    SettingsWatch watch = new SettingsWatch(file, dataPlane::settingsChanged);
     Signal.handle(new Signal("HUP"), signal -> watch.read());
     watch.start();
     Runtime.getRuntime().addShutdownHook(new Thread(() -> end(dataPlane)));
+    dataPlane.awaitEnd();
   }
 
   private static void end(DataPlane dataPlane) {
     dataPlane.stop();
-    LOG.info("ended");
+    Logger.getLogger(DataPlaneMain.class).info("ended");
     Runtime.getRuntime().halt(0);
   }
 }
