--- a/src/main/java/slateslip/dataplane/DataPlane.java
+++ b/src/main/java/slateslip/dataplane/DataPlane.java
@@ -26,6 +26,10 @@
 import slateslip.dataplane.subscription.SubscriptionOutput;
 import slateslip.logging.LogContext;
 import slateslip.routing.FleetRouter;
+import slateslip.routing.RouterSettings;
+import slateslip.routing.quota.QuotaBounds;
+import slateslip.routing.retry.RetryBounds;
+import slateslip.settings.Bounds;
 import slateslip.settings.NodeSettings;
 
 /** One data plane process: its parts, wired on one event loop that owns them all. */
@@ -57,7 +61,7 @@
     group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     loop = group.next();
     pools = new BackendPools(loop, connectionsMost(), metrics, Inspectable::new);
-    FleetRouter router = new FleetRouter(settings.zone(), random.nextLong());
+    FleetRouter router = new FleetRouter(routerSettings(settings, random.nextLong()));
     forwarder =
         new Forwarder(loop, router, DataPlane::nowMicros, pools, metrics, random.nextLong());
     DataPlaneIdentity identity =
@@ -87,6 +91,21 @@
     return dataPlane;
   }
 
+  private static RouterSettings routerSettings(NodeSettings settings, long seed) {
+    Bounds bounds = settings.bounds();
+    RetryBounds retries =
+        new RetryBounds(
+            bounds.retryBudgetRatio(),
+            TimeUnit.MILLISECONDS.toMicros(bounds.retryWindowMillis()),
+            bounds.retryBudgetSlack());
+    QuotaBounds quotas =
+        new QuotaBounds(
+            TimeUnit.MILLISECONDS.toMicros(bounds.quotaWindowMillis()),
+            bounds.quotaOvershoot(),
+            bounds.quotaSlack());
+    return new RouterSettings(settings.zone(), seed, retries, quotas);
+  }
+
   /** Connections on either side. */
   private int connectionsMost() {
     int descriptors = settings.limits().maxFileDescriptors();
--- a/src/main/java/slateslip/distribution/quota/ShareAllocator.java
+++ b/src/main/java/slateslip/distribution/quota/ShareAllocator.java
@@ -22,9 +22,10 @@
 public final class ShareAllocator {
   /**
    * Without news of its shares for this long a data plane falls back to the equal share where it had
-   * more.
+   * more. Danger: at 3 s a change of the primary, with nobody cut off, leaves a data plane that has a third of
+   * the clients with a sixth of the quotas.
    */
-  public static final long SHARES_STALE_MICROS = 3_000_000;
+  public static final long SHARES_STALE_MICROS = 10_000_000;
 
   /** A fraction that was told counts as in force for once to twice this after a lower one was told. */
   public static final long SETTLE_MICROS = 400_000;
--- a/src/main/java/slateslip/routing/Admission.java
+++ b/src/main/java/slateslip/routing/Admission.java
@@ -10,9 +10,6 @@
 final class Admission {
   private static final long MICROS_PER_MILLI = 1_000;
 
-  /** When a client is asked to come back that was turned away before there is a configuration. */
-  private static final long NOT_CONFIGURED_MICROS = 300_000;
-
   /** Least and most that a client over its quota is asked to wait. */
   private static final long QUOTA_WAIT_LEAST_MICROS = 100_000;
 
@@ -36,7 +33,7 @@
   /** Judges a request by a configuration; null if there is none yet. */
   Verdict judge(long nowMicros, RoutingTable table, RouterInput.RequestArrived arrived) {
     if (table == null) {
-      return refused(arrived, 503, NOT_CONFIGURED_MICROS);
+      return refused(arrived, 503, FleetRouter.RETRY_UNKNOWN_MICROS);
     }
     RequestFacts facts = arrived.facts();
     Optional<Route> route = table.route(facts.host(), facts.path());
--- a/src/main/java/slateslip/routing/FleetRouter.java
+++ b/src/main/java/slateslip/routing/FleetRouter.java
@@ -17,9 +17,15 @@
 
 /** The router of one data plane: life of each request, from its arrival to its one final answer. */
 public final class FleetRouter implements RequestRouter {
-  /** When a client that was turned away for want of a backend is asked to come back. */
+  /** When a client is asked to come back whose request a backend turned away, or none could be reached. */
   private static final long RETRY_AFTER_MICROS = 100_000;
 
+  /**
+   * The same while no backend of the service is known: about the time that backends need to report anew after
+   * a fault of everything (their heartbeats are 1.2 s apart). Clients come back only once.
+   */
+  static final long RETRY_UNKNOWN_MICROS = 1_200_000;
+
   /** How often probes that are due and answers that are overdue are looked at. */
   private static final long TICK_MICROS = 50_000;
 
@@ -129,7 +135,9 @@
     } else if (request.mayHaveRun) {
       outputs.add(new RouterOutput.Answer(request.id, 502, 0));
     } else {
-      outputs.add(new RouterOutput.Answer(request.id, 503, RETRY_AFTER_MICROS));
+      boolean known = backends.serves(request.service);
+      long wait = known ? RETRY_AFTER_MICROS : RETRY_UNKNOWN_MICROS;
+      outputs.add(new RouterOutput.Answer(request.id, 503, wait));
     }
     finish(request);
   }
--- a/src/main/java/slateslip/routing/retry/RetryBounds.java
+++ b/src/main/java/slateslip/routing/retry/RetryBounds.java
@@ -7,7 +7,7 @@
  * @param windowMicros length of the sliding window ({@code bounds.retry_window_s})
  * @param slack arrivals above that ({@code bounds.retry_budget_slack})
  */
-public record RetryBounds(double ratio, long windowMicros, int slack) {
+public record RetryBounds(double ratio, long windowMicros, double slack) {
   /** What holds where the settings name no bounds: those of both small deployments. */
   public static final RetryBounds DEFAULT = new RetryBounds(0.2, 10_000_000, 52);
 }
--- a/src/main/java/slateslip/routing/retry/RetryBudget.java
+++ b/src/main/java/slateslip/routing/retry/RetryBudget.java
@@ -35,7 +35,7 @@
   /** Spends one retry if the budget has it, and says whether it had. */
   public boolean spend(long nowMicros, int agents) {
     slide(nowMicros);
-    double allowed = MARGIN * (bounds.ratio() * requests.size() + (double) bounds.slack() / agents);
+    double allowed = MARGIN * (bounds.ratio() * requests.size() + bounds.slack() / agents);
     if (retries.size() + 1 > allowed) {
       return false;
     }
