--- /dev/null
+++ b/src/main/java/slateslip/standin/EngineServer.java
@@ -0,0 +1,189 @@
+package slateslip.standin;
+
+import io.avaje.json.mapper.JsonMapper;
+import io.javalin.http.Context;
+import jakarta.servlet.http.HttpServletResponse;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+import org.eclipse.jetty.server.HttpConnection;
+import slateslip.routing.RequestFacts.PromptPart;
+import slateslip.routing.RouterInput.BackendLoad;
+import slateslip.simulation.engine.EngineOutput.Reason;
+import slateslip.simulation.engine.EngineParameters;
+import slateslip.simulation.engine.EngineRequest;
+
+/** A model backend: a server that streams the events of a {@link LiveEngine}. */
+final class EngineServer extends StandInServer {
+  private static final int DEFAULT_OUTPUT_TOKENS = 60;
+  private static final long DEFAULT_DEADLINE_MILLIS = 30_000;
+  private static final int HEX = 16;
+  private static final String[] WORDS = {
+    "the", "blade", "pitch", "sensor", "reads", "high", "so", "check", "its", "cable", "first"
+  };
+
+  private final LiveEngine engine;
+  private final AtomicLong requests = new AtomicLong();
+
+  EngineServer(BackendDescription description, EngineParameters parameters) {
+    super(description);
+    engine = new LiveEngine(parameters);
+  }
+
+  @Override
+  BackendLoad load() {
+    return engine.load();
+  }
+
+  @Override
+  void report(Context context) {
+    BackendLoad load = engine.load();
+    Map<String, Object> model = new LinkedHashMap<>();
+    model.put("name", "m");
+    model.put("version", 1);
+    model.put("adapters", List.of());
+    Map<String, Object> fields = new LinkedHashMap<>();
+    fields.put("stage", "prefill_decode");
+    fields.put("models", List.of(model));
+    fields.put("utilization", false);
+    fields.put("seq", 0);
+    fields.put("queued", load.waiting());
+    fields.put("running", load.running());
+    fields.put("kv_used", engine.lockedTokens());
+    fields.put("kv_total", engine.parameters().memoryTokens());
+    fields.put("sessions", 0);
+    context.contentType("application/json").result(JsonMapper.builder().build().toJson(fields));
+  }
+
+  @Override
+  void serve(Context context) {
+    long id = requests.incrementAndGet();
+    BlockingQueue<Told> told = new LinkedBlockingQueue<>();
+    engine.submit(engineRequest(id, context), new Queueing(told));
+    try {
+      answer(context, told);
+    } catch (IOException gone) {
+      engine.cancel(id); // the caller has closed the connection: nothing more is owed
+    } catch (InterruptedException stopped) {
+      engine.cancel(id);
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void answer(Context context, BlockingQueue<Told> told)
+      throws IOException, InterruptedException {
+    Told first = told.take();
+    if (first.kind() == Told.Kind.REJECTED) {
+      reject(context, 503, "full");
+      return;
+    }
+    if (first.kind() == Told.Kind.EXPIRED) {
+      answerHead(context, 504);
+      return;
+    }
+    HttpServletResponse response = answerHead(context, 200);
+    response.setContentType("text/event-stream");
+    response.setHeader("Versions", "1");
+    OutputStream output = response.getOutputStream();
+    Told next = first;
+    while (next.kind() == Told.Kind.EVENT) {
+      output.write(eventText(next.eventId()));
+      output.flush();
+      if (next.last()) {
+        return;
+      }
+      next = told.take();
+    }
+    breakOff();
+  }
+
+  /** Closes the connection, so that the stream cannot look complete. */
+  private static void breakOff() {
+    HttpConnection.getCurrentConnection().getEndPoint().close();
+  }
+
+  private byte[] eventText(long id) {
+    StringBuilder text = new StringBuilder("id: ").append(id).append("\ndata:");
+    int tokens = engine.parameters().tokensPerEvent();
+    for (long token = (id - 1) * tokens; token < id * tokens; token++) {
+      text.append(' ').append(WORDS[(int) (token % WORDS.length)]);
+    }
+    return text.append("\n\n").toString().getBytes(StandardCharsets.UTF_8);
+  }
+
+  private EngineRequest engineRequest(long id, Context context) {
+    long deadlineMillis = number(context.header("X-Deadline-Ms"), DEFAULT_DEADLINE_MILLIS);
+    String usage = context.header("X-Token-Usage");
+    long outputTokens =
+        usage == null ? DEFAULT_OUTPUT_TOKENS : number(usage.replaceFirst(".*,", ""), 1);
+    return new EngineRequest(
+        id,
+        prompt(id, context),
+        (int) Math.max(1, outputTokens),
+        (int) number(context.header("Priority"), EngineRequest.DEFAULT_PRIORITY),
+        Math.max(0, number(context.header("Last-Event-Id"), 0)),
+        LiveEngine.nowMicros() + deadlineMillis * 1_000);
+  }
+
+  /** The parts that the request names, or one of its own as long as the body. */
+  private static List<PromptPart> prompt(long id, Context context) {
+    String named = context.header("X-Prompt-Prefix");
+    if (named == null || named.isBlank()) {
+      return List.of(new PromptPart(-id, Math.max(1, context.bodyAsBytes().length / 4)));
+    }
+    List<PromptPart> parts = new ArrayList<>();
+    for (String part : named.split(",")) {
+      int colon = part.indexOf(':');
+      long partId = Long.parseUnsignedLong(part.substring(0, colon).trim(), HEX);
+      parts.add(new PromptPart(partId, Integer.parseInt(part.substring(colon + 1).trim())));
+    }
+    return parts;
+  }
+
+  private static long number(String text, long otherwise) {
+    try {
+      return text == null ? otherwise : Long.parseLong(text.trim());
+    } catch (NumberFormatException unreadable) {
+      return otherwise;
+    }
+  }
+
+  @Override
+  public void close() {
+    super.close();
+    engine.close();
+  }
+
+  /** What the engine has told of one request. */
+  private record Told(Kind kind, long eventId, boolean last) {
+    private enum Kind {
+      EVENT,
+      REJECTED,
+      EXPIRED
+    }
+  }
+
+  private record Queueing(BlockingQueue<Told> told) implements EngineListener {
+    @Override
+    public void rejected(Reason reason) {
+      told.add(new Told(Told.Kind.REJECTED, 0, true));
+    }
+
+    @Override
+    public void event(long id, boolean last) {
+      told.add(new Told(Told.Kind.EVENT, id, last));
+    }
+
+    @Override
+    public void deadlineExceeded() {
+      told.add(new Told(Told.Kind.EXPIRED, 0, true));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/slateslip/standin/LedgerServer.java
@@ -0,0 +1,43 @@
+package slateslip.standin;
+
+import io.javalin.http.Context;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicLong;
+import slateslip.routing.RouterInput.BackendLoad;
+
+/** An application backend: it numbers the entries that it is sent, a few at a time. */
+final class LedgerServer extends StandInServer {
+  private final Semaphore slots;
+  private final AtomicLong entries = new AtomicLong();
+
+  LedgerServer(BackendDescription description) {
+    super(description);
+    slots = new Semaphore(description.slots());
+  }
+
+  @Override
+  BackendLoad load() {
+    int running = description().slots() - slots.availablePermits();
+    return new BackendLoad(running, 0, description().slots());
+  }
+
+  @Override
+  void report(Context context) {
+    context.status(404).result("");
+  }
+
+  @Override
+  void serve(Context context) {
+    if (!slots.tryAcquire()) {
+      reject(context, 503, "full");
+      return;
+    }
+    try {
+      answerHead(context, 200);
+      context.contentType("application/json");
+      context.result("{\"entry\":" + entries.incrementAndGet() + "}\n");
+    } finally {
+      slots.release();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/slateslip/standin/SampleRequest.java
@@ -0,0 +1,77 @@
+package slateslip.standin;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.concurrent.TimeUnit;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import okio.BufferedSource;
+
+/** The request that shows that a fleet serves: a streamed answer of a few events. */
+final class SampleRequest {
+  static final String HOST = "fleet.example";
+  static final String PATH = "/chat/ask";
+  static final String KEY = "sample-key";
+
+  private static final String PROMPT = "Why does the turbine stop?";
+  private static final String USAGE = "410,60";
+  private static final String PARTS = "5c1e07a2:400,91bd3f06:10";
+  private static final int DEADLINE_MILLIS = 20_000;
+
+  private SampleRequest() {}
+
+  /** The same request as a command line. */
+  static String curl(String frontUrl) {
+    return "curl -N "
+        + frontUrl
+        + PATH
+        + " -H 'Host: "
+        + HOST
+        + "' -H 'X-Credential: "
+        + KEY
+        + "' -H 'X-Attempt-Id: 1' -H 'X-Deadline-Ms: "
+        + DEADLINE_MILLIS
+        + "' -H 'X-Token-Usage: "
+        + USAGE
+        + "' -H 'X-Prompt-Prefix: "
+        + PARTS
+        + "' -d '"
+        + PROMPT
+        + "'";
+  }
+
+  /** Sends it and prints the events as they come; whether the answer was whole. */
+  static boolean send(String frontUrl, PrintStream out) {
+    OkHttpClient client =
+        new OkHttpClient.Builder().callTimeout(DEADLINE_MILLIS, TimeUnit.MILLISECONDS).build();
+    Request request =
+        new Request.Builder()
+            .url(frontUrl + PATH)
+            .header("Host", HOST)
+            .header("X-Credential", KEY)
+            .header("X-Attempt-Id", "sample-" + System.nanoTime())
+            .header("X-Deadline-Ms", String.valueOf(DEADLINE_MILLIS))
+            .header("X-Token-Usage", USAGE)
+            .header("X-Prompt-Prefix", PARTS)
+            .post(RequestBody.create(PROMPT, null))
+            .build();
+    try (Response response = client.newCall(request).execute()) {
+      out.println("HTTP " + response.code());
+      BufferedSource source = response.body().source();
+      String line = source.readUtf8Line();
+      while (line != null) {
+        out.println(line);
+        line = source.readUtf8Line();
+      }
+      return response.isSuccessful();
+    } catch (IOException broken) {
+      out.println("no whole answer: " + broken.getMessage());
+      return false;
+    } finally {
+      client.dispatcher().executorService().shutdown();
+      client.connectionPool().evictAll();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/slateslip/standin/StandInServer.java
@@ -0,0 +1,127 @@
+package slateslip.standin;
+
+import io.javalin.Javalin;
+import io.javalin.http.Context;
+import jakarta.servlet.http.HttpServletResponse;
+import java.net.InetSocketAddress;
+import java.util.concurrent.atomic.AtomicLong;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import slateslip.routing.RouterInput.BackendLoad;
+
+/** What all backends have in common: headers, the check of the target instance, and health. */
+abstract class StandInServer implements AutoCloseable {
+  static final String ATTEMPT_ID = "X-Attempt-Id";
+  static final String NOT_EXECUTED = "X-Not-Executed";
+  static final String STAMP = "X-Response-Stamp";
+  static final String LOAD = "X-Backend-Load";
+
+  private static final String TARGET = "X-Target-Instance";
+  private static final String INSTANCE = "X-Instance-Id";
+  private static final int THREADS = 300;
+  private static final int OTHER_INSTANCE = 421;
+
+  private final BackendDescription description;
+  private final AtomicLong answers = new AtomicLong();
+  private final Javalin server;
+  private volatile boolean draining;
+
+  StandInServer(BackendDescription description) {
+    this.description = description;
+    InetSocketAddress address = description.address();
+    server =
+        Javalin.create(
+            config -> {
+              config.showJavalinBanner = false;
+              config.http.disableCompression();
+              QueuedThreadPool threads = new QueuedThreadPool(THREADS, 4);
+              threads.setName(description.id());
+              threads.setDaemon(true);
+              config.jetty.threadPool = threads;
+              config.jetty.addConnector(
+                  (jetty, http) -> {
+                    ServerConnector connector = new ServerConnector(jetty, 1, 1);
+                    connector.setHost(address.getHostString());
+                    connector.setPort(address.getPort());
+                    return connector;
+                  });
+            });
+    server.get("/health", this::health);
+    server.get("/report", this::report);
+    server.get("/*", this::request);
+    server.post("/*", this::request);
+    server.put("/*", this::request);
+  }
+
+  /** Answers a request that is meant for this instance. */
+  abstract void serve(Context context);
+
+  abstract BackendLoad load();
+
+  /** Answers a question for its report. */
+  abstract void report(Context context);
+
+  BackendDescription description() {
+    return description;
+  }
+
+  void start() {
+    server.start();
+  }
+
+  /** From now on it tells that it is leaving; it goes on serving. */
+  void drain() {
+    draining = true;
+  }
+
+  boolean draining() {
+    return draining;
+  }
+
+  /** Sets the headers of an answer to a request that runs. */
+  HttpServletResponse answerHead(Context context, int status) {
+    HttpServletResponse response = context.res();
+    response.setStatus(status);
+    response.setHeader(STAMP, description.id() + "." + answers.incrementAndGet());
+    response.setHeader(LOAD, loadText());
+    return response;
+  }
+
+  /** Rejects a request that has not run. */
+  void reject(Context context, int status, String reason) {
+    context.header(NOT_EXECUTED, reason).header(LOAD, loadText()).status(status).result(reason);
+  }
+
+  private void request(Context context) {
+    String attemptId = context.header(ATTEMPT_ID);
+    if (attemptId == null) {
+      reject(context, 400, "no " + ATTEMPT_ID);
+      return;
+    }
+    context.header(ATTEMPT_ID, attemptId);
+    if (draining) {
+      context.header("Connection", "close");
+    }
+    String target = context.header(TARGET);
+    if (target != null && !target.equals(description.id())) {
+      reject(context, OTHER_INSTANCE, "this is " + description.id());
+      return;
+    }
+    serve(context);
+  }
+
+  private void health(Context context) {
+    context.header(INSTANCE, description.id()).header(LOAD, loadText());
+    context.status(draining ? 503 : 200).result("");
+  }
+
+  private String loadText() {
+    BackendLoad load = load();
+    return load.running() + "," + load.waiting() + "," + load.slots();
+  }
+
+  @Override
+  public void close() {
+    server.stop();
+  }
+}
--- /dev/null
+++ b/src/main/java/slateslip/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for what surrounds the fleet, and a whole fleet on the loopback interface. */
+package slateslip.standin;
