Rules: pick, admission, health, cold start, ranking and history are files of their own

Change: moves alone, behaviour unchanged. RequestHistory, ServerPick with Subset, Admission, ServerHealth, ColdStart and ClassRanking decide; AgentState is what they share; AnswerTimes and WarmRates measure; RequestClasses and ClassState hold state.

--- a/src/main/java/gatefront/Open.java
+++ b/src/main/java/gatefront/Open.java
@@ -6,7 +6,7 @@
 import gatefront.Balancer.Request;
 import gatefront.Balancer.RequestClass;
 
-/** One request that an agent has taken. State only: {@link Rules} decides. */
+/** One request that an agent has taken. State only; others decide. */
 final class Open {
     final Request request;
     final ClassState state;
--- a/src/main/java/gatefront/Target.java
+++ b/src/main/java/gatefront/Target.java
@@ -4,7 +4,7 @@
 import gatefront.policy.BackendHealth;
 import gatefront.policy.HealthParameters;
 
-/** What one agent knows of one server. State only: {@link Rules} decides. */
+/** What one agent knows of one server. State only; others decide. */
 final class Target {
     final long id;
     /** Its line of the server list. */
@@ -27,7 +27,7 @@
     /** When that was last measured. */
     long stretchAt;
     /** A quantile of its answer times, each as a multiple of its class's lowest. */
-    final Quantile pace = new Quantile(Rules.QUANTILE);
+    final Quantile pace = new Quantile(AnswerTimes.QUANTILE);
     /** When it last answered. */
     long answeredAt;
     /** Fast failures in a row, and until when it rests for them. */
--- a/src/main/java/gatefront/policy/BackendHealth.java
+++ b/src/main/java/gatefront/policy/BackendHealth.java
@@ -30,11 +30,7 @@
         this.parameters = parameters;
     }
 
-    /**
-     * Takes a probe that was answered well.
-     *
-     * @return whether this ended an Unhealthy active state
-     */
+    /** Takes a probe that was answered well; true if this ended an Unhealthy active state. */
     public boolean probeSucceeded() {
         boolean recovered = active == State.UNHEALTHY;
         probeFailures = 0;
@@ -42,11 +38,7 @@
         return recovered;
     }
 
-    /**
-     * Takes a probe that failed.
-     *
-     * @return whether this made the active state Unhealthy
-     */
+    /** Takes a probe that failed; true if this made the active state Unhealthy. */
     public boolean probeFailed() {
         probeFailures++;
         if (probeFailures < parameters.failedProbes() || active == State.UNHEALTHY) {
@@ -101,11 +93,7 @@
         return true;
     }
 
-    /**
-     * Resets the passive state to Unknown once its time is over; the window begins anew.
-     *
-     * @return whether it was reset now
-     */
+    /** Resets the passive state and the window once its time is over; true if this did it. */
     public boolean reactivateIfDue(long now) {
         if (passive != State.UNHEALTHY || now < reactivateAt) {
             return false;
