--- a/deploy/class-archives.sh
+++ b/deploy/class-archives.sh
@@ -1,12 +1,12 @@
 #!/bin/sh
-# Makes the class archive of the control plane by a short run of it: it starts faster with one, and
-# starts as well without. Run at the root of the repository, after the build; all that it writes is
-# under target/.
+# Makes the class archives of both programs by a short run of each: they start faster with one. Run at
+# the root of the repository, after the build; all that it writes is under target/.
 set -e
 training=target/training
 port=$((20000 + $$ % 20000))
-rm -rf "$training" target/slateslip-controlplane.jsa
+rm -rf "$training" target/slateslip-controlplane.jsa target/slateslip-dataplane.jsa
 mkdir -p "$training/data"
+
 cat > "$training/settings.conf" <<SETTINGS
 node=training
 ip=127.0.0.1
@@ -31,6 +31,10 @@
   > "$training/command" 2>&1 || cat "$training/command" >&2
 kill -TERM "$agent"
 wait "$agent" || true
-if ! test -s target/slateslip-controlplane.jsa; then
-  echo "no class archive came of the run, the control plane starts without: see $training/log" >&2
-fi
+test -s target/slateslip-controlplane.jsa
+
+SLATESLIP_CONFIG=deploy/archive/dataplane.conf timeout -s TERM 5 \
+  java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Dio.netty.machineId=02:00:00:00:00:01 \
+  -XX:ArchiveClassesAtExit=target/slateslip-dataplane.jsa -Xlog:disable \
+  -jar target/slateslip-dataplane.jar > "$training/dataplane.log" 2>&1 || true
+test -s target/slateslip-dataplane.jsa || { echo "no class archive, see $training/dataplane.log" >&2; exit 1; }
