--- /dev/null
+++ b/src/test/java/slateslip/protocol/coordination/SchemaVersionsTest.java
@@ -0,0 +1,98 @@
+package slateslip.protocol.coordination;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+import org.agrona.ExpandableArrayBuffer;
+import org.agrona.concurrent.UnsafeBuffer;
+import org.junit.jupiter.api.Test;
+import slateslip.coordination.DurableRecord;
+import slateslip.coordination.PeerMessage;
+import slateslip.protocol.Decoded;
+import slateslip.protocol.coordination.generated.next.EntryRecordEncoder;
+import slateslip.protocol.coordination.generated.next.Flag;
+import slateslip.protocol.coordination.generated.next.HeartbeatDecoder;
+import slateslip.protocol.coordination.generated.next.HeartbeatEncoder;
+import slateslip.protocol.coordination.generated.next.HelloDecoder;
+import slateslip.protocol.coordination.generated.next.MessageHeaderDecoder;
+import slateslip.protocol.coordination.generated.next.MessageHeaderEncoder;
+import slateslip.protocol.coordination.generated.next.ViewImageEncoder;
+
+/** This version and a later one, with fields and data added, read each other. */
+final class SchemaVersionsTest {
+  private static final long NOTE = 77;
+
+  private final ExpandableArrayBuffer buffer = new ExpandableArrayBuffer();
+
+  private byte[] copy(int length) {
+    byte[] bytes = new byte[length];
+    buffer.getBytes(0, bytes);
+    return bytes;
+  }
+
+  private byte[] laterView() {
+    ViewImageEncoder view =
+        new ViewImageEncoder().wrapAndApplyHeader(buffer, 0, new MessageHeaderEncoder());
+    view.epoch(7).primary().ipv4(5).diskId(6);
+    ViewImageEncoder.MembersEncoder members = view.membersCount(2);
+    members.next().sinceEpoch(3).addedNote(NOTE).node().ipv4(5).diskId(6);
+    members.next().sinceEpoch(4).addedNote(NOTE).node().ipv4(8).diskId(9);
+    view.witnessesCount(1).next().node().ipv4(5).diskId(6);
+    return copy(view.limit());
+  }
+
+  @Test
+  void aLaterHeartbeatIsRead() {
+    byte[] view = laterView();
+    HeartbeatEncoder encoder =
+        new HeartbeatEncoder().wrapAndApplyHeader(buffer, 0, new MessageHeaderEncoder());
+    encoder.sender().ipv4(5).diskId(6);
+    encoder.tenure().epoch(7).incarnation(2);
+    encoder.round(11).committedSequence(12).active(Flag.YES).addedNote(NOTE);
+    encoder.putView(view, 0, view.length);
+    PeerMessage.Heartbeat heartbeat =
+        (PeerMessage.Heartbeat) PeerMessageCodecTest.decoded(copy(encoder.limit()));
+    assertThat(heartbeat.round(), is(11L));
+    assertThat(heartbeat.active(), is(true));
+    assertThat(heartbeat.view().members().get(1).sinceEpoch(), is(4L));
+    assertThat(heartbeat.view().witnesses().size(), is(1));
+  }
+
+  @Test
+  void aLaterRecordOnDiskIsRead() {
+    EntryRecordEncoder encoder =
+        new EntryRecordEncoder().wrapAndApplyHeader(buffer, 0, new MessageHeaderEncoder());
+    encoder.sequence(3).committedSequence(2).addedNote(NOTE);
+    encoder.putRecord(new byte[] {1, 2}, 0, 2);
+    Decoded<DurableRecord> decoded = DurableRecordCodec.decode(copy(encoder.limit()));
+    assertThat(decoded, instanceOf(Decoded.Message.class));
+    DurableRecord.Entry entry =
+        (DurableRecord.Entry) ((Decoded.Message<DurableRecord>) decoded).value();
+    assertThat(entry.record(), is(new byte[] {1, 2}));
+  }
+
+  @Test
+  void aLaterVersionReadsThisOne() {
+    byte[] heartbeat =
+        PeerMessageCodec.encode(
+            PeerMessageCodecTest.ONE,
+            new PeerMessage.Heartbeat(
+                PeerMessageCodecTest.TENURE, 5, 41, true, PeerMessageCodecTest.VIEW));
+    HeartbeatDecoder decoder =
+        new HeartbeatDecoder()
+            .wrapAndApplyHeader(new UnsafeBuffer(heartbeat), 0, new MessageHeaderDecoder());
+    assertThat(decoder.round(), is(5L));
+    assertThat(decoder.addedNote(), is(HeartbeatDecoder.addedNoteNullValue()));
+    assertThat(decoder.viewLength() > 0, is(true));
+    byte[] hello =
+        PeerMessageCodec.encode(
+            PeerMessageCodecTest.ONE,
+            new PeerMessage.Hello(PeerMessageCodecTest.VIEW, PeerMessageCodecTest.STATUS));
+    HelloDecoder helloDecoder =
+        new HelloDecoder()
+            .wrapAndApplyHeader(new UnsafeBuffer(hello), 0, new MessageHeaderDecoder());
+    helloDecoder.skipView();
+    assertThat(helloDecoder.addedNoteLength(), is(0));
+  }
+}
--- /dev/null
+++ b/src/test/java/slateslip/storage/RingStorageTest.java
@@ -0,0 +1,208 @@
+package slateslip.storage;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import slateslip.simulation.FaultyFolder;
+
+final class RingStorageTest {
+  private static final RingOptions OPTIONS = new RingOptions(3, 0);
+  private static final String FIRST_FILE = "control-0.ring";
+
+  private final FaultyFolder folder = new FaultyFolder();
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.US_ASCII);
+  }
+
+  private static List<String> recovered(StorageFolder from) throws IOException {
+    try (RingStorage ring = RingStorage.open(from, OPTIONS)) {
+      return ring.recovered().stream()
+          .map(payload -> new String(payload, StandardCharsets.US_ASCII))
+          .toList();
+    }
+  }
+
+  private static StorageOutcome append(RingStorage ring, String text) {
+    return ring.append(List.of(bytes(text)));
+  }
+
+  @Test
+  void recoversTheNewestSnapshotAndWhatFollows() throws IOException {
+    try (RingStorage ring = RingStorage.open(folder, OPTIONS)) {
+      assertThat(ring.recovered(), empty());
+      for (int round = 0; round < 7; round++) {
+        assertThat(ring.begin(bytes("s" + round)), is(StorageOutcome.DURABLE));
+        assertThat(append(ring, "r" + round), is(StorageOutcome.DURABLE));
+      }
+      ring.append(List.of(bytes("a"), bytes("b")));
+    }
+    assertThat(recovered(folder), contains("s6", "r6", "a", "b"));
+  }
+
+  @Test
+  void takesNothingBeforeASnapshotHasBegun() throws IOException {
+    try (RingStorage ring = RingStorage.open(folder, OPTIONS)) {
+      assertThat(append(ring, "r"), is(StorageOutcome.FAILED));
+      ring.begin(bytes("s"));
+      append(ring, "r");
+    }
+    try (RingStorage ring = RingStorage.open(folder, OPTIONS)) {
+      assertThat(append(ring, "behind a tail that may be torn"), is(StorageOutcome.FAILED));
+    }
+    assertThat(recovered(folder), contains("s", "r"));
+  }
+
+  @Test
+  void cutsATornTailAtEveryByte() throws IOException {
+    int before;
+    try (RingStorage ring = RingStorage.open(folder, OPTIONS)) {
+      ring.begin(bytes("snapshot"));
+      append(ring, "kept");
+      before = folder.length(FIRST_FILE);
+      append(ring, "last record");
+    }
+    for (int length = before; length < folder.length(FIRST_FILE); length++) {
+      FaultyFolder cut = folder.copy();
+      cut.truncate(FIRST_FILE, length);
+      assertThat("cut to " + length, recovered(cut), contains("snapshot", "kept"));
+      FaultyFolder harmed = folder.copy();
+      harmed.corrupt(FIRST_FILE, length);
+      assertThat("changed at " + length, recovered(harmed), contains("snapshot", "kept"));
+    }
+  }
+
+  @Test
+  void aHarmedNewestSnapshotLeavesTheChainBefore() throws IOException {
+    try (RingStorage ring = RingStorage.open(folder, OPTIONS)) {
+      ring.begin(bytes("old"));
+      append(ring, "r");
+      ring.begin(bytes("new"));
+    }
+    for (int position = 0; position < folder.length("control-1.ring"); position++) {
+      FaultyFolder harmed = folder.copy();
+      harmed.corrupt("control-1.ring", position);
+      assertThat("changed at " + position, recovered(harmed), contains("old", "r"));
+    }
+  }
+
+  @Test
+  void whatALongerUseOfTheFileLeftIsNotTaken() throws IOException {
+    try (RingStorage ring = RingStorage.open(folder, OPTIONS)) {
+      ring.begin(bytes("s0"));
+      append(ring, "same length");
+      append(ring, "left over");
+      ring.begin(bytes("s1"));
+      ring.begin(bytes("s2"));
+      ring.begin(bytes("s3"));
+    }
+    assertThat(recovered(folder), contains("s3"));
+  }
+
+  @Test
+  void aFullOrFailingDiskGivesAnOutcomeAndKeepsWhatWasDurable() throws IOException {
+    try (RingStorage ring = RingStorage.open(folder, OPTIONS)) {
+      ring.begin(bytes("s"));
+      append(ring, "r");
+      folder.setMode(FaultyFolder.Mode.FULL);
+      assertThat(append(ring, "lost"), is(StorageOutcome.FULL));
+      folder.setMode(FaultyFolder.Mode.WORKING);
+      assertThat(append(ring, "behind the failure"), is(StorageOutcome.FAILED));
+      folder.setMode(FaultyFolder.Mode.FAILING);
+      assertThat(ring.begin(bytes("t")), is(StorageOutcome.FAILED));
+      assertThat(recovered(folder), contains("s", "r"));
+      folder.setMode(FaultyFolder.Mode.WORKING);
+      assertThat(ring.begin(bytes("u")), is(StorageOutcome.DURABLE));
+    }
+    assertThat(recovered(folder), contains("u"));
+  }
+
+  @Test
+  void whatWasDurableOutlivesAnyLossOfPower() throws IOException {
+    for (int seed = 0; seed < 2_000; seed++) {
+      playLosses(new SplittableRandom(seed));
+    }
+  }
+
+  /** Random writes, failures and losses of power: recovery gives all that was durable, in order. */
+  private static void playLosses(SplittableRandom random) throws IOException {
+    FaultyFolder disk = new FaultyFolder();
+    List<String> durable = new ArrayList<>();
+    List<String> written = new ArrayList<>();
+    for (int life = 0; life < 4; life++) {
+      disk.setMode(FaultyFolder.Mode.WORKING);
+      RingStorage ring = RingStorage.open(disk, OPTIONS);
+      List<String> found = recovered(disk);
+      checkRecovered(found, durable, written);
+      durable = new ArrayList<>(found);
+      for (int step = 0; step < 6; step++) {
+        String text = "life " + life + " step " + step;
+        boolean snapshot = step == 0 || random.nextInt(3) == 0;
+        disk.setMode(mode(random));
+        StorageOutcome outcome =
+            snapshot ? ring.begin(bytes(text)) : ring.append(List.of(bytes(text)));
+        written.add(text);
+        if (outcome == StorageOutcome.DURABLE) {
+          if (snapshot) {
+            durable.clear();
+          }
+          durable.add(text);
+        }
+      }
+      disk.losePower(random, FaultyFolder.Loss.EACH_AT_RANDOM);
+    }
+  }
+
+  private static FaultyFolder.Mode mode(SplittableRandom random) {
+    FaultyFolder.Mode[] modes = FaultyFolder.Mode.values();
+    return random.nextInt(4) > 0
+        ? FaultyFolder.Mode.WORKING
+        : modes[random.nextInt(modes.length)];
+  }
+
+  private static void checkRecovered(
+      List<String> found, List<String> durable, List<String> written) {
+    if (durable.isEmpty()) {
+      return;
+    }
+    boolean laterSnapshot = !found.isEmpty() && !found.get(0).equals(durable.get(0));
+    if (laterSnapshot) {
+      int last = written.lastIndexOf(durable.get(durable.size() - 1));
+      assertThat(
+          "a later snapshot, not acknowledged",
+          written.lastIndexOf(found.get(0)),
+          greaterThanOrEqualTo(last));
+      return;
+    }
+    assertThat(found.subList(0, durable.size()), equalTo(durable));
+  }
+
+  @Test
+  void preallocatesInPartsWithoutHarm(@TempDir Path path) throws IOException {
+    RingOptions options = new RingOptions(2, 700_000);
+    try (RingStorage ring = RingStorage.open(new DiskFolder(path), options)) {
+      ring.begin(bytes("s"));
+      int parts = 0;
+      while (ring.preallocateNext()) {
+        assertThat(append(ring, "r" + parts), is(StorageOutcome.DURABLE));
+        parts++;
+      }
+      assertThat(parts, is(6));
+    }
+    assertThat(path.resolve(FIRST_FILE).toFile().length(), is(700_000L));
+    assertThat(
+        recovered(new DiskFolder(path)), contains("s", "r0", "r1", "r2", "r3", "r4", "r5"));
+  }
+}
