--- a/src/test/java/slateslip/simulation/control/ControlWorld.java
+++ b/src/test/java/slateslip/simulation/control/ControlWorld.java
@@ -28,11 +28,12 @@
   private final SimulatedNetwork network;
   private final List<SimulatedNode> nodes = new ArrayList<>();
   private final List<NodeAddress> seeds = new ArrayList<>();
-  private final Map<Long, SimulatedOperator> callers = new HashMap<>();
+  private final Map<Long, Caller> callers = new HashMap<>();
   private final List<SimulatedOperator> operators = new ArrayList<>();
   private final LossCount losses;
   private final FaultInjector injector;
   private final Mutation mutation;
+  private SimulatedNetwork.Watcher watcher = (from, to, message) -> false;
   private int addresses;
   private long lastToken;
   private int lastAuthor;
@@ -90,7 +91,7 @@
     return nodes;
   }
 
-  long nextToken(SimulatedOperator caller) {
+  long nextToken(Caller caller) {
     lastToken++;
     callers.put(lastToken, caller);
     return lastToken;
@@ -145,7 +146,12 @@
         .ifPresent(node -> deliver(node, frame));
   }
 
-  private void sent(NodeId from, PeerMessage message) {
+  /** Has each message that is sent from now on seen; it may be lost. */
+  void watch(SimulatedNetwork.Watcher newWatcher) {
+    watcher = newWatcher;
+  }
+
+  private boolean sent(NodeId from, NodeAddress to, PeerMessage message) {
     if (message instanceof PeerMessage.Decided decided) {
       history.decided(decided.view());
     } else if (message instanceof PeerMessage.Heartbeat heartbeat) {
@@ -155,6 +161,7 @@
         .filter(node -> node.address().equals(from.address()))
         .findFirst()
         .ifPresent(node -> injector.sent(node, message));
+    return watcher.sent(from, to, message);
   }
 
   private void deliver(SimulatedNode node, PeerFrame frame) {
@@ -175,7 +182,7 @@
       return;
     }
     injector.acknowledged(node, result);
-    SimulatedOperator caller = callers.remove(result.clientToken());
+    Caller caller = callers.remove(result.clientToken());
     if (random.nextInt(ANSWER_LOST_EVERY) != 0) {
       events.in(1_000, () -> caller.answered(node, result.clientToken(), result));
     }
--- a/src/test/java/slateslip/simulation/control/SimulatedNetwork.java
+++ b/src/test/java/slateslip/simulation/control/SimulatedNetwork.java
@@ -20,7 +20,8 @@
 final class SimulatedNetwork {
   /** Sees what is sent, before it is on its way. */
   interface Watcher {
-    void sent(NodeId from, PeerMessage message);
+    /** Returns whether the message is lost. */
+    boolean sent(NodeId from, NodeAddress to, PeerMessage message);
   }
 
   /** Takes what arrives. */
@@ -70,7 +71,9 @@
 
   void send(NodeId from, NodeAddress to, PeerMessage sent) {
     PeerMessage message = mutation.pass(sent);
-    watcher.sent(from, message);
+    if (watcher.sent(from, to, message)) {
+      return;
+    }
     Link link = new Link(from.address(), to);
     PeerFrame frame = new PeerFrame(from, sometimesEncoded(from, message));
     long delay = random.nextLong(LEAST_DELAY, MOST_DELAY) + slow.of(from.address(), to);
--- a/src/test/java/slateslip/simulation/control/SimulatedOperator.java
+++ b/src/test/java/slateslip/simulation/control/SimulatedOperator.java
@@ -6,7 +6,7 @@
 import slateslip.coordination.ReplicaInput;
 
 /** Sends changes one after the other; without a clear answer the same again, to any node. */
-final class SimulatedOperator {
+final class SimulatedOperator implements Caller {
   private static final long PATIENCE = 1_000_000;
   private static final long LONG_PAUSE = 250_000;
   private static final long SHORT_PAUSE = 20_000;
@@ -75,7 +75,8 @@
   }
 
   /** An answer reached the world; whether it reaches the operator is decided there. */
-  void answered(SimulatedNode node, long token, ClientResult result) {
+  @Override
+  public void answered(SimulatedNode node, long token, ClientResult result) {
     if (token != callToken) {
       return;
     }
