Contract: a stream's load is told when it starts, not when it ends

Cause: the load header stands in the head of a stream; told with AttemptEnded it was seconds old, yet placement took it as of that moment. AttemptStarted carries it, AttemptEnded of a stream carries none. Smallest edits in the router and the simulation, which tells none at the start.

--- a/src/main/java/slateslip/dataplane/backend/AnswerReader.java
+++ b/src/main/java/slateslip/dataplane/backend/AnswerReader.java
@@ -103,7 +103,7 @@
     connection.learnKeepTime(headers);
     if (isStream(response)) {
       splitter = new EventSplitter();
-      attempt.streamBegan(answer(Unpooled.EMPTY_BUFFER));
+      attempt.streamBegan(answer(Unpooled.EMPTY_BUFFER), load(headers));
     } else {
       body = Unpooled.buffer(Math.max(0, (int) length));
     }
@@ -158,7 +158,8 @@
     }
     BackendAnswer whole = splitter == null ? answer(body) : null;
     var outcome = new AttemptOutcome(kind, head.status().code());
-    var result = new AttemptResult(outcome, load(head.headers()), whole);
+    BackendLoad load = splitter == null ? load(head.headers()) : null;
+    var result = new AttemptResult(outcome, load, whole);
     boolean reusable = isReusable();
     reset();
     attempt.end(result, reusable);
--- a/src/main/java/slateslip/dataplane/backend/AttemptListener.java
+++ b/src/main/java/slateslip/dataplane/backend/AttemptListener.java
@@ -1,11 +1,16 @@
 package slateslip.dataplane.backend;
 
 import slateslip.dataplane.stream.StreamEvent;
+import slateslip.routing.RouterInput.BackendLoad;
 
 /** What is told of one attempt; all on the event loop, and never from within the call that started it. */
 public interface AttemptListener {
-  /** The head of a stream has come; its events follow. */
-  void streamBegan(BackendAnswer head);
+  /**
+   * The head of a stream has come; its events follow.
+   *
+   * @param load that the backend told in it; null if none
+   */
+  void streamBegan(BackendAnswer head, BackendLoad load);
 
   /** A whole event has come. */
   void event(StreamEvent event);
--- a/src/main/java/slateslip/dataplane/backend/BackendAttempt.java
+++ b/src/main/java/slateslip/dataplane/backend/BackendAttempt.java
@@ -14,6 +14,7 @@
 import slateslip.dataplane.HeaderNames;
 import slateslip.dataplane.stream.StreamEvent;
 import slateslip.routing.RouterInput.AttemptOutcome;
+import slateslip.routing.RouterInput.BackendLoad;
 
 /** One request on its way to one backend. */
 public final class BackendAttempt {
@@ -164,8 +165,8 @@
   }
 
   /** The head of a stream has come. */
-  void streamBegan(BackendAnswer head) {
-    listener.streamBegan(head);
+  void streamBegan(BackendAnswer head, BackendLoad load) {
+    listener.streamBegan(head, load);
   }
 
   /** A whole event has come. */
--- a/src/main/java/slateslip/dataplane/backend/ProbeListener.java
+++ b/src/main/java/slateslip/dataplane/backend/ProbeListener.java
@@ -3,6 +3,7 @@
 import java.util.function.Consumer;
 import slateslip.dataplane.HeaderNames;
 import slateslip.dataplane.stream.StreamEvent;
+import slateslip.routing.RouterInput.BackendLoad;
 import slateslip.routing.RouterInput.ProbeOutcome;
 
 /** Reads a health probe's outcome from that of its attempt. */
@@ -16,7 +17,7 @@
   }
 
   @Override
-  public void streamBegan(BackendAnswer head) {}
+  public void streamBegan(BackendAnswer head, BackendLoad load) {}
 
   @Override
   public void event(StreamEvent event) {}
--- a/src/main/java/slateslip/dataplane/forwarding/AttemptRelay.java
+++ b/src/main/java/slateslip/dataplane/forwarding/AttemptRelay.java
@@ -10,6 +10,7 @@
 import slateslip.dataplane.stream.StreamEvent;
 import slateslip.routing.RouterInput;
 import slateslip.routing.RouterInput.AttemptOutcome;
+import slateslip.routing.RouterInput.BackendLoad;
 
 /** Passes one attempt's answer on to the client, and tells the router how the attempt went. */
 final class AttemptRelay implements AttemptListener {
@@ -19,6 +20,7 @@
   private final DataPlaneMetrics metrics;
   private final Runnable whenEnded;
   private BackendAnswer streamHead;
+  private BackendLoad streamLoad;
 
   AttemptRelay(
       ForwardedRequest forwarded,
@@ -34,8 +36,9 @@
   }
 
   @Override
-  public void streamBegan(BackendAnswer head) {
+  public void streamBegan(BackendAnswer head, BackendLoad load) {
     streamHead = head;
+    streamLoad = load;
   }
 
   @Override
@@ -72,7 +75,7 @@
     } else {
       metrics.resumed++;
     }
-    driver.feed(new RouterInput.AttemptStarted(forwarded.id, number));
+    driver.feed(new RouterInput.AttemptStarted(forwarded.id, number, streamLoad));
   }
 
   @Override
--- a/src/main/java/slateslip/routing/FleetRouter.java
+++ b/src/main/java/slateslip/routing/FleetRouter.java
@@ -138,7 +138,9 @@
     OpenRequest request = open.get(started.request());
     if (request != null) {
       request.started = true;
-      request.attempts.get(started.attempt()).start(now);
+      Attempt attempt = request.attempts.get(started.attempt());
+      attempt.start(now);
+      BackendTable.told(now, attempt.backend(), started.load());
     }
   }
 
--- a/src/main/java/slateslip/routing/RouterInput.java
+++ b/src/main/java/slateslip/routing/RouterInput.java
@@ -26,13 +26,18 @@
   /** The client closed its connection before its answer was complete; nothing more is owed. */
   record ClientGone(long request) implements RouterInput {}
 
-  /** An attempt's first event (streams) or answer head (others) was passed on or is about to be. */
-  record AttemptStarted(long request, int attempt) implements RouterInput {}
+  /**
+   * An attempt's first event (streams) or answer head (others) was passed on or is about to be.
+   *
+   * @param load what the backend told of its load in the head of a stream; null if nothing
+   */
+  record AttemptStarted(long request, int attempt, BackendLoad load) implements RouterInput {}
 
   /**
    * An attempt has ended; exactly one per {@link RouterOutput.SendAttempt}.
    *
-   * @param load what the backend told of its load in this answer; null if nothing
+   * @param load what the backend told of its load in this answer; null if nothing, and for a stream that
+   *     has started: its head told it then
    * @param lastEventId id of the last whole event passed on to the client; -1 if none
    */
   record AttemptEnded(
--- a/src/main/java/slateslip/simulation/dataplane/DataPlaneHost.java
+++ b/src/main/java/slateslip/simulation/dataplane/DataPlaneHost.java
@@ -230,7 +230,7 @@
 
   private void begin(Exchange exchange, BackendCall call) {
     if (exchange.begun.add(call.attempt())) {
-      feed(new RouterInput.AttemptStarted(exchange.id, call.attempt()));
+      feed(new RouterInput.AttemptStarted(exchange.id, call.attempt(), null));
     }
   }
 
--- a/src/test/java/slateslip/dataplane/StreamsTest.java
+++ b/src/test/java/slateslip/dataplane/StreamsTest.java
@@ -1,6 +1,7 @@
 package slateslip.dataplane;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.nullValue;
@@ -15,6 +16,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import slateslip.dataplane.Stage.Answer;
+import slateslip.routing.RouterInput;
+import slateslip.routing.RouterInput.AttemptOutcome;
 
 /** Streams of events: passed on at once, whole, and taken up again. */
 class StreamsTest {
@@ -191,6 +194,31 @@
     assertThat(answer.header("X-Response-Stamp"), is("s1"));
   }
 
+  @Test
+  void tellsTheLoadOfAStreamsHeadWhenItStarts() throws IOException {
+    stage.backend(
+        (message, socket) -> {
+          Peer.write(
+              socket,
+              "HTTP/1.1 200 OK\r\n"
+                  + Stage.stamped(message)
+                  + "X-Backend-Load: 3,1,8\r\nContent-Type: text/event-stream\r\n"
+                  + "Transfer-Encoding: chunked\r\n\r\n");
+          Stage.chunk(socket, events(1, 2));
+          Stage.lastChunk(socket);
+        });
+    assertThat(stage.call("a1").complete(), is(true));
+    Stage.await(() -> stage.router.ends().size() == 1);
+    assertThat(
+        stage.router.inputs,
+        hasItem(new RouterInput.AttemptStarted(1, 0, new RouterInput.BackendLoad(3, 1, 8))));
+    assertThat(
+        stage.router.inputs,
+        hasItem(
+            new RouterInput.AttemptEnded(
+                1, 0, new AttemptOutcome(AttemptOutcome.Kind.SUCCESS, 200), null, 2)));
+  }
+
   @Test
   void anErrorAfterTheFirstEventBreaksOff() throws IOException {
     stage.backend(
--- a/src/test/java/slateslip/routing/RandomHost.java
+++ b/src/test/java/slateslip/routing/RandomHost.java
@@ -238,7 +238,7 @@
       case TIMEOUT -> schedule(15 * SECOND, ended(send.request(), send.attempt(), kind));
       default -> {
         if (starts) {
-          schedule(first, new RouterInput.AttemptStarted(send.request(), send.attempt()));
+          schedule(first, new RouterInput.AttemptStarted(send.request(), send.attempt(), null));
         }
         schedule(whole, ended(send.request(), send.attempt(), kind));
       }
