--- a/src/main/java/slateslip/routing/placement/Placement.java
+++ b/src/main/java/slateslip/routing/placement/Placement.java
@@ -19,7 +19,7 @@
  */
 public final class Placement {
   /** Backends of a key that are looked at first. */
-  private static final int FIRST_CHOICES = 2;
+  private static final int FIRST_CHOICES = 1;
 
   /** Part of the objective over which, at all first choices, the other backends are looked at too. */
   private static final double SPILL_PART = 0.4;
@@ -28,7 +28,7 @@
    * Part of the shared tokens that a key's first backend is taken to keep though this data plane has not sent
    * them there: the others have.
    */
-  private static final double KEPT_BY_OTHERS = 0.7;
+  private static final double KEPT_BY_OTHERS = 0.95;
 
   /** Time that staying in the zone is worth: 17 KB at 1,400 per GB cost 0.024, of a worth of 1 to 3. */
   private static final long OWN_ZONE_MICROS = 8_000;
--- a/src/test/java/slateslip/routing/RandomHost.java
+++ b/src/test/java/slateslip/routing/RandomHost.java
@@ -298,17 +298,38 @@
       all.addAll(host.firstArrivals.getOrDefault(service, List.of()));
       again.addAll(host.retries.getOrDefault(service, List.of()));
     }
+    all.sort(null);
+    again.sort(null);
     double worst = Double.NEGATIVE_INFINITY;
     for (long end : again) {
       long start = end - 10 * SECOND;
-      long requests = all.stream().filter(at -> at > start && at <= end).count();
-      long extra = again.stream().filter(at -> at > start && at <= end).count();
+      long requests = within(all, start, end);
+      long extra = within(again, start, end);
       worst = Math.max(worst, extra - (0.2 * requests + 52));
     }
     assertThat(statusesOf(hosts), everyItem(is(true)));
     return worst;
   }
 
+  /** Times after the start and up to the end, of sorted ones. */
+  private static long within(List<Long> sorted, long start, long end) {
+    return upTo(sorted, end) - upTo(sorted, start);
+  }
+
+  private static int upTo(List<Long> sorted, long end) {
+    int low = 0;
+    int high = sorted.size();
+    while (low < high) {
+      int middle = (low + high) / 2;
+      if (sorted.get(middle) <= end) {
+        low = middle + 1;
+      } else {
+        high = middle;
+      }
+    }
+    return low;
+  }
+
   private static List<Boolean> statusesOf(List<RandomHost> hosts) {
     return hosts.stream()
         .flatMap(host -> host.statuses.stream())
--- /dev/null
+++ b/src/test/java/slateslip/routing/health/BackendWatchTest.java
@@ -0,0 +1,121 @@
+package slateslip.routing.health;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import gatefront.policy.BackendHealth;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class BackendWatchTest {
+  private static final long MILLI = 1_000;
+  private static final long SECOND = 1_000 * MILLI;
+  private static final List<BackendHealth> NO_PEERS = List.of();
+
+  private final BackendWatch watch = new BackendWatch(0);
+
+  @Test
+  void oneFailedConnectionRaisesSuspicionAndOneProbeEndsIt() {
+    watch.connectFailed(SECOND, NO_PEERS);
+    assertThat(watch.trusted(SECOND), is(false));
+    assertThat("still available", watch.available(SECOND), is(true));
+    assertThat("probed at once", watch.probeDue(SECOND), is(true));
+    watch.probeSent(SECOND);
+    watch.probeSucceeded(SECOND + 2 * MILLI);
+    assertThat(watch.trusted(SECOND + 2 * MILLI), is(true));
+  }
+
+  @Test
+  void oneBrokenAnswerIsNoReasonButTwoInARowAre() {
+    watch.broke(SECOND, NO_PEERS);
+    assertThat(watch.trusted(SECOND), is(true));
+    assertThat("but it is probed", watch.probeDue(SECOND), is(true));
+    watch.answered(SECOND + MILLI);
+    watch.broke(SECOND + 2 * MILLI, NO_PEERS);
+    assertThat(watch.trusted(SECOND + 2 * MILLI), is(true));
+    watch.broke(SECOND + 3 * MILLI, NO_PEERS);
+    assertThat(watch.trusted(SECOND + 3 * MILLI), is(false));
+  }
+
+  @Test
+  void twoFailedProbesMakeItUnhealthyAndOneSuccessHealthy() {
+    watch.probeSent(SECOND);
+    watch.probeFailed();
+    assertThat(watch.available(SECOND), is(true));
+    watch.probeSent(2 * SECOND);
+    watch.probeFailed();
+    assertThat(watch.available(2 * SECOND), is(false));
+    watch.probeSent(3 * SECOND);
+    watch.probeSucceeded(3 * SECOND);
+    assertThat(watch.available(3 * SECOND), is(true));
+  }
+
+  @Test
+  void probesThatTimeOutAtABusyBackendProveNothing() {
+    for (int i = 1; i <= 5; i++) {
+      watch.probeSent(i * SECOND);
+      watch.answered(i * SECOND + MILLI);
+      watch.probeTimedOut();
+    }
+    assertThat(watch.trusted(6 * SECOND), is(true));
+  }
+
+  @Test
+  void probesThatTimeOutInSilenceMakeItUnhealthy() {
+    watch.probeSent(SECOND);
+    watch.probeTimedOut();
+    watch.probeSent(2 * SECOND);
+    watch.probeTimedOut();
+    assertThat(watch.available(2 * SECOND), is(false));
+  }
+
+  @Test
+  void aProbeTurnedAwayShowsThatItLives() {
+    watch.connectFailed(SECOND, NO_PEERS);
+    watch.probeSent(SECOND);
+    watch.probeTurnedAway(SECOND + MILLI);
+    assertThat(watch.trusted(SECOND + MILLI), is(true));
+  }
+
+  @Test
+  void aProbeWithoutReplyRaisesSuspicionBeforeItTimesOut() {
+    watch.doubt();
+    assertThat(watch.probeDue(SECOND), is(true));
+    watch.probeSent(SECOND);
+    assertThat(watch.checkSilence(SECOND + BackendWatch.PROBE_SILENT_MICROS - 1), is(false));
+    assertThat(watch.checkSilence(SECOND + BackendWatch.PROBE_SILENT_MICROS), is(true));
+    assertThat(watch.trusted(2 * SECOND), is(false));
+  }
+
+  @Test
+  void trafficSparesProbes() {
+    watch.answered(7 * SECOND);
+    assertThat(watch.probeDue(8 * SECOND), is(false));
+    assertThat(watch.probeDue(7 * SECOND + BackendWatch.IDLE_PROBE_MICROS), is(true));
+  }
+
+  @Test
+  void aSuspectIsProbedAtItsPace() {
+    watch.connectFailed(SECOND, NO_PEERS);
+    watch.probeSent(SECOND);
+    watch.probeFailed();
+    assertThat(watch.probeDue(SECOND + BackendWatch.SUSPECT_PROBE_MICROS - 1), is(false));
+    assertThat(watch.probeDue(SECOND + BackendWatch.SUSPECT_PROBE_MICROS), is(true));
+  }
+
+  @Test
+  void tooManyFailuresInTheWindowEjectItUntilReactivation() {
+    for (int i = 0; i < 6; i++) {
+      watch.answered(SECOND + i);
+    }
+    for (int i = 0; i < 3; i++) {
+      watch.timedOut(SECOND + 10 + i, SECOND + 5, NO_PEERS);
+    }
+    assertThat("nine requests are too few", watch.available(2 * SECOND), is(true));
+    watch.timedOut(SECOND + 20, SECOND + 5, NO_PEERS);
+    assertThat(watch.available(2 * SECOND), is(false));
+    long reactivated = SECOND + 20 + BackendWatch.PARAMETERS.reactivation();
+    assertThat(watch.available(reactivated - 1), is(false));
+    assertThat(watch.available(reactivated), is(true));
+  }
+}
--- /dev/null
+++ b/src/test/java/slateslip/routing/retry/RetryBudgetTest.java
@@ -0,0 +1,59 @@
+package slateslip.routing.retry;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class RetryBudgetTest {
+  private static final long SECOND = 1_000_000;
+  private static final RetryBounds BOUNDS = RetryBounds.DEFAULT;
+
+  @Test
+  void sumOverAgentsHoldsInEveryWindowWithHardlyAnyRequests() {
+    int agents = 6;
+    List<Long> spent = new ArrayList<>();
+    List<RetryBudget> budgets = new ArrayList<>();
+    for (int i = 0; i < agents; i++) {
+      budgets.add(new RetryBudget(BOUNDS));
+    }
+    Random random = new Random(7);
+    for (long now = 0; now < 60 * SECOND; now += SECOND / 100) {
+      if (budgets.get(random.nextInt(agents)).spend(now, agents)) {
+        spent.add(now);
+      }
+    }
+    for (long end : spent) {
+      long inWindow =
+          spent.stream().filter(at -> at > end - BOUNDS.windowMicros() && at <= end).count();
+      assertThat((double) inWindow, lessThanOrEqualTo(BOUNDS.slack()));
+    }
+  }
+
+  @Test
+  void whatIsSpentComesBackAfterTheWindow() {
+    RetryBudget budget = new RetryBudget(new RetryBounds(0, 10 * SECOND, 5));
+    int spent = 0;
+    while (budget.spend(0, 1)) {
+      spent++;
+    }
+    assertThat(spent, is(4));
+    assertThat(budget.spend(10 * SECOND, 1), is(false));
+    assertThat(budget.spend(10 * SECOND + 1, 1), is(true));
+  }
+
+  @Test
+  void requestsEarnTheirRatio() {
+    RetryBudget budget = new RetryBudget(new RetryBounds(0.2, 10 * SECOND, 0));
+    assertThat(budget.spend(0, 1), is(false));
+    for (int i = 0; i < 7; i++) {
+      budget.request(0);
+    }
+    assertThat(budget.spend(0, 1), is(true));
+    assertThat(budget.spend(0, 1), is(false));
+  }
+}
