--- a/src/test/java/slateslip/architecture/ArchitectureTest.java
+++ b/src/test/java/slateslip/architecture/ArchitectureTest.java
@@ -38,6 +38,8 @@
           Map.entry("distribution", Set.of("configuration")),
           Map.entry("protocol", Set.of("configuration", "coordination", "distribution")),
           Map.entry("routing", Set.of("configuration", "distribution", AGENT)),
+          Map.entry("experiment", Set.of("configuration", "distribution", "routing", "simulation")),
+          Map.entry("standin", Set.of("routing", "simulation")),
           Map.entry("cli", Set.of("configuration", "settings", "logging")),
           Map.entry(
               "dataplane",
@@ -78,7 +80,13 @@
 
   /** Packages of state machines: inputs -> outputs. */
   private static final List<String> DECISIONS =
-      List.of("configuration", "coordination", "distribution", "routing");
+      List.of(
+          "configuration",
+          "coordination",
+          "distribution",
+          "routing",
+          "simulation.dataplane",
+          "simulation.engine");
 
   private static final JavaClasses FLEET =
       new ClassFileImporter()
