--- a/src/main/java/slateslip/dataplane/subscription/SubscriptionClient.java
+++ b/src/main/java/slateslip/dataplane/subscription/SubscriptionClient.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import slateslip.distribution.TenantDemand;
 import slateslip.distribution.ToDataPlane;
@@ -41,6 +42,7 @@
   private final Listener listener;
   private final DistributionCodec codec = new DistributionCodec();
   private final Map<String, Channel> channels = new HashMap<>();
+  private final AtomicLong receivedBytes = new AtomicLong();
 
   /**
    * A client that does nothing before {@link #start}.
@@ -70,6 +72,11 @@
         TimeUnit.MILLISECONDS);
   }
 
+  /** Bytes of messages received so far, their length fields included; from any thread. */
+  public long receivedBytes() {
+    return receivedBytes.get();
+  }
+
   /** Other control agents are named by the settings. */
   public void seedsChanged(List<String> seeds) {
     feed(new SubscriptionInput.SeedsChanged(seeds));
@@ -144,6 +151,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
+      receivedBytes.addAndGet(Framing.LENGTH_BYTES + frame.readableBytes());
       if (channels.get(agent) != context.channel()) {
         return;
       }
--- a/src/scale/java/gatefront/scale/Slope.java
+++ b/src/scale/java/gatefront/scale/Slope.java
@@ -12,7 +12,7 @@
  * One figure measured at several sizes, several times each: a line through all sizes but the one held out,
  * which it predicts.
  */
-final class Slope {
+public final class Slope {
     private static final double THOUSAND = 1000;
 
     private final SortedMap<Integer, List<Double>> values = new TreeMap<>();
@@ -23,12 +23,12 @@
      *
      * @param heldOut the size that is not fitted but predicted; 0 for none
      */
-    Slope(int heldOut) {
+    public Slope(int heldOut) {
         this.heldOut = heldOut;
     }
 
     /** One run's figure; what is not a number counts as not measured. */
-    void add(int size, double value) {
+    public void add(int size, double value) {
         List<Double> all = values.computeIfAbsent(size, each -> new ArrayList<>());
         if (!Double.isNaN(value)) {
             all.add(value);
@@ -36,7 +36,7 @@
     }
 
     /** The columns of {@link #row}, for the sizes given. */
-    static List<String> header(String first, Set<Integer> sizes, int heldOut) {
+    public static List<String> header(String first, Set<Integer> sizes, int heldOut) {
         List<String> header = new ArrayList<>(List.of(first));
         new TreeSet<>(sizes).forEach(size -> header.add(size + (size == heldOut ? " held out" : "")));
         header.addAll(List.of("at 0", "per 1000", "error", "predicted", "miss %", "last exponent"));
@@ -44,7 +44,7 @@
     }
 
     /** The least and most at each size, the line, what it says for the size held out and its miss. */
-    List<String> row(String name, int places) {
+    public List<String> row(String name, int places) {
         List<String> row = new ArrayList<>(List.of(name));
         values.forEach((size, all) -> row.add(
             Report.number(stream(size).min().orElse(Double.NaN), places) + " to "
@@ -60,7 +60,7 @@
     }
 
     /** The line through all runs of all sizes but the one held out. */
-    LeastSquares line() {
+    public LeastSquares line() {
         DoubleStream.Builder sizes = DoubleStream.builder();
         DoubleStream.Builder measured = DoubleStream.builder();
         values.forEach((size, all) -> all.stream().filter(value -> size != heldOut).forEach(value -> {
