--- a/src/main/java/slateslip/routing/health/BackendWatch.java
+++ b/src/main/java/slateslip/routing/health/BackendWatch.java
@@ -104,7 +104,7 @@
     failed(nowMicros, peers);
   }
 
-  /** A request has waited for long, with nothing heard since; a probe tells a slow backend from a dead one. */
+  /** A request has waited long with nothing heard since; a probe tells a slow backend from a dead one. */
   public void doubt() {
     probeWanted = true;
   }
