Control plane: an agent that reaches no majority acknowledges no renewals

Cause: a backend that renews at an agent that is cut off stays with it, as it is acknowledged; the others hear nothing and let the session expire, so data planes drop a backend that lives. Found by reading, not by a run. Change: 503, and the backend calls another agent. Test: one agent of three that is left alone sends backends and operators away.

--- a/deploy/class-archives.sh
+++ b/deploy/class-archives.sh
@@ -31,7 +31,7 @@
   > "$training/command" 2>&1 || cat "$training/command" >&2
 kill -TERM "$agent"
 wait "$agent" || true
-test -s target/slateslip-controlplane.jsa
+test -s target/slateslip-controlplane.jsa || { echo "no class archive, see $training/log" >&2; exit 1; }
 
 SLATESLIP_CONFIG=deploy/archive/dataplane.conf timeout -s TERM 5 \
   java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Dio.netty.machineId=02:00:00:00:00:01 \
--- a/src/main/java/slateslip/controlplane/SessionService.java
+++ b/src/main/java/slateslip/controlplane/SessionService.java
@@ -52,7 +52,11 @@
     replication = new SessionReplication(table);
   }
 
-  /** A backend's call; {@code acknowledged} is told once whether it is. */
+  /**
+   * A backend's call; {@code acknowledged} is told once whether it is. It is not by an agent that
+   * reaches no majority: the others do not hear of the call and would let the session expire, so the
+   * backend has to call one of them.
+   */
   void heartbeat(BackendSession session, Consumer<Boolean> acknowledged) {
     HeartbeatResult result = table.heartbeat(clock.micros(), session);
     if (result == HeartbeatResult.RENEWED) {
@@ -65,7 +69,7 @@
     if (result == HeartbeatResult.CHANGED) {
       changed(0, session.id());
     }
-    acknowledged.accept(true);
+    acknowledged.accept(majority.isReached());
   }
 
   /** A backend says that it is gone. */
--- a/src/test/java/slateslip/controlplane/ControlPlaneFleetTest.java
+++ b/src/test/java/slateslip/controlplane/ControlPlaneFleetTest.java
@@ -19,6 +19,7 @@
 /** Three control agents on loopback: calls at any of them, and data planes at each. */
 class ControlPlaneFleetTest {
   private static final int AGENTS = 3;
+  private static final int MANY_CALLS = 100_000;
 
   @TempDir Path folder;
   private ControlPlaneStage stage;
@@ -111,6 +112,21 @@
     }
   }
 
+  @Test
+  void anAgentWithoutAMajoritySendsBackendsAndOperatorsAway() throws Exception {
+    assertThat(instance(2, "PUT", "i-1", OperatorDocuments.instance("ready", 1)), is(200));
+    stage.stop(0);
+    stage.stop(1);
+    int answer = 200;
+    for (int sequence = 2; answer == 200 && sequence < MANY_CALLS; sequence++) {
+      String body = OperatorDocuments.instance("ready", sequence);
+      answer = stage.call(2, "PUT", "/instances/i-1", null, body).statusCode();
+    }
+    assertThat(answer, is(503));
+    assertThat(stage.call(2, "DELETE", "/instances/i-1", null, null).statusCode(), is(503));
+    assertThat(stage.call(2, "GET", "/config", null, null).statusCode(), is(503));
+  }
+
   private static boolean isRegistered(ToDataPlane message, String id) {
     if (message instanceof ToDataPlane.SessionDelta delta) {
       return delta.changed().stream().anyMatch(session -> session.id().equals(id));
