--- a/src/main/java/slateslip/controlplane/SessionService.java
+++ b/src/main/java/slateslip/controlplane/SessionService.java
@@ -54,8 +54,8 @@
 
   /**
    * A backend's call; {@code acknowledged} is told once whether it is. It is not by an agent that
-   * reaches no majority: the others do not hear of the call and would let the session expire, so the
-   * backend has to call one of them.
+   * reaches no majority: the others do not hear of the call and would let the session expire, so
+   * the backend has to call one of them.
    */
   void heartbeat(BackendSession session, Consumer<Boolean> acknowledged) {
     HeartbeatResult result = table.heartbeat(clock.micros(), session);
