--- a/src/main/java/slateslip/dataplane/DataPlane.java
+++ b/src/main/java/slateslip/dataplane/DataPlane.java
@@ -32,7 +32,10 @@
 public final class DataPlane {
   private static final Logger LOG = Logger.getLogger(DataPlane.class);
 
-  /** Descriptors that the settings keep for files, and those for listeners, control agents and the runtime. */
+  /**
+   * Descriptors that the settings keep for files, and those for listeners, control agents and the
+   * runtime.
+   */
   private static final int DESCRIPTORS_RESERVED = 264;
 
   /** Where the settings name no limit. */
@@ -62,16 +65,12 @@
         new Forwarder(loop, router, DataPlane::nowMicros, pools, metrics, random.nextLong());
     DataPlaneIdentity identity =
         new DataPlaneIdentity(
-            settings.node(),
-            random.nextLong(),
-            settings.zone(),
-            settings.ip().getHostAddress());
+            settings.node(), random.nextLong(), settings.zone(), settings.ip().getHostAddress());
     subscription = new Subscription(identity, seeds(settings));
     client =
         new SubscriptionClient(
             loop, subscription, settings.ports().first(), router::demand, this::learnt);
-    status =
-        new StatusServer(loop, settings.readyListen(), this::isReady, this::metricsText);
+    status = new StatusServer(loop, settings.readyListen(), this::isReady, this::metricsText);
     ingress = new ClientIngress(loop, settings.frontListen(), connectionsMost(), forwarder);
   }
 
@@ -173,9 +172,7 @@
   }
 
   private void end() {
-    group
-        .shutdownGracefully(0, 200, TimeUnit.MILLISECONDS)
-        .addListener(done -> ended.countDown());
+    group.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS).addListener(done -> ended.countDown());
   }
 
   /** Waits until it has ended. */
--- a/src/main/java/slateslip/dataplane/Departure.java
+++ b/src/main/java/slateslip/dataplane/Departure.java
@@ -6,13 +6,13 @@
 import slateslip.dataplane.ingress.ClientIngress;
 
 /**
- * The end of a process in order. It serves on while clients may still be sent here, then closes connections that rest,
- * and ends when none is left, or just before the grace period is over.
+ * The end of a process in order. It serves on while clients may still be sent here, then closes
+ * connections that rest, and ends when none is left, or just before the grace period is over.
  */
 final class Departure {
   /**
-   * How long the platform may still send new connections here: it asks for readiness once a second and goes by the
-   * second miss.
+   * How long the platform may still send new connections here: it asks for readiness once a second
+   * and goes by the second miss.
    */
   private static final long SERVE_ON_MILLIS = 2_500;
 
@@ -34,11 +34,7 @@
   private boolean closing;
 
   Departure(
-      EventLoop loop,
-      ClientIngress ingress,
-      Forwarder forwarder,
-      long graceMillis,
-      Runnable end) {
+      EventLoop loop, ClientIngress ingress, Forwarder forwarder, long graceMillis, Runnable end) {
     this.loop = loop;
     this.ingress = ingress;
     this.forwarder = forwarder;
--- a/src/main/java/slateslip/dataplane/HeaderNames.java
+++ b/src/main/java/slateslip/dataplane/HeaderNames.java
@@ -5,7 +5,9 @@
 import io.netty.util.AsciiString;
 import java.util.List;
 
-/** Names of headers that the data plane reads, sets or removes, and the rule of what passes a hop. */
+/**
+ * Names of headers that the data plane reads, sets or removes, and the rule of what passes a hop.
+ */
 public final class HeaderNames {
   /** The client's id of one try; a backend returns it. */
   public static final AsciiString ATTEMPT_ID = AsciiString.cached("X-Attempt-Id");
--- a/src/main/java/slateslip/dataplane/backend/AnswerReader.java
+++ b/src/main/java/slateslip/dataplane/backend/AnswerReader.java
@@ -22,8 +22,8 @@
 import slateslip.routing.RouterInput.BackendLoad;
 
 /**
- * Turns what arrives on a backend connection into the outcome of its attempt. An answer counts only if it carries
- * the id of the request, and a success only with a stamp and whole.
+ * Turns what arrives on a backend connection into the outcome of its attempt. An answer counts only
+ * if it carries the id of the request, and a success only with a stamp and whole.
  */
 final class AnswerReader extends SimpleChannelInboundHandler<HttpObject> {
   /** Longest answer that is no stream; it is collected whole before it goes on. */
@@ -241,7 +241,8 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    // before the close: an answer whose length is told by the end of its connection is not whole then
+    // before the close: an answer whose length is told by the end of its connection is not whole
+    // then
     if (connection.attempt != null) {
       connection.attempt.broken();
     }
--- a/src/main/java/slateslip/dataplane/backend/AttemptListener.java
+++ b/src/main/java/slateslip/dataplane/backend/AttemptListener.java
@@ -3,7 +3,10 @@
 import slateslip.dataplane.stream.StreamEvent;
 import slateslip.routing.RouterInput.BackendLoad;
 
-/** What is told of one attempt; all on the event loop, and never from within the call that started it. */
+/**
+ * What is told of one attempt; all on the event loop, and never from within the call that started
+ * it.
+ */
 public interface AttemptListener {
   /**
    * The head of a stream has come; its events follow.
--- a/src/main/java/slateslip/dataplane/backend/BackendAttempt.java
+++ b/src/main/java/slateslip/dataplane/backend/BackendAttempt.java
@@ -21,7 +21,10 @@
   /** How long a connection may take to come up. */
   private static final int CONNECT_MILLIS = 600;
 
-  /** After this a second one is dialled beside it: a lost opening packet is sent again only after seconds. */
+  /**
+   * After this a second one is dialled beside it: a lost opening packet is sent again only after
+   * seconds.
+   */
   private static final int CONNECT_LATE_MILLIS = 60;
 
   /** A kept connection that breaks so soon after a write was dead before it. */
@@ -91,9 +94,7 @@
     pool.connecting(this);
     dial(CONNECT_MILLIS);
     if (!ended) {
-      pools
-          .loop()
-          .schedule(this::dialAgain, CONNECT_LATE_MILLIS, TimeUnit.MILLISECONDS);
+      pools.loop().schedule(this::dialAgain, CONNECT_LATE_MILLIS, TimeUnit.MILLISECONDS);
     }
   }
 
@@ -145,13 +146,16 @@
     message.headers().set(request.headers());
     boolean bodiless =
         request.body().length == 0
-            && (request.method().equals(HttpMethod.GET) || request.method().equals(HttpMethod.HEAD));
+            && (request.method().equals(HttpMethod.GET)
+                || request.method().equals(HttpMethod.HEAD));
     if (!bodiless) {
       message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
     }
     if (request.deadlineMillis() > 0) {
       long passed = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos);
-      message.headers().set(HeaderNames.DEADLINE_MS, Math.max(1, request.deadlineMillis() - passed));
+      message
+          .headers()
+          .set(HeaderNames.DEADLINE_MS, Math.max(1, request.deadlineMillis() - passed));
     }
     to.channel
         .writeAndFlush(message)
@@ -159,7 +163,9 @@
             done -> {
               written |= done.isSuccess();
               if (!done.isSuccess()) {
-                end(AttemptOutcome.Kind.NOT_SENT); // its last byte never left, so it cannot have begun
+                end(
+                    AttemptOutcome.Kind
+                        .NOT_SENT); // its last byte never left, so it cannot have begun
               }
             });
   }
--- a/src/main/java/slateslip/dataplane/backend/BackendPool.java
+++ b/src/main/java/slateslip/dataplane/backend/BackendPool.java
@@ -36,7 +36,10 @@
     return retired;
   }
 
-  /** Takes the most recently used connection that is open, silent and not old; null if there is none. */
+  /**
+   * Takes the most recently used connection that is open, silent and not old; null if there is
+   * none.
+   */
   BackendConnection take(long learntLimitNanos) {
     while (!idle.isEmpty()) {
       BackendConnection connection = idle.pollFirst();
--- a/src/main/java/slateslip/dataplane/backend/BackendPools.java
+++ b/src/main/java/slateslip/dataplane/backend/BackendPools.java
@@ -25,7 +25,10 @@
 import slateslip.dataplane.HeaderNames;
 import slateslip.distribution.BackendSession;
 
-/** The connections to all backends, within the limits of the process and of each backend. On the event loop. */
+/**
+ * The connections to all backends, within the limits of the process and of each backend. On the
+ * event loop.
+ */
 public final class BackendPools {
   private static final byte[] NO_BODY = new byte[0];
   private static final long SWEEP_SECONDS = 1;
@@ -33,7 +36,10 @@
   /** However long backends keep idle connections, none is kept for longer. */
   private static final long KEEP_MOST_NANOS = TimeUnit.SECONDS.toNanos(60);
 
-  /** Part of its even share of a backend's connections that a data plane takes: shares are never even. */
+  /**
+   * Part of its even share of a backend's connections that a data plane takes: shares are never
+   * even.
+   */
   private static final double SHARE_PART = 0.9;
 
   /** However many data planes there are, each may have so many connections to a backend. */
@@ -62,10 +68,7 @@
     this.connectionsMost = connectionsMost;
     this.metrics = metrics;
     this.bootstrap =
-        new Bootstrap()
-            .group(loop)
-            .channelFactory(sockets)
-            .option(ChannelOption.TCP_NODELAY, true);
+        new Bootstrap().group(loop).channelFactory(sockets).option(ChannelOption.TCP_NODELAY, true);
     loop.scheduleWithFixedDelay(this::closeOld, SWEEP_SECONDS, SWEEP_SECONDS, TimeUnit.SECONDS);
   }
 
@@ -146,7 +149,8 @@
   }
 
   private String healthPath(BackendPool pool) {
-    Service service = pool == null || table == null ? null : table.service(pool.service).orElse(null);
+    Service service =
+        pool == null || table == null ? null : table.service(pool.service).orElse(null);
     return service == null ? DEFAULT_HEALTH_PATH : service.healthPath();
   }
 
@@ -198,7 +202,10 @@
     return Math.max(CONNECTIONS_LEAST, (int) (SHARE_PART * service.maxConnections() / agents));
   }
 
-  /** Makes room under the limit of the process by closing the connection that has been idle for longest. */
+  /**
+   * Makes room under the limit of the process by closing the connection that has been idle for
+   * longest.
+   */
   private boolean hasRoom() {
     if (connections < connectionsMost) {
       return true;
--- a/src/main/java/slateslip/dataplane/backend/package-info.java
+++ b/src/main/java/slateslip/dataplane/backend/package-info.java
@@ -1,2 +1,5 @@
-/** Connections to backends: a pool, one request a connection, attempts and probes with their outcomes. */
+/**
+ * Connections to backends: a pool, one request a connection, attempts and probes with their
+ * outcomes.
+ */
 package slateslip.dataplane.backend;
--- a/src/main/java/slateslip/dataplane/forwarding/Forwarder.java
+++ b/src/main/java/slateslip/dataplane/forwarding/Forwarder.java
@@ -25,7 +25,10 @@
 import slateslip.routing.RouterInput;
 import slateslip.routing.RouterOutput;
 
-/** Holds the requests that are under way, and carries out the router's outputs for them. On the event loop. */
+/**
+ * Holds the requests that are under way, and carries out the router's outputs for them. On the
+ * event loop.
+ */
 public final class Forwarder implements IngressListener {
   private static final int ATTEMPT_ID_DIGITS = 16;
 
@@ -156,8 +159,7 @@
       throw new IllegalStateException("attempt for a request that is over: " + send);
     }
     var relay =
-        new AttemptRelay(
-            forwarded, send.attempt(), driver, metrics, () -> forgetIfDone(forwarded));
+        new AttemptRelay(forwarded, send.attempt(), driver, metrics, () -> forgetIfDone(forwarded));
     BackendAttempt attempt = pools.send(send.backendId(), outgoing(forwarded, send), relay);
     forwarded.attempts.put(send.attempt(), attempt);
   }
@@ -228,8 +230,7 @@
 
   private void cancel(RouterOutput.CancelAttempt cancel) {
     ForwardedRequest forwarded = open.get(cancel.request());
-    BackendAttempt attempt =
-        forwarded == null ? null : forwarded.attempts.get(cancel.attempt());
+    BackendAttempt attempt = forwarded == null ? null : forwarded.attempts.get(cancel.attempt());
     if (attempt != null) {
       attempt.cancel();
     }
--- a/src/main/java/slateslip/dataplane/forwarding/RouterDriver.java
+++ b/src/main/java/slateslip/dataplane/forwarding/RouterDriver.java
@@ -11,7 +11,10 @@
 import slateslip.routing.RouterInput;
 import slateslip.routing.RouterOutput;
 
-/** Feeds a router its inputs in order, has its outputs carried out, and wakes it when it asks for it. */
+/**
+ * Feeds a router its inputs in order, has its outputs carried out, and wakes it when it asks for
+ * it.
+ */
 public final class RouterDriver {
   private final RequestRouter router;
   private final EventLoop loop;
--- a/src/main/java/slateslip/dataplane/forwarding/package-info.java
+++ b/src/main/java/slateslip/dataplane/forwarding/package-info.java
@@ -1,2 +1,4 @@
-/** Carries out what the router decides: attempts, answers, streams that go on at another backend. */
+/**
+ * Carries out what the router decides: attempts, answers, streams that go on at another backend.
+ */
 package slateslip.dataplane.forwarding;
--- a/src/main/java/slateslip/dataplane/ingress/ClientConnection.java
+++ b/src/main/java/slateslip/dataplane/ingress/ClientConnection.java
@@ -29,8 +29,8 @@
 import slateslip.dataplane.HeaderNames;
 
 /**
- * One client connection: reads requests whole, has them answered one after the other. What is no request is
- * answered with an error in its turn, and the connection ends.
+ * One client connection: reads requests whole, has them answered one after the other. What is no
+ * request is answered with an error in its turn, and the connection ends.
  */
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
   /** What a connection is at, as far as its time is limited. */
@@ -50,7 +50,10 @@
   /** Requests read ahead behind the one being answered, before reading pauses. */
   private static final int AHEAD_MOST = 16;
 
-  /** How long a connection with unread bytes is kept after its last answer, so that no reset overtakes it. */
+  /**
+   * How long a connection with unread bytes is kept after its last answer, so that no reset
+   * overtakes it.
+   */
   private static final long LINGER_MILLIS = 500;
 
   private record Asked(ClientRequest request, HttpResponseStatus error, boolean keepAlive) {}
--- a/src/main/java/slateslip/dataplane/ingress/ClientExchange.java
+++ b/src/main/java/slateslip/dataplane/ingress/ClientExchange.java
@@ -15,7 +15,10 @@
 import java.util.Locale;
 import slateslip.dataplane.HeaderNames;
 
-/** One request and the answer that it is owed. What comes after the end, or after the client left, is dropped. */
+/**
+ * One request and the answer that it is owed. What comes after the end, or after the client left,
+ * is dropped.
+ */
 public final class ClientExchange {
   private static final double MICROS_PER_SECOND = 1e6;
 
@@ -40,7 +43,9 @@
     return begun;
   }
 
-  /** Whether nothing more can be written: the answer is complete, broken off, or the client is gone. */
+  /**
+   * Whether nothing more can be written: the answer is complete, broken off, or the client is gone.
+   */
   public boolean isEnded() {
     return ended || !connection.owes(this);
   }
@@ -59,11 +64,12 @@
     if (isEnded() || begun) {
       return;
     }
-    var response =
-        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+    var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
     if (retryAfterMicros > 0) {
       double seconds = retryAfterMicros / MICROS_PER_SECOND;
-      response.headers().set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", seconds));
+      response
+          .headers()
+          .set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", seconds));
     }
     if (!attemptId.isEmpty()) {
       response.headers().set(HeaderNames.ATTEMPT_ID, attemptId);
--- a/src/main/java/slateslip/dataplane/ingress/ClientIngress.java
+++ b/src/main/java/slateslip/dataplane/ingress/ClientIngress.java
@@ -18,7 +18,10 @@
 import java.util.concurrent.TimeUnit;
 import slateslip.configuration.IngressLimits;
 
-/** Listens for clients, and keeps their connections within time, number and memory. On the event loop. */
+/**
+ * Listens for clients, and keeps their connections within time, number and memory. On the event
+ * loop.
+ */
 public final class ClientIngress {
   /** When a client that found no memory should come back. */
   static final long RETRY_AFTER_MICROS = 250_000;
@@ -103,9 +106,10 @@
   public long pendingBytes() {
     long bytes = 0;
     for (ClientConnection connection : connections) {
-      bytes += connection.channel().unsafe().outboundBuffer() == null
-          ? 0
-          : connection.channel().unsafe().outboundBuffer().totalPendingWriteBytes();
+      bytes +=
+          connection.channel().unsafe().outboundBuffer() == null
+              ? 0
+              : connection.channel().unsafe().outboundBuffer().totalPendingWriteBytes();
     }
     return bytes;
   }
--- a/src/main/java/slateslip/dataplane/ingress/ClientRequest.java
+++ b/src/main/java/slateslip/dataplane/ingress/ClientRequest.java
@@ -9,8 +9,8 @@
  *
  * @param method as sent
  * @param uri path and query as sent
- * @param headers those that a backend may receive; what concerns one connection or is the data plane's to set is
- *     left out
+ * @param headers those that a backend may receive; what concerns one connection or is the data
+ *     plane's to set is left out
  * @param body whole body; empty if there is none
  * @param facts what the request says of itself
  */
--- a/src/main/java/slateslip/dataplane/status/StatusServer.java
+++ b/src/main/java/slateslip/dataplane/status/StatusServer.java
@@ -31,7 +31,10 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
-/** Answers {@code GET /ready} (200 or 503) and {@code GET /metrics} (Prometheus text). On the event loop. */
+/**
+ * Answers {@code GET /ready} (200 or 503) and {@code GET /metrics} (Prometheus text). On the event
+ * loop.
+ */
 public final class StatusServer {
   private static final int LINE_BYTES_MOST = 1024;
   private static final int HEAD_BYTES_MOST = 8192;
--- a/src/main/java/slateslip/dataplane/stream/EventSplitter.java
+++ b/src/main/java/slateslip/dataplane/stream/EventSplitter.java
@@ -6,7 +6,9 @@
 import java.util.Arrays;
 import java.util.function.Consumer;
 
-/** Cuts the bytes of a {@code text/event-stream} into whole events; keeps back what is not whole. */
+/**
+ * Cuts the bytes of a {@code text/event-stream} into whole events; keeps back what is not whole.
+ */
 public final class EventSplitter {
   /** Longest event; a stream with a longer one is broken. */
   public static final int EVENT_BYTES_MOST = 1 << 20;
--- a/src/main/java/slateslip/dataplane/subscription/DataPlaneIdentity.java
+++ b/src/main/java/slateslip/dataplane/subscription/DataPlaneIdentity.java
@@ -14,8 +14,9 @@
   private static final int HASH_FACTOR = 0x9e37_79b1;
 
   /**
-   * Preference among control agents; lower is better. Addresses that share more leading parts with this one's are
-   * taken to be nearer, as deployments number their zones; among equals each data plane has an order of its own.
+   * Preference among control agents; lower is better. Addresses that share more leading parts with
+   * this one's are taken to be nearer, as deployments number their zones; among equals each data
+   * plane has an order of its own.
    */
   long rank(String agent) {
     long distance = 4L - commonParts(agent);
--- a/src/main/java/slateslip/dataplane/subscription/SessionTable.java
+++ b/src/main/java/slateslip/dataplane/subscription/SessionTable.java
@@ -10,8 +10,8 @@
 import slateslip.distribution.BackendSession;
 
 /**
- * Registered backends as control agents tell of them. Of one incarnation only what is newer counts, so that an agent
- * that lags behind brings back neither a backend that is gone nor one that drains.
+ * Registered backends as control agents tell of them. Of one incarnation only what is newer counts,
+ * so that an agent that lags behind brings back neither a backend that is gone nor one that drains.
  */
 final class SessionTable {
   /** How long a backend that is gone is remembered. */
--- a/src/main/java/slateslip/dataplane/subscription/Subscription.java
+++ b/src/main/java/slateslip/dataplane/subscription/Subscription.java
@@ -14,16 +14,20 @@
 import slateslip.distribution.ToDataPlane;
 
 /**
- * Keeps streams to up to three control agents, one of them active: it carries configurations, sessions and shares,
- * the others heartbeats. A state machine without sockets, clocks or threads.
+ * Keeps streams to up to three control agents, one of them active: it carries configurations,
+ * sessions and shares, the others heartbeats. A state machine without sockets, clocks or threads.
  *
- * <p>Versions of the configuration only rise. What was learnt last stays while no control agent can be reached.
+ * <p>Versions of the configuration only rise. What was learnt last stays while no control agent can
+ * be reached.
  */
 public final class Subscription {
   /** Streams that are kept. */
   private static final int STREAMS = 3;
 
-  /** A stream on which nothing came for so long is dead; agents send heartbeats several times a second. */
+  /**
+   * A stream on which nothing came for so long is dead; agents send heartbeats several times a
+   * second.
+   */
   private static final long SILENT_MILLIS = 700;
 
   /** How long a stream may take to come up. */
@@ -32,10 +36,15 @@
   /** By how much the active agent may lag behind another's configuration. */
   private static final long BEHIND_MILLIS = 200;
 
-  /** How long a preferred agent has to be good before it takes over from one that is good as well. */
+  /**
+   * How long a preferred agent has to be good before it takes over from one that is good as well.
+   */
   private static final long PREFERRED_MILLIS = 3_000;
 
-  /** Two ticks that are further apart mean that this process was held up, not that its peers were silent. */
+  /**
+   * Two ticks that are further apart mean that this process was held up, not that its peers were
+   * silent.
+   */
   private static final long HELD_UP_MILLIS = 300;
 
   private static final long DEMAND_MILLIS = 250;
@@ -128,7 +137,11 @@
     send(
         stream,
         new ToControl.Subscribe(
-            identity.node(), identity.incarnation(), identity.zone(), configurationVersion(), asActive));
+            identity.node(),
+            identity.incarnation(),
+            identity.zone(),
+            configurationVersion(),
+            asActive));
   }
 
   private void send(ControlStream stream, ToControl message) {
@@ -169,12 +182,18 @@
   /** Opens streams: to three agents, and to a preferred one in place of another. */
   private void dial(long now) {
     Set<String> candidates = candidates();
-    streams.values().removeIf(
-        stream -> stream.state == ControlStream.State.CLOSED && !candidates.contains(stream.agent));
+    streams
+        .values()
+        .removeIf(
+            stream ->
+                stream.state == ControlStream.State.CLOSED && !candidates.contains(stream.agent));
     candidates.forEach(agent -> streams.computeIfAbsent(agent, this::newStream));
     List<ControlStream> wanted =
         streams.values().stream().sorted(Comparator.comparingLong(stream -> stream.rank)).toList();
-    long inUse = streams.values().stream().filter(stream -> stream.state != ControlStream.State.CLOSED).count();
+    long inUse =
+        streams.values().stream()
+            .filter(stream -> stream.state != ControlStream.State.CLOSED)
+            .count();
     int place = 0;
     for (ControlStream stream : wanted) {
       boolean preferred = place++ < STREAMS;
@@ -201,7 +220,8 @@
   }
 
   private ControlStream newStream(String agent) {
-    return new ControlStream(agent, identity.rank(agent), identity.incarnation() + agent.hashCode());
+    return new ControlStream(
+        agent, identity.rank(agent), identity.incarnation() + agent.hashCode());
   }
 
   private void closeSuperfluous(long now) {
@@ -229,7 +249,8 @@
     }
     if (active == null || !active.isCurrent() && best.isCurrent()) {
       activate(best);
-    } else if (best.configurationVersion() > Math.max(configurationVersion(), active.configurationVersion())) {
+    } else if (best.configurationVersion()
+        > Math.max(configurationVersion(), active.configurationVersion())) {
       behindSinceMillis = Math.min(behindSinceMillis, now);
       if (now - behindSinceMillis >= BEHIND_MILLIS) {
         activate(best);
@@ -239,7 +260,9 @@
     }
   }
 
-  /** The open stream that knows most, with the lowest rank of those; null if no heartbeat has come. */
+  /**
+   * The open stream that knows most, with the lowest rank of those; null if no heartbeat has come.
+   */
   private ControlStream best(long now) {
     ControlStream best = null;
     for (ControlStream stream : streams.values()) {
--- a/src/main/java/slateslip/dataplane/subscription/SubscriptionClient.java
+++ b/src/main/java/slateslip/dataplane/subscription/SubscriptionClient.java
@@ -23,7 +23,10 @@
 import slateslip.protocol.Framing;
 import slateslip.protocol.distribution.DistributionCodec;
 
-/** Carries out what a {@link Subscription} asks for: TCP streams to control agents. On the event loop. */
+/**
+ * Carries out what a {@link Subscription} asks for: TCP streams to control agents. On the event
+ * loop.
+ */
 public final class SubscriptionClient {
   /** What is learnt. */
   public interface Listener {
--- a/src/test/java/slateslip/dataplane/BackendsTest.java
+++ b/src/test/java/slateslip/dataplane/BackendsTest.java
@@ -132,14 +132,16 @@
             });
     assertThat(stage.call("a1").body(), is("mine"));
     assertThat(stage.call("a2").body(), is("mine"));
-    assertThat(backend.sockets.size(), is(2)); // a connection with surplus answers is not used again
+    assertThat(
+        backend.sockets.size(), is(2)); // a connection with surplus answers is not used again
     stage.onLoop(() -> assertThat(stage.metrics.surplusAnswers, is(2L)));
   }
 
   @Test
   void reusesAConnectionThatIsKept() throws IOException {
     Peer backend =
-        stage.backend((message, socket) -> Stage.serve(message, socket, "Keep-Alive: timeout=60\r\n", "x"));
+        stage.backend(
+            (message, socket) -> Stage.serve(message, socket, "Keep-Alive: timeout=60\r\n", "x"));
     stage.call("a1");
     stage.call("a2");
     stage.call("a3");
@@ -151,7 +153,8 @@
     Peer backend =
         stage.backend(
             (message, socket) ->
-                Stage.serve(message, socket, "Keep-Alive: timeout=60\r\nConnection: close\r\n", "x"));
+                Stage.serve(
+                    message, socket, "Keep-Alive: timeout=60\r\nConnection: close\r\n", "x"));
     stage.call("a1");
     stage.call("a2");
     assertThat(backend.sockets.size(), is(2));
@@ -189,7 +192,8 @@
 
   @Test
   void givesUpOnASilentBackendInTime() throws IOException {
-    stage.router.firstEventTimeoutMicros = 1_000_000; // well above what a connection takes to come up
+    stage.router.firstEventTimeoutMicros =
+        1_000_000; // well above what a connection takes to come up
     Peer silent = stage.backend((message, socket) -> {});
     assertThat(stage.call("a1").status(), is(502));
     awaitEnds(TIMEOUT);
@@ -200,7 +204,8 @@
   void sendsNothingNewToABackendThatDrains() throws IOException {
     stage.router.repeatable = false;
     Peer backend =
-        stage.backend((message, socket) -> Stage.serve(message, socket, "Keep-Alive: timeout=60\r\n", "x"));
+        stage.backend(
+            (message, socket) -> Stage.serve(message, socket, "Keep-Alive: timeout=60\r\n", "x"));
     stage.call("a1");
     stage.onLoop(() -> stage.pools.backendsChanged(List.of()));
     Stage.await(() -> backend.ended.size() == 1); // nothing is kept for it
@@ -224,15 +229,15 @@
   void readsWhatAProbeFinds() throws Exception {
     stage.backend((message, socket) -> Peer.answer(socket, 200, "X-Instance-Id: b-1\r\n", ""));
     stage.backend((message, socket) -> Peer.answer(socket, 503, "X-Instance-Id: b-2\r\n", ""));
-    stage.backend(
-        (message, socket) -> Peer.answer(socket, 503, "X-Not-Executed: 1\r\n", ""));
+    stage.backend((message, socket) -> Peer.answer(socket, 503, "X-Not-Executed: 1\r\n", ""));
     stage.backend((message, socket) -> Peer.answer(socket, 200, "X-Instance-Id: b-9\r\n", ""));
     stage.deadBackend();
     List<ProbeOutcome> outcomes = new java.util.concurrent.CopyOnWriteArrayList<>();
     for (int i = 1; i <= 5; i++) {
       int known = outcomes.size();
       String id = "b-" + i;
-      stage.onLoop(() -> stage.pools.probe(id, (ProbeResult result) -> outcomes.add(result.outcome())));
+      stage.onLoop(
+          () -> stage.pools.probe(id, (ProbeResult result) -> outcomes.add(result.outcome())));
       Stage.await(() -> outcomes.size() > known);
     }
     assertThat(
--- a/src/test/java/slateslip/dataplane/ClientsTest.java
+++ b/src/test/java/slateslip/dataplane/ClientsTest.java
@@ -123,7 +123,9 @@
     Socket socket = stage.dial();
     Peer.write(
         socket,
-        Stage.request("a1", "", "one") + Stage.request("a2", "", "two") + Stage.request("a3", "", "3"));
+        Stage.request("a1", "", "one")
+            + Stage.request("a2", "", "two")
+            + Stage.request("a3", "", "3"));
     for (String expected : List.of("one", "two", "3")) {
       assertThat(Answer.read(socket.getInputStream()).body(), is(expected));
     }
@@ -210,8 +212,7 @@
     Stage.await(() -> backend.ended.size() == 1);
     Stage.await(() -> stage.router.got(RouterInput.ClientGone.class));
     Stage.await(() -> stage.router.ends().size() == 1);
-    assertThat(
-        stage.router.ends(), contains(RouterInput.AttemptOutcome.Kind.CANCELLED));
+    assertThat(stage.router.ends(), contains(RouterInput.AttemptOutcome.Kind.CANCELLED));
     stage.onLoop(() -> assertThat(stage.forwarder.openRequests(), is(0)));
   }
 
--- a/src/test/java/slateslip/dataplane/DataPlaneTest.java
+++ b/src/test/java/slateslip/dataplane/DataPlaneTest.java
@@ -47,8 +47,7 @@
     control =
         new ScriptedControlAgent(
             List.of(
-                new ToDataPlane.ConfigurationSnapshot(
-                    5, DOCUMENT.getBytes(StandardCharsets.UTF_8)),
+                new ToDataPlane.ConfigurationSnapshot(5, DOCUMENT.getBytes(StandardCharsets.UTF_8)),
                 new ToDataPlane.SessionSnapshot(1, true, List.of(session)),
                 new ToDataPlane.Shares(new AgentShares(1, List.of()))));
     dataPlane = DataPlane.start(settings());
--- a/src/test/java/slateslip/dataplane/PlainRouter.java
+++ b/src/test/java/slateslip/dataplane/PlainRouter.java
@@ -11,7 +11,9 @@
 import slateslip.routing.RouterInput.AttemptOutcome;
 import slateslip.routing.RouterOutput;
 
-/** A router with the plainest decisions: backends in the order listed, one attempt after the other. */
+/**
+ * A router with the plainest decisions: backends in the order listed, one attempt after the other.
+ */
 final class PlainRouter implements RequestRouter {
   /** Every input, in order. */
   final List<RouterInput> inputs = new ArrayList<>();
--- a/src/test/java/slateslip/dataplane/ScriptedControlAgent.java
+++ b/src/test/java/slateslip/dataplane/ScriptedControlAgent.java
@@ -15,7 +15,10 @@
 import slateslip.protocol.Decoded;
 import slateslip.protocol.distribution.DistributionCodec;
 
-/** A control agent on a loopback port: a heartbeat for each message, and the script's messages to an active stream. */
+/**
+ * A control agent on a loopback port: a heartbeat for each message, and the script's messages to an
+ * active stream.
+ */
 final class ScriptedControlAgent implements Closeable {
   /** What every data plane has said, in order. */
   final List<ToControl> heard = new CopyOnWriteArrayList<>();
--- a/src/test/java/slateslip/dataplane/Stage.java
+++ b/src/test/java/slateslip/dataplane/Stage.java
@@ -50,8 +50,7 @@
   /** With a router of the test's own. */
   Stage(RequestRouter other) throws IOException {
     RequestRouter decides = other == null ? router : other;
-    forwarder =
-        new Forwarder(loop, decides, () -> System.nanoTime() / 1_000, pools, metrics, 1);
+    forwarder = new Forwarder(loop, decides, () -> System.nanoTime() / 1_000, pools, metrics, 1);
     InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
     ingress = new ClientIngress(loop, any, CONNECTIONS, forwarder);
   }
@@ -180,7 +179,9 @@
     for (Peer backend : backends) {
       backend.close();
     }
-    group.shutdownGracefully(0, 0, java.util.concurrent.TimeUnit.MILLISECONDS).syncUninterruptibly();
+    group
+        .shutdownGracefully(0, 0, java.util.concurrent.TimeUnit.MILLISECONDS)
+        .syncUninterruptibly();
   }
 
   /**
--- a/src/test/java/slateslip/dataplane/StreamsTest.java
+++ b/src/test/java/slateslip/dataplane/StreamsTest.java
@@ -107,8 +107,7 @@
         (message, socket) -> {
           String rest = events(3, 4); // in one write, so that no pause falls between its parts
           Stage.beginStream(message, socket);
-          Peer.write(
-              socket, Integer.toHexString(rest.length()) + "\r\n" + rest + "\r\n0\r\n\r\n");
+          Peer.write(socket, Integer.toHexString(rest.length()) + "\r\n" + rest + "\r\n0\r\n\r\n");
         });
     Answer answer = stage.call("a1");
     assertThat(answer.body(), is(events(1, 4)));
@@ -265,14 +264,14 @@
     String piece = "data: " + "x".repeat(1 << 16) + "\n\n";
     long[] sent = new long[1];
     stage.backend(
-            (message, socket) -> {
-              Stage.beginStream(message, socket);
-              while (sent[0] < bytesMost) {
-                Stage.chunk(socket, piece);
-                sent[0] += piece.length();
-              }
-              Stage.lastChunk(socket);
-            });
+        (message, socket) -> {
+          Stage.beginStream(message, socket);
+          while (sent[0] < bytesMost) {
+            Stage.chunk(socket, piece);
+            sent[0] += piece.length();
+          }
+          Stage.lastChunk(socket);
+        });
     Socket socket = stage.dial();
     Peer.write(socket, Stage.request("a1", "", ""));
     InputStream in = socket.getInputStream();
--- a/src/test/java/slateslip/dataplane/forwarding/RouterDriverTest.java
+++ b/src/test/java/slateslip/dataplane/forwarding/RouterDriverTest.java
@@ -71,8 +71,7 @@
   void anInputThatArisesWhileOutputsAreCarriedOutComesAfterThem() {
     RouterOutput probe = new RouterOutput.Probe("b");
     RouterOutput end = new RouterOutput.Break(1);
-    decisions =
-        input -> input instanceof RouterInput.Leaving ? List.of(probe, end) : List.of();
+    decisions = input -> input instanceof RouterInput.Leaving ? List.of(probe, end) : List.of();
     driver.feed(new RouterInput.Leaving());
     assertThat(carriedOut, contains(probe, end));
     assertThat(inputs, contains(new RouterInput.Leaving(), new RouterInput.ClientGone(1)));
@@ -122,9 +121,7 @@
     micros = 1_000;
     decisions =
         input ->
-            input instanceof RouterInput.Leaving
-                ? List.of(new RouterOutput.WakeAt(10))
-                : List.of();
+            input instanceof RouterInput.Leaving ? List.of(new RouterOutput.WakeAt(10)) : List.of();
     driver.feed(new RouterInput.Leaving());
     pass(1);
     assertThat(wakes(), is(1L));
--- a/src/test/java/slateslip/dataplane/stream/EventSplitterTest.java
+++ b/src/test/java/slateslip/dataplane/stream/EventSplitterTest.java
@@ -17,8 +17,7 @@
   private final List<StreamEvent> events = new ArrayList<>();
 
   private boolean feed(String text) {
-    return splitter.feed(
-        Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1), events::add);
+    return splitter.feed(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1), events::add);
   }
 
   private List<String> texts() {
--- a/src/test/java/slateslip/dataplane/subscription/SubscriptionTest.java
+++ b/src/test/java/slateslip/dataplane/subscription/SubscriptionTest.java
@@ -61,8 +61,7 @@
   }
 
   private void beat(Beat beat) {
-    receive(
-        beat.agent, new ToDataPlane.Heartbeat(beat.current, beat.version, 1, beat.agents));
+    receive(beat.agent, new ToDataPlane.Heartbeat(beat.current, beat.version, 1, beat.agents));
   }
 
   private void receive(String agent, ToDataPlane message) {
@@ -85,8 +84,7 @@
   private List<String> activated() {
     return take(SubscriptionOutput.Send.class).stream()
         .filter(
-            send ->
-                send.message() instanceof ToControl.Subscribe subscribe && subscribe.active())
+            send -> send.message() instanceof ToControl.Subscribe subscribe && subscribe.active())
         .map(SubscriptionOutput.Send::agent)
         .toList();
   }
@@ -169,7 +167,8 @@
     outputs.clear();
     beat(new Beat(NEAR, true, 0, List.of(NEAR, FAR, REPLACED)));
     tick();
-    assertThat(take(SubscriptionOutput.Dial.class), contains(new SubscriptionOutput.Dial(REPLACED)));
+    assertThat(
+        take(SubscriptionOutput.Dial.class), contains(new SubscriptionOutput.Dial(REPLACED)));
   }
 
   @Test
@@ -177,8 +176,7 @@
     makeNearActive();
     pass(1_000, good(FAR), good(FARTHER));
     assertThat(activated().size(), is(1));
-    assertThat(
-        take(SubscriptionOutput.Close.class), contains(new SubscriptionOutput.Close(NEAR)));
+    assertThat(take(SubscriptionOutput.Close.class), contains(new SubscriptionOutput.Close(NEAR)));
   }
 
   @Test
@@ -318,8 +316,7 @@
     receive(NEAR, new ToDataPlane.ConfigurationSnapshot(5, document(5, "s")));
     receive(NEAR, new ToDataPlane.SessionSnapshot(1, true, List.of(session("a", false, 1))));
     outputs.clear();
-    Stream.of(NEAR, FAR, FARTHER)
-        .forEach(agent -> feed(new SubscriptionInput.Disconnected(agent)));
+    Stream.of(NEAR, FAR, FARTHER).forEach(agent -> feed(new SubscriptionInput.Disconnected(agent)));
     pass(20_000);
     assertThat(take(SubscriptionOutput.ListBackends.class), is(empty()));
     assertThat(subscription.isReady(), is(true));
