--- /dev/null
+++ b/src/test/java/slateslip/coordination/MembershipPolicyTest.java
@@ -0,0 +1,104 @@
+package slateslip.coordination;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsInAnyOrder;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import slateslip.coordination.MembershipPolicy.Standing;
+
+final class MembershipPolicyTest {
+  private static final long LONG_WELL = 60_000_000;
+  private static final long LONG_SILENT = 5_000_000;
+  private static final NodeId A = node("10.0.0.1", 0);
+  private static final NodeId B = node("10.0.0.2", 0);
+  private static final NodeId C = node("10.0.0.3", 0);
+  private static final NodeId D = node("10.0.0.4", 9);
+  private static final NodeId C_ANEW = node("10.0.0.3", 7);
+
+  private static NodeId node(String address, long disk) {
+    return new NodeId(NodeAddress.parse(address), disk);
+  }
+
+  private static View view(List<NodeId> members, List<NodeId> witnesses) {
+    List<ViewMember> entries = members.stream().map(node -> new ViewMember(node, 1)).toList();
+    return new View(4, A, entries, witnesses);
+  }
+
+  private static Standing well(NodeId node) {
+    return new Standing(node, true, true, true, 0, LONG_WELL, Timing.JOIN_AFTER);
+  }
+
+  private static Standing silent(NodeId node) {
+    return new Standing(node, false, true, true, LONG_SILENT, 0, Timing.JOIN_AFTER);
+  }
+
+  private static List<NodeId> nodes(View view) {
+    return view.members().stream().map(ViewMember::node).toList();
+  }
+
+  @Test
+  void aWellViewStays() {
+    View view = view(List.of(A, B, C), List.of(A, B, C));
+    List<Standing> others = List.of(well(B), well(C));
+    assertThat(MembershipPolicy.wantedByPrimary(view, A, 1, others), is(Optional.empty()));
+  }
+
+  @Test
+  void aSilentMemberIsDroppedWhileEnoughCopiesAreLeft() {
+    View view = view(List.of(A, B, C), List.of(A, B, C));
+    List<Standing> others = List.of(well(B), silent(C));
+    View wanted = MembershipPolicy.wantedByPrimary(view, A, 1, others).orElseThrow();
+    assertThat(nodes(wanted), contains(A, B));
+    assertThat(wanted.witnesses(), contains(A, B, C));
+  }
+
+  @Test
+  void whatMayBeTheLastCopyStaysUntilAnotherHasInstalled() {
+    View view = view(List.of(A, C), List.of(A, B, C));
+    List<Standing> others = List.of(well(B), silent(C));
+    View first = MembershipPolicy.wantedByPrimary(view, A, 1, others).orElseThrow();
+    assertThat(nodes(first), containsInAnyOrder(A, B, C));
+    assertThat(first.member(B).orElseThrow().sinceEpoch(), is(5L));
+    View second = MembershipPolicy.wantedByPrimary(first, A, 1, others).orElseThrow();
+    assertThat(nodes(second), contains(A, B));
+  }
+
+  @Test
+  void aWipedMachinesFormerSelfLeavesTheWitnessesAtOnce() {
+    View view = view(List.of(A, B), List.of(A, B, C));
+    Standing former = new Standing(C, true, false, false, 0, 0, Timing.JOIN_AFTER);
+    View wanted =
+        MembershipPolicy.wantedByPrimary(view, A, 1, List.of(well(B), former, well(C_ANEW)))
+            .orElseThrow();
+    assertThat(wanted.witnesses(), containsInAnyOrder(A, B, C_ANEW));
+  }
+
+  @Test
+  void aNewcomerTakesThePlaceOfAWitnessThatIsGone() {
+    View view = view(List.of(A, B), List.of(A, B, C));
+    View wanted =
+        MembershipPolicy.wantedByPrimary(view, A, 1, List.of(well(B), silent(C), well(D)))
+            .orElseThrow();
+    assertThat(wanted.witnesses(), containsInAnyOrder(A, B, D));
+  }
+
+  @Test
+  void nothingChangesWithoutAMajorityOfTheNewWitnesses() {
+    View view = view(List.of(A, B, C), List.of(A, B, C));
+    List<Standing> others = List.of(silent(B), silent(C));
+    assertThat(MembershipPolicy.wantedByPrimary(view, A, 1, others), is(Optional.empty()));
+  }
+
+  @Test
+  void aTakeoverKeepsTheOldPrimaryLastAndOnlyIfNeeded() {
+    View view = view(List.of(A, B, C), List.of(A, B, C));
+    View whole = MembershipPolicy.takenOver(view, B, 1, List.of(B, C), List.of(B, C));
+    assertThat(nodes(whole), contains(B, C));
+    View alone = MembershipPolicy.takenOver(view, B, 1, List.of(B), List.of(B));
+    assertThat(nodes(alone), contains(B, C));
+  }
+}
