Quota: a data plane that was silent for long is not told more than the others left

Cause: a data plane without news lowers its fraction to the equal share by itself; the allocator divided the rest among the others, but on the next report took the old fraction as still in force and told up to that, so that fractions summed to 1.011 in ShareAllocatorTest's schedules. Change: the lowering is remembered.

--- a/src/main/java/slateslip/distribution/quota/ShareAllocator.java
+++ b/src/main/java/slateslip/distribution/quota/ShareAllocator.java
@@ -74,6 +74,13 @@
       }
     }
 
+    /** It uses no more than this. */
+    void lower(double fraction) {
+      told = Math.min(told, fraction);
+      highest = Math.min(highest, fraction);
+      highestBefore = Math.min(highestBefore, fraction);
+    }
+
     void tell(double fraction) {
       told = fraction;
       highest = Math.max(highest, fraction);
@@ -169,11 +176,13 @@
     }
   }
 
-  /** What a silent data plane may still be using. */
+  /** What a silent data plane may still be using; without news it has lowered its fraction by itself. */
   private double silentFraction(Agent agent, Cell cell, double equal, long nowMicros) {
-    boolean loweredByItself =
-        nowMicros - agent.reportedMicros > SHARES_STALE_MICROS + SETTLE_MICROS;
-    return loweredByItself ? Math.min(cell.inForce(), equal) : cell.inForce();
+    if (nowMicros - agent.reportedMicros > SHARES_STALE_MICROS + SETTLE_MICROS) {
+      // Danger: were this forgotten when it reports again, it would be told more than the others left.
+      cell.lower(equal);
+    }
+    return cell.inForce();
   }
 
   private void tell(long nowMicros, String tenant, double whole, double demand, int live) {
--- /dev/null
+++ b/src/test/java/slateslip/distribution/quota/ShareAllocatorTest.java
@@ -0,0 +1,143 @@
+package slateslip.distribution.quota;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import slateslip.distribution.AgentShares.TenantShare;
+import slateslip.distribution.TenantDemand;
+import slateslip.distribution.quota.ShareAllocator.AgentAllocation;
+
+class ShareAllocatorTest {
+  private static final int AGENTS = 4;
+  private static final long TICK = 200_000;
+  private static final long SECOND = 1_000_000;
+  private static final double ROUNDING = 1e-9;
+
+  private record Message(long dueMicros, int agent, double fraction) {}
+
+  private final ShareAllocator allocator = new ShareAllocator();
+  private final long[] wanted = new long[AGENTS];
+  private final double[] inForce = new double[AGENTS];
+  private final long[] toldMicros = new long[AGENTS];
+  private final boolean[] cut = new boolean[AGENTS];
+  private final Deque<Message> onTheWay = new ArrayDeque<>();
+  private long now;
+
+  /** One round of reports and answers; answers take effect after a delay below the settling time. */
+  private void round(long delayMicros, double... demand) {
+    now += TICK;
+    for (int agent = 0; agent < AGENTS; agent++) {
+      wanted[agent] += (long) demand[agent];
+      if (!cut[agent]) {
+        allocator.report(
+            now, "a" + agent, 1, List.of(new TenantDemand("t", wanted[agent], 0)));
+      }
+    }
+    for (AgentAllocation each : allocator.allocate(now)) {
+      int agent = Integer.parseInt(each.agent().substring(1));
+      if (!cut[agent]) {
+        TenantShare share = each.shares().tenants().get(0);
+        onTheWay.add(new Message(now + delayMicros, agent, share.fraction()));
+      }
+    }
+    while (!onTheWay.isEmpty() && onTheWay.peek().dueMicros() <= now + TICK) {
+      Message message = onTheWay.poll();
+      lowerStale(message.dueMicros());
+      inForce[message.agent()] = message.fraction();
+      toldMicros[message.agent()] = message.dueMicros();
+      checkSum();
+    }
+  }
+
+  /** Data planes without news fall back to the equal share by themselves. */
+  private void lowerStale(long atMicros) {
+    for (int agent = 0; agent < AGENTS; agent++) {
+      if (atMicros - toldMicros[agent] > ShareAllocator.SHARES_STALE_MICROS) {
+        inForce[agent] = Math.min(inForce[agent], 1.0 / AGENTS);
+      }
+    }
+  }
+
+  private void checkSum() {
+    assertThat(sum(), lessThanOrEqualTo(1 + ROUNDING));
+  }
+
+  private double sum() {
+    double sum = 0;
+    for (double each : inForce) {
+      sum += each;
+    }
+    return sum;
+  }
+
+  @Test
+  void fractionsFollowDemandAndLeaveNothingIdle() {
+    for (int i = 0; i < 100; i++) {
+      round(10_000, 9_000, 1_000, 0, 0);
+    }
+    assertThat(sum(), closeTo(1, 0.01));
+    assertThat(inForce[0], greaterThan(0.45));
+    assertThat("one without demand can begin", inForce[3], greaterThan(0.1));
+    for (int i = 0; i < 100; i++) {
+      round(10_000, 0, 1_000, 0, 9_000);
+    }
+    assertThat(sum(), closeTo(1, 0.01));
+    assertThat(inForce[3], greaterThan(0.45));
+    assertThat(inForce[0], lessThan(0.2));
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+  void fractionsInForceNeverSumAboveOne(long seed) {
+    Random random = new Random(seed);
+    double[] demand = new double[AGENTS];
+    for (int i = 0; i < 600; i++) {
+      if (random.nextInt(8) == 0) {
+        demand[random.nextInt(AGENTS)] = random.nextInt(4) * 100_000;
+      }
+      if (random.nextInt(40) == 0) {
+        cut[0] = !cut[0];
+      }
+      round(350_000, demand);
+    }
+  }
+
+  @Test
+  void aSilentAgentKeepsItsFractionAndTheOthersDivideTheRest() {
+    for (int i = 0; i < 50; i++) {
+      round(10_000, 5_000, 5_000, 5_000, 5_000);
+    }
+    double kept = inForce[0];
+    cut[0] = true;
+    for (int i = 0; i < 25; i++) {
+      round(10_000, 5_000, 50_000, 5_000, 5_000);
+    }
+    assertThat(inForce[0], is(kept));
+    assertThat(sum(), closeTo(1, 0.01));
+  }
+
+  @Test
+  void whatARemovedAgentHadIsDividedAfterAWhile() {
+    for (int i = 0; i < 50; i++) {
+      round(10_000, 5_000, 5_000, 5_000, 5_000);
+    }
+    cut[0] = true;
+    allocator.removed(now, "a0");
+    inForce[0] = 0;
+    for (int i = 0; i < 10 * SECOND / TICK; i++) {
+      round(10_000, 0, 5_000, 5_000, 5_000);
+    }
+    assertThat(sum(), closeTo(1, 0.01));
+  }
+}
