--- a/src/test/java/slateslip/controlplane/ControlPlaneTest.java
+++ b/src/test/java/slateslip/controlplane/ControlPlaneTest.java
@@ -60,7 +60,11 @@
     assertStatus(400, "PUT", "0", "{\"version\":");
     HttpResponse<String> unknown =
         stage.callUntilClear(
-            0, "PUT", CONFIG, "0", OperatorDocuments.whole(3).replace("\"service\":\"s\"", "\"service\":\"t\""));
+            0,
+            "PUT",
+            CONFIG,
+            "0",
+            OperatorDocuments.whole(3).replace("\"service\":\"s\"", "\"service\":\"t\""));
     assertThat(unknown.statusCode(), is(400));
     assertThat(unknown.body(), containsString("t"));
     assertThat(stage.callUntilClear(0, "GET", CONFIG, null, null).statusCode(), is(404));
@@ -153,7 +157,7 @@
   void halfFramesAndSlowWritersHoldNobodyUp() throws Exception {
     List<Socket> slow = new ArrayList<>();
     byte[] halfCall =
-        ("PUT /config HTTP/1.1\r\nHost: h\r\nIf-Match: 0\r\nContent-Length: 1000\r\n\r\n{\"ver")
+        "PUT /config HTTP/1.1\r\nHost: h\r\nIf-Match: 0\r\nContent-Length: 1000\r\n\r\n{\"ver"
             .getBytes(StandardCharsets.US_ASCII);
     for (int each = 0; each < 60; each++) {
       slow.add(send(stage.controlSocket(0), halfCall));
--- a/src/test/java/slateslip/controlplane/state/ConfigurationStateTest.java
+++ b/src/test/java/slateslip/controlplane/state/ConfigurationStateTest.java
@@ -15,7 +15,9 @@
 import slateslip.protocol.exchange.AnswerCodec;
 import slateslip.protocol.exchange.ChangeCodec;
 
-/** Changes on top of the newest version, repeats of earlier ones, races, and copies of the state. */
+/**
+ * Changes on top of the newest version, repeats of earlier ones, races, and copies of the state.
+ */
 class ConfigurationStateTest {
   private final ConfigurationState state = new ConfigurationState();
 
@@ -44,7 +46,8 @@
     commit(put(0, 3));
     commit(put(3, 5));
     assertThat(answer(put(3, 6)).status(), is(OperatorAnswer.CONFLICT));
-    assertThat(answer(new OperatorCall(Method.PUT, 3, body(5, "other"))).status(),
+    assertThat(
+        answer(new OperatorCall(Method.PUT, 3, body(5, "other"))).status(),
         is(OperatorAnswer.CONFLICT));
     assertThat(state.version(), is(5L));
   }
@@ -53,7 +56,7 @@
   void anInvalidChangeIsRefusedWithItsReason() {
     commit(put(0, 3));
     assertThat(answer(put(3, 3)).status(), is(OperatorAnswer.INVALID));
-    OperatorAnswer cut = answer(new OperatorCall(Method.PUT, 3, "{\"version\":".getBytes()));
+    OperatorAnswer cut = answer(new OperatorCall(Method.PUT, 3, "{\"version\":".getBytes(StandardCharsets.UTF_8)));
     assertThat(cut.status(), is(OperatorAnswer.INVALID));
     assertThat(new String(cut.body(), StandardCharsets.UTF_8), containsString("ends early"));
   }
