--- a/src/test/java/slateslip/architecture/ArchitectureTest.java
+++ b/src/test/java/slateslip/architecture/ArchitectureTest.java
@@ -76,10 +76,7 @@
                   "routing",
                   "dataplane",
                   "controlplane",
-                  AGENT)),
-          Map.entry(
-              "experiment",
-              Set.of("configuration", "settings", "distribution", "routing", "simulation")));
+                  AGENT)));
 
   /** Packages of state machines: inputs -> outputs. */
   private static final List<String> DECISIONS =
@@ -132,8 +129,7 @@
   @Test
   void theRulesCanFail() {
     String fixture = "slateslip.architecture.fixture..";
-    JavaClasses breaking =
-        new ClassFileImporter().importPackages("slateslip.architecture.fixture");
+    JavaClasses breaking = new ClassFileImporter().importPackages("slateslip.architecture.fixture");
     EvaluationResult sockets = useNoSocketFileOrThread(fixture).evaluate(breaking);
     assertThat(sockets.hasViolation(), is(true));
     EvaluationResult clocks = readNoClock(fixture).evaluate(breaking);
