--- a/src/test/java/slateslip/architecture/ArchitectureTest.java
+++ b/src/test/java/slateslip/architecture/ArchitectureTest.java
@@ -129,8 +129,7 @@
   @Test
   void theRulesCanFail() {
     String fixture = "slateslip.architecture.fixture..";
-    JavaClasses breaking =
-        new ClassFileImporter().importPackages("slateslip.architecture.fixture");
+    JavaClasses breaking = new ClassFileImporter().importPackages("slateslip.architecture.fixture");
     EvaluationResult sockets = useNoSocketFileOrThread(fixture).evaluate(breaking);
     assertThat(sockets.hasViolation(), is(true));
     EvaluationResult clocks = readNoClock(fixture).evaluate(breaking);
