--- a/src/scale/java/slateslip/scale/WireSizes.java
+++ b/src/scale/java/slateslip/scale/WireSizes.java
@@ -11,10 +11,13 @@
 import slateslip.distribution.TenantDemand;
 import slateslip.distribution.ToControl;
 import slateslip.distribution.ToDataPlane;
+import slateslip.distribution.exchange.ExchangeMessage;
+import slateslip.distribution.exchange.SessionRenewal;
 import slateslip.protocol.Framing;
 import slateslip.protocol.distribution.DistributionCodec;
+import slateslip.protocol.exchange.ExchangeCodec;
 
-/** Bytes of messages between control agents and data planes by the number of their entries; no process, no clock. */
+/** Bytes of messages by the number of their entries; no process, no clock. */
 final class WireSizes {
   private static final List<Integer> SIZES = List.of(10, 100, 1_000, 4_000, 12_000);
   private static final int HELD_OUT = 4_000;
@@ -31,6 +34,7 @@
     lines.add(line("shares of tenants", WireSizes::shares));
     lines.add(line("demand of tenants", WireSizes::demand));
     lines.add(line("heartbeat that names control agents", WireSizes::heartbeat));
+    lines.add(line("renewals between control agents", WireSizes::renewals));
     return lines;
   }
 
@@ -82,6 +86,12 @@
     return CODEC.encode(new ToControl.Demand(tenants));
   }
 
+  private static byte[] renewals(int size) {
+    List<SessionRenewal> renewals =
+        sessions(size).stream().map(each -> new SessionRenewal(each.id(), 100)).toList();
+    return new ExchangeCodec().encode(new ExchangeMessage.SessionRenewals(renewals));
+  }
+
   private static byte[] heartbeat(int size) {
     List<String> agents =
         IntStream.range(0, size).mapToObj(agent -> "10.9." + agent / 250 + "." + agent % 250).toList();
--- a/src/test/java/slateslip/scale/WireSizesTest.java
+++ b/src/test/java/slateslip/scale/WireSizesTest.java
@@ -15,7 +15,7 @@
 
   @Test
   void oneLineForEachKindOfMessageBelowTheHeader() {
-    assertThat(WireSizes.lines(), hasSize(6));
+    assertThat(WireSizes.lines(), hasSize(7));
     assertThat(WireSizes.lines().get(0), containsString("4000 held out"));
   }
 
