--- a/src/test/java/slateslip/architecture/ArchitectureTest.java
+++ b/src/test/java/slateslip/architecture/ArchitectureTest.java
@@ -76,10 +76,7 @@
                   "routing",
                   "dataplane",
                   "controlplane",
-                  AGENT)),
-          Map.entry(
-              "experiment",
-              Set.of("configuration", "settings", "distribution", "routing", "simulation")));
+                  AGENT)));
 
   /** Packages of state machines: inputs -> outputs. */
   private static final List<String> DECISIONS =
