Format: google-java-format over the slateslip packages

Cause: files of several authors had landed unformatted; lines over 110 columns failed LinesTest. Change: spotless:apply over src/main and src/test of slateslip, nothing else. Ruled out: shortening lines by hand.

--- a/src/main/java/slateslip/cli/ProgramStart.java
+++ b/src/main/java/slateslip/cli/ProgramStart.java
@@ -3,7 +3,9 @@
 import java.nio.file.Path;
 import slateslip.settings.NodeSettings;
 
-/** Starts a program; it returns when the program serves or has ended, and throws if it cannot start. */
+/**
+ * Starts a program; it returns when the program serves or has ended, and throws if it cannot start.
+ */
 @FunctionalInterface
 public interface ProgramStart {
   /**
--- a/src/main/java/slateslip/distribution/quota/ShareAllocator.java
+++ b/src/main/java/slateslip/distribution/quota/ShareAllocator.java
@@ -14,21 +14,23 @@
 /**
  * Divides each tenant's quota among data planes, by what each was asked for lately.
  *
- * <p>A state machine without a clock; one instance divides for all data planes. A fraction that shrinks takes
- * effect at once; one that grows takes only what the others gave up at least {@link #SETTLE_MICROS} ago, so
- * that the fractions in force never sum above 1 as long as a message takes less than that. A data plane that
- * is silent keeps its last fraction, which it lowers to the equal share by itself
- * ({@link #SHARES_STALE_MICROS}), until it is removed.
+ * <p>A state machine without a clock; one instance divides for all data planes. A fraction that
+ * shrinks takes effect at once; one that grows takes only what the others gave up at least {@link
+ * #SETTLE_MICROS} ago, so that the fractions in force never sum above 1 as long as a message takes
+ * less than that. A data plane that is silent keeps its last fraction, which it lowers to the equal
+ * share by itself ({@link #SHARES_STALE_MICROS}), until it is removed.
  */
 public final class ShareAllocator {
   /**
-   * Without news of its shares for this long a data plane falls back to the equal share where it had
-   * more. Danger: at 3 s a change of the primary, with nobody cut off, leaves a data plane that has a third of
-   * the clients with a sixth of the quotas.
+   * Without news of its shares for this long a data plane falls back to the equal share where it
+   * had more. Danger: at 3 s a change of the primary, with nobody cut off, leaves a data plane that
+   * has a third of the clients with a sixth of the quotas.
    */
   public static final long SHARES_STALE_MICROS = 10_000_000;
 
-  /** A fraction that was told counts as in force for once to twice this after a lower one was told. */
+  /**
+   * A fraction that was told counts as in force for once to twice this after a lower one was told.
+   */
   public static final long SETTLE_MICROS = 400_000;
 
   /** A data plane that has not reported for this long is given no new fraction. */
@@ -38,12 +40,16 @@
   private static final long REMOVED_MICROS = 8_000_000;
 
   /**
-   * Time in which the weight of past demand falls to 1/e: most of a quota's window. Danger: at 2 s, fractions
-   * move so fast that what was taken under them sums above the rule; the fleet test's worst was 1.07 of it.
+   * Time in which the weight of past demand falls to 1/e: most of a quota's window. Danger: at 2 s,
+   * fractions move so fast that what was taken under them sums above the rule; the fleet test's
+   * worst was 1.07 of it.
    */
   private static final double DEMAND_MICROS = 6_000_000;
 
-  /** Part of each quota that is divided equally: what a data plane without demand so far begins with. */
+  /**
+   * Part of each quota that is divided equally: what a data plane without demand so far begins
+   * with.
+   */
   private static final double EQUAL_PART = 0.6;
 
   /** The shares of one data plane. */
@@ -147,8 +153,7 @@
 
   private AgentShares shares(Agent agent, Set<String> tenants) {
     List<TenantShare> shares = new ArrayList<>(tenants.size());
-    tenants.forEach(
-        tenant -> shares.add(new TenantShare(tenant, agent.cells.get(tenant).told)));
+    tenants.forEach(tenant -> shares.add(new TenantShare(tenant, agent.cells.get(tenant).told)));
     return new AgentShares(agents.size(), shares);
   }
 
@@ -177,10 +182,14 @@
     }
   }
 
-  /** What a silent data plane may still be using; without news it has lowered its fraction by itself. */
+  /**
+   * What a silent data plane may still be using; without news it has lowered its fraction by
+   * itself.
+   */
   private double silentFraction(Agent agent, Cell cell, double equal, long nowMicros) {
     if (nowMicros - agent.reportedMicros > SHARES_STALE_MICROS + SETTLE_MICROS) {
-      // Danger: were this forgotten when it reports again, it would be told more than the others left.
+      // Danger: were this forgotten when it reports again, it would be told more than the others
+      // left.
       cell.lower(equal);
     }
     return cell.inForce();
--- a/src/main/java/slateslip/routing/Admission.java
+++ b/src/main/java/slateslip/routing/Admission.java
@@ -70,9 +70,7 @@
   }
 
   private static Tenant tenant(RoutingTable table, RequestFacts facts) {
-    return facts.credential() == null
-        ? null
-        : table.tenantByKey(facts.credential()).orElse(null);
+    return facts.credential() == null ? null : table.tenantByKey(facts.credential()).orElse(null);
   }
 
   private static long end(long nowMicros, Route route, RequestFacts facts) {
--- a/src/main/java/slateslip/routing/Attempt.java
+++ b/src/main/java/slateslip/routing/Attempt.java
@@ -60,8 +60,7 @@
     if (choice.newTokens() > 0) {
       backend()
           .engine()
-          .started(
-              nowMicros, nowMicros - sentMicros, choice.firstMicros(), !backend().someAwait());
+          .started(nowMicros, nowMicros - sentMicros, choice.firstMicros(), !backend().someAwait());
     }
   }
 
--- a/src/main/java/slateslip/routing/Dispatcher.java
+++ b/src/main/java/slateslip/routing/Dispatcher.java
@@ -20,7 +20,9 @@
 final class Dispatcher {
   private static final long MICROS_PER_MILLI = 1_000;
 
-  /** A stream is silent for too long after so many of its longest pauses, and this time at least. */
+  /**
+   * A stream is silent for too long after so many of its longest pauses, and this time at least.
+   */
   private static final long SILENCE_GAPS = 4;
 
   private static final long SILENCE_LEAST_MICROS = 1_000_000;
@@ -132,7 +134,10 @@
     return placement.pick(nowMicros, demand, ofService, backend -> !request.tried(backend));
   }
 
-  /** A request that is sent again goes by the configuration in force now; false if it may not any more. */
+  /**
+   * A request that is sent again goes by the configuration in force now; false if it may not any
+   * more.
+   */
   private boolean followConfiguration(RoutingTable table, OpenRequest request) {
     Optional<Route> route = table.route(request.facts.host(), request.facts.path());
     if (route.isEmpty() || !Admission.stillAllowed(table, route.get(), request)) {
@@ -141,8 +146,7 @@
     request.route = route.get();
     boolean targeted =
         request.route.targets().stream()
-            .anyMatch(
-                target -> target.weight() > 0 && target.service().equals(request.service));
+            .anyMatch(target -> target.weight() > 0 && target.service().equals(request.service));
     if (!targeted) {
       request.service = chooseService(request.route);
     }
--- a/src/main/java/slateslip/routing/FleetRouter.java
+++ b/src/main/java/slateslip/routing/FleetRouter.java
@@ -17,12 +17,16 @@
 
 /** The router of one data plane: life of each request, from its arrival to its one final answer. */
 public final class FleetRouter implements RequestRouter {
-  /** When a client is asked to come back whose request a backend turned away, or none could be reached. */
+  /**
+   * When a client is asked to come back whose request a backend turned away, or none could be
+   * reached.
+   */
   private static final long RETRY_AFTER_MICROS = 100_000;
 
   /**
-   * The same while no backend of the service is known: about the time that backends need to report anew after
-   * a fault of everything (their heartbeats are 1.2 s apart). Clients come back only once.
+   * The same while no backend of the service is known: about the time that backends need to report
+   * anew after a fault of everything (their heartbeats are 1.2 s apart). Clients come back only
+   * once.
    */
   static final long RETRY_UNKNOWN_MICROS = 1_200_000;
 
@@ -247,7 +251,9 @@
     outputs.addAll(backends.probes(now));
   }
 
-  /** Has a silent backend probed, and leaves it with what can go on elsewhere once it seems down. */
+  /**
+   * Has a silent backend probed, and leaves it with what can go on elsewhere once it seems down.
+   */
   private void checkOverdue(long now, OpenRequest request) {
     for (int number = 0; number < request.attempts.size(); number++) {
       Attempt attempt = request.attempts.get(number);
--- a/src/main/java/slateslip/routing/RequestRouter.java
+++ b/src/main/java/slateslip/routing/RequestRouter.java
@@ -4,10 +4,11 @@
 import slateslip.distribution.TenantDemand;
 
 /**
- * The decisions of one data plane: admission, placement, retries, stream recovery, health and quota.
+ * The decisions of one data plane: admission, placement, retries, stream recovery, health and
+ * quota.
  *
- * <p>A state machine: it holds no socket, clock or thread. The host feeds it inputs in the order in which
- * they happen, from one thread, and carries out the outputs in their order.
+ * <p>A state machine: it holds no socket, clock or thread. The host feeds it inputs in the order in
+ * which they happen, from one thread, and carries out the outputs in their order.
  */
 public interface RequestRouter {
   /**
--- a/src/main/java/slateslip/routing/RouterInput.java
+++ b/src/main/java/slateslip/routing/RouterInput.java
@@ -36,8 +36,8 @@
   /**
    * An attempt has ended; exactly one per {@link RouterOutput.SendAttempt}.
    *
-   * @param load what the backend told of its load in this answer; null if nothing, and for a stream that
-   *     has started: its head told it then
+   * @param load what the backend told of its load in this answer; null if nothing, and for a stream
+   *     that has started: its head told it then
    * @param lastEventId id of the last whole event passed on to the client; -1 if none
    */
   record AttemptEnded(
--- a/src/main/java/slateslip/routing/RouterOutput.java
+++ b/src/main/java/slateslip/routing/RouterOutput.java
@@ -5,7 +5,9 @@
   /** Priority that leaves the {@code Priority} header out. */
   int NO_PRIORITY = -1;
 
-  /** Value of {@code resumeAfter} that passes the client's own {@code Last-Event-Id} on unchanged. */
+  /**
+   * Value of {@code resumeAfter} that passes the client's own {@code Last-Event-Id} on unchanged.
+   */
   long AS_SENT = -1;
 
   /**
--- a/src/main/java/slateslip/routing/health/BackendWatch.java
+++ b/src/main/java/slateslip/routing/health/BackendWatch.java
@@ -5,29 +5,37 @@
 import java.util.Collection;
 
 /**
- * Health of one backend: the active and passive states of {@link BackendHealth}, when it is to be probed, and
- * suspicion, which is faster than both.
+ * Health of one backend: the active and passive states of {@link BackendHealth}, when it is to be
+ * probed, and suspicion, which is faster than both.
  *
- * <p>A backend is suspected as soon as it cannot be connected to, breaks two answers in a row, or leaves a
- * probe without a reply while nothing else comes from it. A suspected backend is no first choice, and is
- * probed often, until anything is heard from it. All times are in microseconds.
+ * <p>A backend is suspected as soon as it cannot be connected to, breaks two answers in a row, or
+ * leaves a probe without a reply while nothing else comes from it. A suspected backend is no first
+ * choice, and is probed often, until anything is heard from it. All times are in microseconds.
  */
 public final class BackendWatch {
-  /** Without traffic a backend is probed this often; a probe costs 0.006 to 0.0082 of a request's worth. */
+  /**
+   * Without traffic a backend is probed this often; a probe costs 0.006 to 0.0082 of a request's
+   * worth.
+   */
   static final long IDLE_PROBE_MICROS = 8_000_000;
 
   /** A suspected or unhealthy one is probed this often: crashes last about 4 s. */
   static final long SUSPECT_PROBE_MICROS = 400_000;
 
-  /** A probe of a backend with a free slot is answered in some ms; after this its silence is a sign. */
+  /**
+   * A probe of a backend with a free slot is answered in some ms; after this its silence is a sign.
+   */
   static final long PROBE_SILENT_MICROS = 250_000;
 
-  /** Broken answers in a row that raise suspicion: in troubled networks one in thirty breaks by itself. */
+  /**
+   * Broken answers in a row that raise suspicion: in troubled networks one in thirty breaks by
+   * itself.
+   */
   private static final int BROKEN_IN_ROW = 2;
 
   /**
-   * YARP's defaults but for two. Reactivation: crashes here last about 4 s, and probes find what stays down.
-   * Deviations: what fails at all backends alike is no fault of one.
+   * YARP's defaults but for two. Reactivation: crashes here last about 4 s, and probes find what
+   * stays down. Deviations: what fails at all backends alike is no fault of one.
    */
   static final HealthParameters PARAMETERS =
       new HealthParameters(2, 60_000_000, 10, 0.3, 1, 5_000_000);
@@ -104,7 +112,10 @@
     failed(nowMicros, peers);
   }
 
-  /** A request has waited long with nothing heard since; a probe tells a slow backend from a dead one. */
+  /**
+   * A request has waited long with nothing heard since; a probe tells a slow backend from a dead
+   * one.
+   */
   public void doubt() {
     probeWanted = true;
   }
@@ -163,7 +174,10 @@
     health.probeFailed();
   }
 
-  /** A probe had no reply in time. Danger: probes wait for a slot; what has answered others is only busy. */
+  /**
+   * A probe had no reply in time. Danger: probes wait for a slot; what has answered others is only
+   * busy.
+   */
   public void probeTimedOut() {
     probeOut = false;
     if (heardMicros > probeSentMicros) {
--- a/src/main/java/slateslip/routing/placement/EngineModel.java
+++ b/src/main/java/slateslip/routing/placement/EngineModel.java
@@ -4,8 +4,8 @@
 import slateslip.routing.RequestFacts.PromptPart;
 
 /**
- * What this data plane believes of one model backend: the parts of prompts it keeps, and when it will have
- * read the prompts that wait. Times are in microseconds.
+ * What this data plane believes of one model backend: the parts of prompts it keeps, and when it
+ * will have read the prompts that wait. Times are in microseconds.
  */
 public final class EngineModel {
   /** Prompt tokens that an engine reads in a millisecond; the deployments' sheets. */
@@ -14,7 +14,9 @@
   /** Milliseconds for a million pairs of a new token and one before it; the deployments' sheets. */
   private static final double MILLIS_PER_MILLION_PAIRS = 0.367;
 
-  /** Milliseconds until the first token of a request without a prompt: a step and the first event. */
+  /**
+   * Milliseconds until the first token of a request without a prompt: a step and the first event.
+   */
   private static final double BASE_MILLIS = 12;
 
   /** Weight of one measured delay beyond what own requests explain. */
--- a/src/main/java/slateslip/routing/placement/KeptParts.java
+++ b/src/main/java/slateslip/routing/placement/KeptParts.java
@@ -8,9 +8,9 @@
 /**
  * What a backend probably keeps of the prompts that this data plane sent to it.
  *
- * <p>A backend drops the parts that were unused the longest. Others send to it as well, about as much each;
- * so a part counts as kept while the tokens sent since its last use, times the data planes, fit into the
- * backend's memory.
+ * <p>A backend drops the parts that were unused the longest. Others send to it as well, about as
+ * much each; so a part counts as kept while the tokens sent since its last use, times the data
+ * planes, fit into the backend's memory.
  */
 final class KeptParts {
   /** Part of the memory that kept parts have beside running requests. */
--- a/src/main/java/slateslip/routing/placement/Placement.java
+++ b/src/main/java/slateslip/routing/placement/Placement.java
@@ -12,25 +12,29 @@
 /**
  * Picks the backend of a request.
  *
- * <p>Ordinary path: two random draws in the own zone, and the one with fewer requests in flight; other zones
- * only when the own has no room. For prompts, kept parts go first: all data planes order the backends of a
- * service alike by the hash of the deepest shared part, and of the first few the one is taken that will have
- * read the prompt soonest.
+ * <p>Ordinary path: two random draws in the own zone, and the one with fewer requests in flight;
+ * other zones only when the own has no room. For prompts, kept parts go first: all data planes
+ * order the backends of a service alike by the hash of the deepest shared part, and of the first
+ * few the one is taken that will have read the prompt soonest.
  */
 public final class Placement {
   /** Backends of a key that are looked at first. */
   private static final int FIRST_CHOICES = 1;
 
-  /** Part of the objective over which, at all first choices, the other backends are looked at too. */
+  /**
+   * Part of the objective over which, at all first choices, the other backends are looked at too.
+   */
   private static final double SPILL_PART = 0.4;
 
   /**
-   * Part of the shared tokens that a key's first backend is taken to keep though this data plane has not sent
-   * them there: the others have.
+   * Part of the shared tokens that a key's first backend is taken to keep though this data plane
+   * has not sent them there: the others have.
    */
   private static final double KEPT_BY_OTHERS = 0.95;
 
-  /** Time that staying in the zone is worth: 17 KB at 1,400 per GB cost 0.024, of a worth of 1 to 3. */
+  /**
+   * Time that staying in the zone is worth: 17 KB at 1,400 per GB cost 0.024, of a worth of 1 to 3.
+   */
   private static final long OWN_ZONE_MICROS = 8_000;
 
   /** Part of its slots in use above which a backend of the own zone is full. */
@@ -100,7 +104,10 @@
     return new Choice(draw(nowMicros, candidates), 0, 0, 0);
   }
 
-  /** Those that nothing speaks against; else those available; else all, for none may be left out then. */
+  /**
+   * Those that nothing speaks against; else those available; else all, for none may be left out
+   * then.
+   */
   private static List<Backend> healthiest(long nowMicros, List<Backend> open) {
     List<Backend> trusted = filter(open, backend -> backend.watch().trusted(nowMicros));
     if (!trusted.isEmpty()) {
@@ -115,7 +122,8 @@
   }
 
   private Backend draw(long nowMicros, List<Backend> candidates) {
-    List<Backend> near = filter(candidates, backend -> near(backend) && hasRoom(backend, nowMicros));
+    List<Backend> near =
+        filter(candidates, backend -> near(backend) && hasRoom(backend, nowMicros));
     List<Backend> roomy =
         near.isEmpty() ? filter(candidates, backend -> hasRoom(backend, nowMicros)) : near;
     return TwoRandomChoices.pick(
@@ -140,8 +148,7 @@
     ordered.sort(Comparator.comparingLong((Backend backend) -> backend.weight(key)).reversed());
     Choice best = null;
     for (int rank = 0; rank < ordered.size(); rank++) {
-      boolean spill =
-          best != null && best.firstMicros() > SPILL_PART * demand.objectiveMicros();
+      boolean spill = best != null && best.firstMicros() > SPILL_PART * demand.objectiveMicros();
       if (rank >= FIRST_CHOICES && !spill) {
         break;
       }
--- a/src/main/java/slateslip/routing/quota/QuotaWindow.java
+++ b/src/main/java/slateslip/routing/quota/QuotaWindow.java
@@ -5,29 +5,33 @@
 import java.util.Iterator;
 
 /**
- * One data plane's part of one tenant's quota: the sliding window that the rule counts in, with this data
- * plane's fraction of what it permits.
+ * One data plane's part of one tenant's quota: the sliding window that the rule counts in, with
+ * this data plane's fraction of what it permits.
  *
- * <p>Danger: a token bucket refuses far more below the limit. In one window the rule permits over twice the
- * usual demand, but a bucket's depth, divided among data planes, is less than two requests each: in {@code
- * QuotaFleetTest}'s fleet 8 to 10 in 100 requests of a tenant at its usual rate were refused, against 4 to 5.
+ * <p>Danger: a token bucket refuses far more below the limit. In one window the rule permits over
+ * twice the usual demand, but a bucket's depth, divided among data planes, is less than two
+ * requests each: in {@code QuotaFleetTest}'s fleet 8 to 10 in 100 requests of a tenant at its usual
+ * rate were refused, against 4 to 5.
  */
 final class QuotaWindow {
   private static final double MICROS_PER_SECOND = 1e6;
 
   /**
-   * Part of the permitted units that is used: the rest covers fractions that move between data planes within
-   * one window, and the last request of each, which may exceed its part.
+   * Part of the permitted units that is used: the rest covers fractions that move between data
+   * planes within one window, and the last request of each, which may exceed its part.
    */
   private static final double USED_PART = 0.85;
 
   /**
-   * Part of the allowance that a request needs to be free at most. Danger: at 1, a request that is larger
-   * than a small data plane's allowance never passes.
+   * Part of the allowance that a request needs to be free at most. Danger: at 1, a request that is
+   * larger than a small data plane's allowance never passes.
    */
   private static final double NEED_PART = 0.5;
 
-  /** Part of the allowance that a process has from its start; the rest comes in the course of a window. */
+  /**
+   * Part of the allowance that a process has from its start; the rest comes in the course of a
+   * window.
+   */
   private static final double START_PART = 0.15;
 
   private record Taken(long atMicros, double units) {}
--- a/src/main/java/slateslip/routing/quota/TenantQuotas.java
+++ b/src/main/java/slateslip/routing/quota/TenantQuotas.java
@@ -103,7 +103,9 @@
   /** Microseconds until a request of these units would be let in. */
   public long waitMicros(Tenant tenant, long units, long nowMicros) {
     State state = states.get(tenant.name());
-    return state == null || state.window == null ? 0 : state.window.waitMicros((double) units, nowMicros);
+    return state == null || state.window == null
+        ? 0
+        : state.window.waitMicros((double) units, nowMicros);
   }
 
   /** What each tenant has asked for here since the start. */
--- a/src/main/java/slateslip/routing/retry/RetryBudget.java
+++ b/src/main/java/slateslip/routing/retry/RetryBudget.java
@@ -6,12 +6,14 @@
 /**
  * One data plane's part of the retry budget of one service.
  *
- * <p>The bound holds over all data planes without any talk between them: each keeps to the ratio of its own
- * requests, and to an equal part of the slack. Both are kept with a margin, since arrivals at a backend are
- * counted a little later than they are sent.
+ * <p>The bound holds over all data planes without any talk between them: each keeps to the ratio of
+ * its own requests, and to an equal part of the slack. Both are kept with a margin, since arrivals
+ * at a backend are counted a little later than they are sent.
  */
 public final class RetryBudget {
-  /** Part of the bound that is used; the rest covers what is counted in another window than here. */
+  /**
+   * Part of the bound that is used; the rest covers what is counted in another window than here.
+   */
   private static final double MARGIN = 0.8;
 
   /** Data planes that share the slack as long as no control agent has told how many there are. */
--- a/src/main/java/slateslip/settings/SettingsWatch.java
+++ b/src/main/java/slateslip/settings/SettingsWatch.java
@@ -9,8 +9,8 @@
 import org.jboss.logging.Logger;
 
 /**
- * Reads the settings file again when it has changed or when it is told to. A file that is not usable
- * changes nothing.
+ * Reads the settings file again when it has changed or when it is told to. A file that is not
+ * usable changes nothing.
  */
 public final class SettingsWatch {
   private static final Logger LOG = Logger.getLogger(SettingsWatch.class);
--- a/src/main/java/slateslip/simulation/dataplane/DataPlaneHost.java
+++ b/src/main/java/slateslip/simulation/dataplane/DataPlaneHost.java
@@ -221,8 +221,7 @@
     exchange.lastEventId = event.id();
     watchSilence(exchange, call);
     exchange.over = event.last();
-    toClient(
-        () -> exchange.content.client().event(exchange.content, event.id(), event.last()));
+    toClient(() -> exchange.content.client().event(exchange.content, event.id(), event.last()));
     if (event.last()) {
       end(exchange, call, Kind.SUCCESS, 200, load);
     }
--- a/src/test/java/slateslip/controlplane/state/ConfigurationStateTest.java
+++ b/src/test/java/slateslip/controlplane/state/ConfigurationStateTest.java
@@ -56,7 +56,8 @@
   void anInvalidChangeIsRefusedWithItsReason() {
     commit(put(0, 3));
     assertThat(answer(put(3, 3)).status(), is(OperatorAnswer.INVALID));
-    OperatorAnswer cut = answer(new OperatorCall(Method.PUT, 3, "{\"version\":".getBytes(StandardCharsets.UTF_8)));
+    OperatorAnswer cut =
+        answer(new OperatorCall(Method.PUT, 3, "{\"version\":".getBytes(StandardCharsets.UTF_8)));
     assertThat(cut.status(), is(OperatorAnswer.INVALID));
     assertThat(new String(cut.body(), StandardCharsets.UTF_8), containsString("ends early"));
   }
--- a/src/test/java/slateslip/distribution/quota/ShareAllocatorTest.java
+++ b/src/test/java/slateslip/distribution/quota/ShareAllocatorTest.java
@@ -34,14 +34,15 @@
   private final Deque<Message> onTheWay = new ArrayDeque<>();
   private long now;
 
-  /** One round of reports and answers; answers take effect after a delay below the settling time. */
+  /**
+   * One round of reports and answers; answers take effect after a delay below the settling time.
+   */
   private void round(long delayMicros, double... demand) {
     now += TICK;
     for (int agent = 0; agent < AGENTS; agent++) {
       wanted[agent] += (long) demand[agent];
       if (!cut[agent]) {
-        allocator.report(
-            now, "a" + agent, 1, List.of(new TenantDemand("t", wanted[agent], 0)));
+        allocator.report(now, "a" + agent, 1, List.of(new TenantDemand("t", wanted[agent], 0)));
       }
     }
     for (AgentAllocation each : allocator.allocate(now)) {
--- a/src/test/java/slateslip/routing/Fixtures.java
+++ b/src/test/java/slateslip/routing/Fixtures.java
@@ -57,7 +57,9 @@
             List.of(tenant)));
   }
 
-  /** Resumable streams at /s/, streams that are not at /n/, ledger entries at /w/, look-ups at /i/. */
+  /**
+   * Resumable streams at /s/, streams that are not at /n/, ledger entries at /w/, look-ups at /i/.
+   */
   static RoutingTable table() {
     return table(
         1,
--- a/src/test/java/slateslip/routing/RandomHost.java
+++ b/src/test/java/slateslip/routing/RandomHost.java
@@ -21,7 +21,9 @@
 import slateslip.routing.RouterInput.AttemptOutcome.Kind;
 import slateslip.routing.RouterInput.ProbeOutcome;
 
-/** A host that carries out a router's outputs with seeded luck, and checks what must never happen. */
+/**
+ * A host that carries out a router's outputs with seeded luck, and checks what must never happen.
+ */
 final class RandomHost {
   static final long SECOND = 1_000_000;
 
@@ -205,7 +207,8 @@
         (seen.route.kind() == RouteKind.IDEMPOTENT && !seen.started) || seen.route.resumable();
     assertThat("runs a second time", !mayRepeat && seen.mayHaveRun, is(false));
     BackendSession backend = registered.get(send.backendId());
-    assertThat("sent to one that drains or is gone", backend != null && !backend.draining(), is(true));
+    assertThat(
+        "sent to one that drains or is gone", backend != null && !backend.draining(), is(true));
     String service = seen.route.targets().get(0).service();
     assertThat(backend.service(), is(service));
     if (seen.reachedBackends > 0) {
@@ -259,8 +262,7 @@
     Seen seen = requests.get(answer.request());
     statuses.add(answer.status());
     boolean promise = answer.status() == 503 || answer.status() == 429;
-    boolean once =
-        seen.route.kind() != RouteKind.IDEMPOTENT && !seen.route.resumable();
+    boolean once = seen.route.kind() != RouteKind.IDEMPOTENT && !seen.route.resumable();
     if (promise && once) {
       assertThat("promised after it may have run", seen.mayHaveRun, is(false));
       assertThat("promised while it is out", seen.out.size(), is(0));
@@ -290,7 +292,9 @@
     events.add(new Event(now + delayMicros, order++, input));
   }
 
-  /** Most repeated arrivals beyond the rule in any window, over several hosts; 0 or less if none. */
+  /**
+   * Most repeated arrivals beyond the rule in any window, over several hosts; 0 or less if none.
+   */
   static double worstBeyondBudget(List<RandomHost> hosts, String service) {
     List<Long> all = new ArrayList<>();
     List<Long> again = new ArrayList<>();
--- a/src/test/java/slateslip/routing/RandomScheduleTest.java
+++ b/src/test/java/slateslip/routing/RandomScheduleTest.java
@@ -63,8 +63,7 @@
       host.drainOut();
       hosts.add(host);
     }
-    assertThat(
-        RandomHost.worstBeyondBudget(hosts, Fixtures.MODEL_SERVICE), lessThanOrEqualTo(0.0));
+    assertThat(RandomHost.worstBeyondBudget(hosts, Fixtures.MODEL_SERVICE), lessThanOrEqualTo(0.0));
     assertThat(
         RandomHost.worstBeyondBudget(hosts, Fixtures.LEDGER_SERVICE), lessThanOrEqualTo(0.0));
     int sent =
--- a/src/test/java/slateslip/routing/placement/PlacementTest.java
+++ b/src/test/java/slateslip/routing/placement/PlacementTest.java
@@ -36,8 +36,7 @@
   private static Placement.Demand prompt(long sharedId, long ownId) {
     List<PromptPart> parts =
         List.of(new PromptPart(sharedId, SHARED_TOKENS), new PromptPart(ownId, 3_700));
-    return new Placement.Demand(
-        Fixtures.MODEL, parts, SHARED_TOKENS + 3_700, AIM_MICROS, AGENTS);
+    return new Placement.Demand(Fixtures.MODEL, parts, SHARED_TOKENS + 3_700, AIM_MICROS, AGENTS);
   }
 
   private static Placement.Demand plain(Service service) {
@@ -98,8 +97,7 @@
     for (Backend backend : models) {
       backend.watch().connectFailed(NOW, List.of());
     }
-    assertThat(
-        placement.pick(NOW, prompt(1, 1_000), models, each -> true).backend(), is(first));
+    assertThat(placement.pick(NOW, prompt(1, 1_000), models, each -> true).backend(), is(first));
   }
 
   @Test
@@ -116,8 +114,7 @@
   void drawsInTheOwnZoneAndSpillsWhenItHasNoRoom() {
     List<Backend> ledgers = backends("ledger");
     for (int i = 0; i < 20; i++) {
-      Backend drawn =
-          placement.pick(NOW, plain(Fixtures.LEDGER), ledgers, each -> true).backend();
+      Backend drawn = placement.pick(NOW, plain(Fixtures.LEDGER), ledgers, each -> true).backend();
       assertThat(drawn.session().zone(), is("z0"));
     }
     for (Backend backend : ledgers) {
@@ -131,8 +128,7 @@
 
   @Test
   void nothingIsPickedWhereNothingIsPermitted() {
-    assertThat(
-        placement.pick(NOW, plain(Fixtures.MODEL), models, each -> false), is(nullValue()));
+    assertThat(placement.pick(NOW, plain(Fixtures.MODEL), models, each -> false), is(nullValue()));
   }
 
   @Test
--- a/src/test/java/slateslip/routing/quota/QuotaFleetTest.java
+++ b/src/test/java/slateslip/routing/quota/QuotaFleetTest.java
@@ -13,11 +13,13 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import slateslip.configuration.Tenant;
-import slateslip.distribution.AgentShares;
 import slateslip.distribution.quota.ShareAllocator;
 import slateslip.distribution.quota.ShareAllocator.AgentAllocation;
 
-/** Data planes and an allocator together: the rule over every window, and what is refused below the limit. */
+/**
+ * Data planes and an allocator together: the rule over every window, and what is refused below the
+ * limit.
+ */
 class QuotaFleetTest {
   private static final QuotaBounds BOUNDS = QuotaBounds.DEFAULT;
   private static final long SECOND = 1_000_000;
@@ -30,8 +32,7 @@
 
   private static final double USUAL = RATE / 1.3;
 
-  private static final Tenant TENANT =
-      new Tenant("t", List.of("k"), -1, true, 200, RATE, RATE);
+  private static final Tenant TENANT = new Tenant("t", List.of("k"), -1, true, 200, RATE, RATE);
 
   /** One agent's traffic and its link to the allocator. */
   private static final class Agent {
--- a/src/test/java/slateslip/scale/WireSizesTest.java
+++ b/src/test/java/slateslip/scale/WireSizesTest.java
@@ -9,7 +9,10 @@
 import org.junit.jupiter.api.Test;
 import slateslip.protocol.Framing;
 
-/** The capacity page goes by these sizes: a change of the schema that makes entries longer shows here. */
+/**
+ * The capacity page goes by these sizes: a change of the schema that makes entries longer shows
+ * here.
+ */
 class WireSizesTest {
   private static final int TARGET_BACKENDS = 12_000;
 
@@ -21,7 +24,8 @@
 
   @Test
   void theTableOfTheTargetsBackendsFitsIntoOneMessage() {
-    assertThat(WireSizes.snapshotBytes(TARGET_BACKENDS), lessThanOrEqualTo(Framing.MAX_MESSAGE_BYTES));
+    assertThat(
+        WireSizes.snapshotBytes(TARGET_BACKENDS), lessThanOrEqualTo(Framing.MAX_MESSAGE_BYTES));
   }
 
   @Test
--- a/src/test/java/slateslip/simulation/control/ExhaustiveCrashTest.java
+++ b/src/test/java/slateslip/simulation/control/ExhaustiveCrashTest.java
@@ -13,6 +13,7 @@
 final class ExhaustiveCrashTest {
   /** Two changes to two members, each with its answer, and some heartbeats. */
   private static final int LEAST_MESSAGES = 12;
+
   private static final int MOST_MESSAGES = 120;
   private static final long[] DOWN_MICROS = {60_000, 1_500_000};
 
@@ -34,12 +35,7 @@
       for (long down : DOWN_MICROS) {
         CrashAtMessage crash =
             new CrashAtMessage(
-                number,
-                (ways & 1) != 0,
-                (ways & 2) != 0,
-                (ways & 4) != 0,
-                down,
-                primaryFirst);
+                number, (ways & 1) != 0, (ways & 2) != 0, (ways & 4) != 0, down, primaryFirst);
         struck |= play(crash, failures);
       }
     }
--- a/src/test/java/slateslip/storage/RingStorageTest.java
+++ b/src/test/java/slateslip/storage/RingStorageTest.java
@@ -167,9 +167,7 @@
 
   private static FaultyFolder.Mode mode(SplittableRandom random) {
     FaultyFolder.Mode[] modes = FaultyFolder.Mode.values();
-    return random.nextInt(4) > 0
-        ? FaultyFolder.Mode.WORKING
-        : modes[random.nextInt(modes.length)];
+    return random.nextInt(4) > 0 ? FaultyFolder.Mode.WORKING : modes[random.nextInt(modes.length)];
   }
 
   private static void checkRecovered(
@@ -202,7 +200,6 @@
       assertThat(parts, is(6));
     }
     assertThat(path.resolve(FIRST_FILE).toFile().length(), is(700_000L));
-    assertThat(
-        recovered(new DiskFolder(path)), contains("s", "r0", "r1", "r2", "r3", "r4", "r5"));
+    assertThat(recovered(new DiskFolder(path)), contains("s", "r0", "r1", "r2", "r3", "r4", "r5"));
   }
 }
