--- a/src/main/java/slateslip/standin/EngineServer.java
+++ b/src/main/java/slateslip/standin/EngineServer.java
@@ -139,7 +139,7 @@
       return List.of(new PromptPart(-id, Math.max(1, context.bodyAsBytes().length / 4)));
     }
     List<PromptPart> parts = new ArrayList<>();
-    for (String part : named.split(",")) {
+    for (String part : named.split(",", -1)) {
       int colon = part.indexOf(':');
       long partId = Long.parseUnsignedLong(part.substring(0, colon).trim(), HEX);
       parts.add(new PromptPart(partId, Integer.parseInt(part.substring(colon + 1).trim())));
--- a/src/main/java/slateslip/standin/FleetAddresses.java
+++ b/src/main/java/slateslip/standin/FleetAddresses.java
@@ -32,7 +32,7 @@
   }
 
   private static int freePort() throws IOException {
-    try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+    try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
       return probe.getLocalPort();
     }
   }
--- a/src/main/java/slateslip/standin/LocalFleet.java
+++ b/src/main/java/slateslip/standin/LocalFleet.java
@@ -17,7 +17,7 @@
 import slateslip.simulation.engine.EngineParameters;
 
 /** A whole fleet on the loopback interface: both programs as in service, and stand-in backends. */
-final class LocalFleet implements AutoCloseable {
+final class LocalFleet {
   private static final int ENGINES = 3;
   private static final int LEDGERS = 2;
   private static final int LEDGER_SLOTS = 6;
@@ -142,8 +142,7 @@
   }
 
   /** Ends everything in order: clients' side first. */
-  @Override
-  public void close() throws InterruptedException, IOException {
+  void close() throws InterruptedException, IOException {
     endAll(dataPlanes);
     heartbeats.forEach(Heartbeats::close);
     endAll(controlAgents);
--- a/src/main/java/slateslip/standin/LocalFleetMain.java
+++ b/src/main/java/slateslip/standin/LocalFleetMain.java
@@ -33,9 +33,9 @@
   /** Starts a fleet, answers one request, and keeps it until SIGINT or SIGTERM. */
   public static void main(String[] arguments) throws Exception {
     Options options = new Options();
-    options.addOption(Option.builder().longOpt("port").hasArg().type(Number.class).build());
-    options.addOption(Option.builder().longOpt("once").build());
-    options.addOption(Option.builder().longOpt("help").build());
+    options.addOption(Option.builder().longOpt("port").hasArg().type(Number.class).get());
+    options.addOption(Option.builder().longOpt("once").get());
+    options.addOption(Option.builder().longOpt("help").get());
     CommandLine command;
     int port;
     try {
--- a/src/test/java/slateslip/routing/RandomHost.java
+++ b/src/test/java/slateslip/routing/RandomHost.java
@@ -316,7 +316,7 @@
   }
 
   /** Times after the start and up to the end, of sorted ones. */
-  private static long within(List<Long> sorted, long start, long end) {
+  private static int within(List<Long> sorted, long start, long end) {
     return upTo(sorted, end) - upTo(sorted, start);
   }
 
--- a/src/test/java/slateslip/simulation/control/ScriptedClient.java
+++ b/src/test/java/slateslip/simulation/control/ScriptedClient.java
@@ -56,8 +56,8 @@
     token = 0;
     boolean accepted =
         result instanceof ClientResult.Committed
-            || result instanceof ClientResult.Answered answer
-                && LedgerState.answer(answer.answer()) == LedgerState.Answer.TAKEN_BEFORE;
+            || (result instanceof ClientResult.Answered answer
+                && LedgerState.answer(answer.answer()) == LedgerState.Answer.TAKEN_BEFORE);
     if (accepted) {
       world.history().acknowledged(change());
       taken++;
--- a/src/test/java/slateslip/standin/StandInServerTest.java
+++ b/src/test/java/slateslip/standin/StandInServerTest.java
@@ -43,7 +43,7 @@
 
   @Test
   void engineStreamsAllEventsInOrder() throws IOException {
-    try (Response response = send(engine, request(engine).header("X-Token-Usage", "10,12"))) {
+    try (Response response = send(request(engine).header("X-Token-Usage", "10,12"))) {
       assertThat(response.code(), is(200));
       assertThat(response.header("Content-Type"), startsWith("text/event-stream"));
       assertThat(response.header("X-Attempt-Id"), is("a-1"));
@@ -56,7 +56,7 @@
   void streamGoesOnBehindTheLastEvent() throws IOException {
     Request.Builder resumed =
         request(engine).header("X-Token-Usage", "10,20").header("Last-Event-Id", "2");
-    try (Response response = send(engine, resumed)) {
+    try (Response response = send(resumed)) {
       assertThat(ids(response), equalTo("3 4"));
     }
   }
@@ -64,7 +64,7 @@
   @Test
   void requestForAnotherInstanceDoesNotRun() throws IOException {
     Request.Builder other = request(engine).header("X-Target-Instance", "another");
-    try (Response response = send(engine, other)) {
+    try (Response response = send(other)) {
       assertThat(response.code(), is(421));
       assertThat(response.header("X-Not-Executed"), notNullValue());
     }
@@ -73,7 +73,7 @@
   @Test
   void requestWithoutAnIdDoesNotRun() throws IOException {
     Request.Builder nameless = request(engine).removeHeader("X-Attempt-Id");
-    try (Response response = send(engine, nameless)) {
+    try (Response response = send(nameless)) {
       assertThat(response.code(), is(400));
       assertThat(response.header("X-Not-Executed"), notNullValue());
     }
@@ -82,7 +82,7 @@
   @Test
   void requestLargerThanTheMemoryIsTurnedAwayUnseen() throws IOException {
     Request.Builder large = request(engine).header("X-Prompt-Prefix", "1:600000");
-    try (Response response = send(engine, large)) {
+    try (Response response = send(large)) {
       assertThat(response.code(), is(503));
       assertThat(response.header("X-Not-Executed"), notNullValue());
       assertThat(response.header("X-Response-Stamp"), nullValue());
@@ -100,7 +100,7 @@
     try (Response response = get(engine, "/health")) {
       assertThat(response.code(), is(503));
     }
-    try (Response response = send(engine, request(engine))) {
+    try (Response response = send(request(engine))) {
       assertThat(response.code(), is(200));
       assertThat(response.header("Connection"), is("close"));
     }
@@ -115,10 +115,10 @@
 
   @Test
   void ledgerNumbersItsEntries() throws IOException {
-    try (Response response = send(ledger, request(ledger))) {
+    try (Response response = send(request(ledger))) {
       assertThat(response.body().string(), containsString("{\"entry\":1}"));
     }
-    try (Response response = send(ledger, request(ledger))) {
+    try (Response response = send(request(ledger))) {
       assertThat(response.body().string(), containsString("{\"entry\":2}"));
       assertThat(response.header("X-Response-Stamp"), notNullValue());
     }
@@ -140,7 +140,7 @@
         .post(RequestBody.create("why", null));
   }
 
-  private Response send(StandInServer server, Request.Builder request) throws IOException {
+  private Response send(Request.Builder request) throws IOException {
     return client.newCall(request.build()).execute();
   }
 
@@ -152,7 +152,7 @@
 
   private static String ids(Response response) throws IOException {
     StringBuilder ids = new StringBuilder();
-    for (String line : response.body().string().split("\n")) {
+    for (String line : response.body().string().split("\n", -1)) {
       if (line.startsWith("id: ")) {
         ids.append(ids.length() == 0 ? "" : " ").append(line.substring(4));
       }
