--- a/src/main/java/slateslip/standin/SampleRequest.java
+++ b/src/main/java/slateslip/standin/SampleRequest.java
@@ -19,6 +19,13 @@
   private static final String USAGE = "410,60";
   private static final String PARTS = "5c1e07a2:400,91bd3f06:10";
   private static final int DEADLINE_MILLIS = 20_000;
+  private static final int UNAVAILABLE = 503;
+
+  private enum Outcome {
+    SERVED,
+    NOT_YET,
+    FAILED
+  }
 
   private SampleRequest() {}
 
@@ -42,8 +49,24 @@
         + "'";
   }
 
-  /** Sends it and prints the events as they come; whether the answer was whole. */
-  static boolean send(String frontUrl, PrintStream out) {
+  /**
+   * Sends it and prints the events as they come; whether the answer was whole. A data plane may be
+   * ready before it knows the first backend of a service: 503 says that the request has not run,
+   * and it is sent again with another attempt id.
+   */
+  static boolean send(String frontUrl, PrintStream out) throws InterruptedException {
+    Pause pause = new Pause(TimeUnit.MILLISECONDS.toSeconds(DEADLINE_MILLIS));
+    Outcome outcome = Outcome.NOT_YET;
+    while (outcome == Outcome.NOT_YET && pause.another()) {
+      outcome = sendOnce(frontUrl, out);
+    }
+    if (outcome == Outcome.NOT_YET) {
+      out.println("HTTP " + UNAVAILABLE);
+    }
+    return outcome == Outcome.SERVED;
+  }
+
+  private static Outcome sendOnce(String frontUrl, PrintStream out) {
     OkHttpClient client =
         new OkHttpClient.Builder().callTimeout(DEADLINE_MILLIS, TimeUnit.MILLISECONDS).build();
     Request request =
@@ -58,6 +81,9 @@
             .post(RequestBody.create(PROMPT, null))
             .build();
     try (Response response = client.newCall(request).execute()) {
+      if (response.code() == UNAVAILABLE) {
+        return Outcome.NOT_YET;
+      }
       out.println("HTTP " + response.code());
       BufferedSource source = response.body().source();
       String line = source.readUtf8Line();
@@ -65,10 +91,10 @@
         out.println(line);
         line = source.readUtf8Line();
       }
-      return response.isSuccessful();
+      return response.isSuccessful() ? Outcome.SERVED : Outcome.FAILED;
     } catch (IOException broken) {
       out.println("no whole answer: " + broken.getMessage());
-      return false;
+      return Outcome.FAILED;
     } finally {
       client.dispatcher().executorService().shutdown();
       client.connectionPool().evictAll();
