Control agent: a package without sockets, clock, disk or threads

Change: slateslip.controlplane.agent holds the whole agent behind Scheduler, PeerConnector, DataPlaneStream and RecordLog; Netty, the ring of files and the greeting of incoming connections are adapters (LoopScheduler, PeerLink, ChannelStream, RecordDisk) or moved unchanged (IncomingConnection).

Ruled out: a change of behaviour; the code inside the agent is as it was.

--- a/src/main/java/slateslip/controlplane/ControlApi.java
+++ b/src/main/java/slateslip/controlplane/ControlApi.java
@@ -16,6 +16,7 @@
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import slateslip.controlplane.agent.ControlAgent;
 import slateslip.distribution.exchange.OperatorAnswer;
 import slateslip.distribution.exchange.OperatorCall;
 
--- a/src/main/java/slateslip/controlplane/ControlPlane.java
+++ b/src/main/java/slateslip/controlplane/ControlPlane.java
@@ -6,7 +6,12 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import slateslip.controlplane.agent.AgentIdentity;
+import slateslip.controlplane.agent.AgentSettings;
+import slateslip.controlplane.agent.ControlAgent;
+import slateslip.controlplane.agent.PeerConnector;
 import slateslip.protocol.exchange.ExchangeCodec;
 import slateslip.settings.NodeSettings;
 import slateslip.storage.RingOptions;
@@ -26,14 +31,45 @@
   private final ControlApi api;
 
   private ControlPlane(NodeSettings settings) throws IOException {
-    SteadyClock clock = new SteadyClock();
-    AgentIdentity identity = AgentIdentity.draw(settings.ip().getHostAddress());
-    disk = RecordDisk.open(settings.dataDirectory(), new RingOptions(RING_FILES, RING_FILE_BYTES));
-    agent = new ControlAgent(loop, clock, settings, identity, disk);
+    AgentSettings agentSettings = agentSettings(settings);
+    AgentIdentity identity =
+        new AgentIdentity(agentSettings.address(), ThreadLocalRandom.current().nextLong());
+    disk =
+        RecordDisk.open(
+            settings.dataDirectory(), new RingOptions(RING_FILES, RING_FILE_BYTES), loop);
+    agent =
+        new ControlAgent(
+            new LoopScheduler(loop, new SteadyClock()),
+            (address, greeting, listener) -> connect(settings, address, greeting, listener),
+            agentSettings,
+            identity,
+            disk);
     internal = new InternalServer(group, new ExchangeCodec().encode(identity.greeting()), agent);
     api =
         new ControlApi(
-            settings.controlListen(), agent, loop, agent::statusJson, agent::metricsText);
+            settings.controlListen(),
+            agent,
+            loop,
+            () -> StatusReport.json(agent.status()),
+            () -> StatusReport.metrics(agent.status()));
+  }
+
+  private static AgentSettings agentSettings(NodeSettings settings) {
+    return new AgentSettings(
+        settings.node(),
+        settings.ip().getHostAddress(),
+        settings.seeds().stream().map(seed -> seed.getAddress().getHostAddress()).toList(),
+        settings.bootstrap(),
+        settings.faultTolerance().machines(),
+        settings.heartbeatMillis());
+  }
+
+  private PeerConnector.PeerConnection connect(
+      NodeSettings settings, String address, byte[] greeting, PeerConnector.Listener listener) {
+    InetSocketAddress peer = new InetSocketAddress(address, settings.ports().first());
+    PeerLink link = new PeerLink(loop, peer, greeting, listener);
+    link.dial();
+    return link;
   }
 
   /**
@@ -51,7 +87,7 @@
 
   /** Takes over what may change while it runs: the seeds. */
   public void settingsChanged(NodeSettings settings) {
-    loop.execute(() -> agent.settingsChanged(settings));
+    loop.execute(() -> agent.settingsChanged(agentSettings(settings)));
   }
 
   /** Stops taking calls and ends all threads. */
--- a/src/main/java/slateslip/controlplane/InternalServer.java
+++ b/src/main/java/slateslip/controlplane/InternalServer.java
@@ -16,15 +16,8 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import org.jboss.logging.Logger;
-import slateslip.distribution.ToControl;
-import slateslip.distribution.exchange.ExchangeMessage;
-import slateslip.protocol.Decoded;
+import slateslip.controlplane.agent.IncomingConnection;
 import slateslip.protocol.Framing;
-import slateslip.protocol.MessageReader;
-import slateslip.protocol.coordination.PeerFrame;
-import slateslip.protocol.coordination.PeerMessageCodec;
-import slateslip.protocol.distribution.DistributionCodec;
-import slateslip.protocol.exchange.ExchangeCodec;
 
 /**
  * The port for other agents: streams of data planes, and links of control agents. The schema of the
@@ -42,28 +35,15 @@
 
   private final EventLoopGroup group;
   private final byte[] greeting;
-  private final Listener listener;
+  private final IncomingConnection.Listener listener;
   private Channel server;
 
-  /** Takes what comes in; called on the event loop. */
-  interface Listener {
-    void fromDataPlane(Channel channel, ToControl message);
-
-    void dataPlaneWritable(Channel channel);
-
-    void dataPlaneClosed(Channel channel);
-
-    void fromPeer(String peer, ExchangeMessage message);
-
-    void fromReplica(PeerFrame frame);
-  }
-
   /**
    * Not listening yet.
    *
    * @param greeting encoded, sent back to a peer that has greeted
    */
-  InternalServer(EventLoopGroup group, byte[] greeting, Listener listener) {
+  InternalServer(EventLoopGroup group, byte[] greeting, IncomingConnection.Listener listener) {
     this.group = group;
     this.greeting = greeting;
     this.listener = listener;
@@ -113,86 +93,36 @@
 
   /** One connection that came in. */
   private final class Connection extends SimpleChannelInboundHandler<ByteBuf> {
-    private final DistributionCodec distribution = new DistributionCodec();
-    private final ExchangeCodec exchange = new ExchangeCodec();
-    private String peer;
-    private boolean dataPlane;
+    private IncomingConnection connection;
 
     @Override
-    protected void channelRead0(ChannelHandlerContext context, ByteBuf buffer) {
-      byte[] message = Framing.bytes(buffer);
-      if (peer != null) {
-        fromPeer(context, message);
-      } else if (dataPlane || MessageReader.schemaOf(message) != ExchangeCodec.SCHEMA_ID) {
-        fromDataPlane(context, message);
-      } else {
-        greet(context, message);
-      }
-    }
-
-    private void greet(ChannelHandlerContext context, byte[] message) {
-      if (exchange.decode(message) instanceof Decoded.Message<ExchangeMessage> decoded
-          && decoded.value() instanceof ExchangeMessage.Greeting first) {
-        peer = first.address();
-        context.writeAndFlush(Framing.frame(context.alloc(), greeting), context.voidPromise());
-        listener.fromPeer(peer, first);
-      } else {
-        close(context, "no greeting");
-      }
+    public void channelActive(ChannelHandlerContext context) {
+      connection = new IncomingConnection(new ChannelStream(context.channel()), greeting, listener);
     }
 
-    private void fromDataPlane(ChannelHandlerContext context, byte[] message) {
-      Decoded<ToControl> decoded = distribution.decodeToControl(message);
-      if (decoded instanceof Decoded.Message<ToControl> known) {
-        dataPlane = true;
-        listener.fromDataPlane(context.channel(), known.value());
-      } else if (decoded instanceof Decoded.Malformed<ToControl> malformed) {
-        close(context, malformed.reason());
-      } else if (!dataPlane) {
-        close(context, "a first message of another protocol");
-      }
-    }
-
-    private void fromPeer(ChannelHandlerContext context, byte[] message) {
-      if (MessageReader.schemaOf(message) == ExchangeCodec.SCHEMA_ID) {
-        Decoded<ExchangeMessage> decoded = exchange.decode(message);
-        if (decoded instanceof Decoded.Message<ExchangeMessage> known) {
-          listener.fromPeer(peer, known.value());
-        } else if (decoded instanceof Decoded.Malformed<ExchangeMessage> malformed) {
-          close(context, malformed.reason());
-        }
-        return;
-      }
-      Decoded<PeerFrame> decoded = PeerMessageCodec.decode(message);
-      if (decoded instanceof Decoded.Message<PeerFrame> known) {
-        listener.fromReplica(known.value());
-      } else if (decoded instanceof Decoded.Malformed<PeerFrame> malformed) {
-        close(context, malformed.reason());
-      }
-    }
-
-    private void close(ChannelHandlerContext context, String reason) {
-      LOG.warnf("connection of %s closed: %s", context.channel().remoteAddress(), reason);
-      context.close();
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, ByteBuf buffer) {
+      connection.received(Framing.bytes(buffer));
     }
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
-      if (dataPlane && context.channel().isWritable()) {
-        listener.dataPlaneWritable(context.channel());
+      if (connection != null && context.channel().isWritable()) {
+        connection.writable();
       }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-      if (dataPlane) {
-        listener.dataPlaneClosed(context.channel());
+      if (connection != null) {
+        connection.closed();
       }
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-      close(context, cause.toString());
+      LOG.warnf("connection of %s closed: %s", context.channel().remoteAddress(), cause);
+      context.close();
     }
   }
 }
--- a/src/main/java/slateslip/controlplane/PeerLink.java
+++ b/src/main/java/slateslip/controlplane/PeerLink.java
@@ -14,6 +14,7 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import org.jboss.logging.Logger;
+import slateslip.controlplane.agent.PeerConnector;
 import slateslip.protocol.Framing;
 
 /**
@@ -21,7 +22,7 @@
  * breaks; the first message that comes back on it is the peer's greeting. Confined to the event
  * loop.
  */
-final class PeerLink {
+final class PeerLink implements PeerConnector.PeerConnection {
   private static final Logger LOG = Logger.getLogger(PeerLink.class);
   private static final int CONNECT_MILLIS = 500;
   private static final long FIRST_PAUSE_MILLIS = 30;
@@ -33,22 +34,14 @@
   private final EventLoop loop;
   private final InetSocketAddress address;
   private final byte[] greeting;
-  private final Listener listener;
+  private final PeerConnector.Listener listener;
   private Channel channel;
   private boolean greeted;
   private boolean closed;
   private long pauseMillis = FIRST_PAUSE_MILLIS;
 
-  /** Is told what becomes of the link. */
-  interface Listener {
-    /** The peer has answered with its greeting. */
-    void up(byte[] peerGreeting);
-
-    /** The link was up and has broken. */
-    void down();
-  }
-
-  PeerLink(EventLoop loop, InetSocketAddress address, byte[] greeting, Listener listener) {
+  PeerLink(
+      EventLoop loop, InetSocketAddress address, byte[] greeting, PeerConnector.Listener listener) {
     this.loop = loop;
     this.address = address;
     this.greeting = greeting;
@@ -114,8 +107,8 @@
     }
   }
 
-  /** Sends a message if the connection is there; else it is lost. */
-  void send(byte[] message) {
+  @Override
+  public void send(byte[] message) {
     if (channel == null || !channel.isActive()) {
       return;
     }
@@ -127,19 +120,15 @@
     channel.writeAndFlush(Framing.frame(channel.alloc(), message), channel.voidPromise());
   }
 
-  /** Whether the peer has answered on the connection that is there now. */
-  boolean isUp() {
-    return greeted;
-  }
-
-  /** Breaks the connection off, to dial anew. */
-  void reset() {
+  @Override
+  public void reset() {
     if (channel != null) {
       channel.close();
     }
   }
 
-  void close() {
+  @Override
+  public void close() {
     closed = true;
     reset();
   }
--- a/src/main/java/slateslip/controlplane/RecordDisk.java
+++ b/src/main/java/slateslip/controlplane/RecordDisk.java
@@ -6,10 +6,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Executor;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jboss.logging.Logger;
+import slateslip.controlplane.agent.RecordLog;
 import slateslip.coordination.DurableRecord;
 import slateslip.protocol.Decoded;
 import slateslip.protocol.coordination.DurableRecordCodec;
@@ -22,28 +24,31 @@
  * The disk of a control agent, with a thread of its own that writes in the order of the calls.
  * Records that wait together are synced together.
  */
-final class RecordDisk {
+final class RecordDisk implements RecordLog {
   private static final Logger LOG = Logger.getLogger(RecordDisk.class);
 
   /** Between two parts of the preallocation: writes that come meanwhile go first. */
   private static final long PREALLOCATION_PAUSE_MILLIS = 50;
 
   private final RingStorage ring;
+  private final Executor loop;
   private final List<DurableRecord> recovered;
   private final BlockingQueue<Write> queue = new LinkedBlockingQueue<>();
   private final Thread thread = new Thread(this::writeForEver, "disk");
 
-  private RecordDisk(RingStorage ring, List<DurableRecord> recovered) {
+  private RecordDisk(RingStorage ring, List<DurableRecord> recovered, Executor loop) {
     this.ring = ring;
+    this.loop = loop;
     this.recovered = recovered;
   }
 
   /**
    * Opens the ring in a folder, which is made if it is missing.
    *
+   * @param loop the event loop, on which outcomes of writes are told
    * @throws IOException if the folder cannot be read, or holds what this program cannot read
    */
-  static RecordDisk open(Path folder, RingOptions options) throws IOException {
+  static RecordDisk open(Path folder, RingOptions options, Executor loop) throws IOException {
     Files.createDirectories(folder);
     RingStorage ring = RingStorage.open(new DiskFolder(folder), options);
     List<DurableRecord> recovered = new ArrayList<>();
@@ -53,16 +58,17 @@
       }
       recovered.add(record.value());
     }
-    return new RecordDisk(ring, recovered);
+    return new RecordDisk(ring, recovered, loop);
   }
 
-  /** What was on disk when it was opened, from the newest snapshot on. */
-  List<DurableRecord> recovered() {
+  @Override
+  public List<DurableRecord> recovered() {
     return recovered;
   }
 
   /** Starts the thread that writes. */
-  void start() {
+  @Override
+  public void start() {
     thread.setDaemon(true);
     thread.start();
   }
@@ -77,8 +83,8 @@
     }
   }
 
-  /** Starts a write; {@code done} is told on the disk's thread whether it is durable. */
-  void write(DurableRecord record, Consumer<Boolean> done) {
+  @Override
+  public void write(DurableRecord record, Consumer<Boolean> done) {
     queue.add(new Write(record, done));
   }
 
@@ -120,12 +126,12 @@
     tell(together, ring.append(payloads));
   }
 
-  private static void tell(List<Write> writes, StorageOutcome outcome) {
+  private void tell(List<Write> writes, StorageOutcome outcome) {
     boolean durable = outcome == StorageOutcome.DURABLE;
     if (!durable) {
       LOG.warnf("a write to disk failed: %s", outcome);
     }
-    writes.forEach(write -> write.done.accept(durable));
+    writes.forEach(write -> loop.execute(() -> write.done.accept(durable)));
   }
 
   private record Write(DurableRecord record, Consumer<Boolean> done) {}
--- a/src/main/java/slateslip/controlplane/StatusReport.java
+++ b/src/main/java/slateslip/controlplane/StatusReport.java
@@ -1,6 +1,7 @@
 package slateslip.controlplane;
 
 import java.util.stream.Collectors;
+import slateslip.controlplane.agent.AgentStatus;
 
 /** Writes an {@link AgentStatus} for people and for Prometheus. */
 final class StatusReport {
--- /dev/null
+++ b/src/main/java/slateslip/controlplane/agent/AgentSettings.java
@@ -0,0 +1,21 @@
+package slateslip.controlplane.agent;
+
+import java.util.List;
+
+/**
+ * What a control agent needs of its process's settings.
+ *
+ * @param node name of its machine
+ * @param address IPv4 address of its machine
+ * @param seeds IPv4 addresses of control agents
+ * @param bootstrap whether the whole system starts for the first time
+ * @param toleratedMachines machines that may be lost at once
+ * @param heartbeatMillis between two calls of a backend
+ */
+public record AgentSettings(
+    String node,
+    String address,
+    List<String> seeds,
+    boolean bootstrap,
+    int toleratedMachines,
+    long heartbeatMillis) {}
--- a/src/main/java/slateslip/controlplane/AgentStatus.java
+++ b/src/main/java/slateslip/controlplane/agent/AgentStatus.java
@@ -1,4 +1,4 @@
-package slateslip.controlplane;
+package slateslip.controlplane.agent;
 
 import java.util.List;
 
@@ -17,7 +17,7 @@
  * @param streams of data planes
  * @param peers control agents in reach
  */
-record AgentStatus(
+public record AgentStatus(
     String node,
     long epoch,
     String primary,
--- a/src/main/java/slateslip/controlplane/ControlAgent.java
+++ b/src/main/java/slateslip/controlplane/agent/ControlAgent.java
@@ -1,7 +1,5 @@
-package slateslip.controlplane;
+package slateslip.controlplane.agent;
 
-import io.netty.channel.Channel;
-import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -11,7 +9,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jboss.logging.Logger;
 import slateslip.controlplane.state.ConfigurationState;
@@ -29,25 +26,23 @@
 import slateslip.distribution.sessions.SessionTable;
 import slateslip.logging.LogContext;
 import slateslip.protocol.coordination.PeerFrame;
-import slateslip.settings.NodeSettings;
 
 /** One control agent: its parts, and what each tells the others. Confined to the event loop. */
-final class ControlAgent implements InternalServer.Listener {
+public final class ControlAgent implements IncomingConnection.Listener {
   private static final Logger LOG = Logger.getLogger(ControlAgent.class);
   private static final long MICROS_PER_MILLI = 1_000;
 
   /** A backend may miss this many calls. */
   private static final int EXPIRY_HEARTBEATS = 3;
 
-  private static final long PEER_BEAT_MILLIS = 150;
-  private static final long STREAM_BEAT_MILLIS = 200;
-  private static final long RENEWAL_MILLIS = 300;
-  private static final long EXPIRY_CHECK_MILLIS = 200;
-  private static final long SHARES_MILLIS = 250;
+  private static final long PEER_BEAT_MICROS = 150_000;
+  private static final long STREAM_BEAT_MICROS = 200_000;
+  private static final long RENEWAL_MICROS = 300_000;
+  private static final long EXPIRY_CHECK_MICROS = 200_000;
+  private static final long SHARES_MICROS = 250_000;
   private static final long JOURNAL_BYTES = 6L * 1024 * 1024;
 
-  private final EventLoop loop;
-  private final SteadyClock clock;
+  private final Scheduler scheduler;
   private final ConfigurationState state = new ConfigurationState();
   private final SessionTable table;
   private final PeerLinks links;
@@ -63,101 +58,82 @@
 
   private final long startMicros;
   private final ShareService shares;
-  private NodeSettings settings;
+  private AgentSettings settings;
   private long reportedVersion = -1;
 
-  ControlAgent(
-      EventLoop loop,
-      SteadyClock clock,
-      NodeSettings settings,
+  /** A control agent that does nothing before {@link #start}. */
+  public ControlAgent(
+      Scheduler scheduler,
+      PeerConnector connector,
+      AgentSettings settings,
       AgentIdentity identity,
-      RecordDisk disk) {
-    this.loop = loop;
-    this.clock = clock;
+      RecordLog log) {
+    this.scheduler = scheduler;
     this.settings = settings;
-    startMicros = clock.micros();
+    startMicros = scheduler.nowMicros();
     table = new SessionTable(EXPIRY_HEARTBEATS * settings.heartbeatMillis() * MICROS_PER_MILLI);
     table.holdExpiry(startMicros);
-    waits = new DeliveryWaits(loop);
-    links =
-        new PeerLinks(
-            loop, clock, identity.greeting(), settings.ports().first(), new LinkListener());
+    waits = new DeliveryWaits(scheduler);
+    links = new PeerLinks(scheduler, identity.greeting(), connector, new LinkListener());
     ControlReplica machine =
         new ControlReplica(replicaSettings(identity), state, identity.incarnation());
     replica =
         new ReplicaHost(
-            loop,
-            clock,
+            scheduler,
             machine,
-            disk,
+            log,
             (to, message) -> links.send(to.toString(), message),
             this::configurationChanged);
     subscribers = new Subscribers(new Committed(), table, this::heartbeat, new StreamListener());
-    sessions = new SessionService(clock, table, links, subscribers, waits, this::reachesMajority);
-    calls = new OperatorCalls(loop, replica, state, links, this::awaitDelivery);
-    shares = new ShareService(identity.address(), clock, links, subscribers, new Allocator());
+    sessions =
+        new SessionService(scheduler, table, links, subscribers, waits, this::reachesMajority);
+    calls = new OperatorCalls(scheduler, replica, state, links, this::awaitDelivery);
+    shares = new ShareService(identity.address(), scheduler, links, subscribers, new Allocator());
   }
 
   private ReplicaSettings replicaSettings(AgentIdentity identity) {
     return new ReplicaSettings(
         NodeAddress.parse(identity.address()),
-        seedAddresses().stream().map(NodeAddress::parse).toList(),
+        settings.seeds().stream().map(NodeAddress::parse).toList(),
         settings.bootstrap(),
-        settings.faultTolerance().machines(),
+        settings.toleratedMachines(),
         JOURNAL_BYTES);
   }
 
-  private List<String> seedAddresses() {
-    return settings.seeds().stream().map(seed -> seed.getAddress().getHostAddress()).toList();
-  }
-
   /** Starts; on the event loop. */
-  void start() {
-    links.learn(seedAddresses());
+  public void start() {
+    links.learn(settings.seeds());
     replica.start();
-    every(PEER_BEAT_MILLIS, this::beat);
-    every(STREAM_BEAT_MILLIS, subscribers::beat);
-    every(RENEWAL_MILLIS, sessions::flushRenewals);
-    every(EXPIRY_CHECK_MILLIS, this::checkSessions);
-    every(SHARES_MILLIS, shares::tick);
+    scheduler.repeat(PEER_BEAT_MICROS, this::beat);
+    scheduler.repeat(STREAM_BEAT_MICROS, subscribers::beat);
+    scheduler.repeat(RENEWAL_MICROS, sessions::flushRenewals);
+    scheduler.repeat(EXPIRY_CHECK_MICROS, this::checkSessions);
+    scheduler.repeat(SHARES_MICROS, shares::tick);
   }
 
   /** Takes over seeds that have changed. */
-  void settingsChanged(NodeSettings changed) {
+  public void settingsChanged(AgentSettings changed) {
     settings = changed;
-    links.learn(seedAddresses());
-  }
-
-  private void every(long millis, Runnable task) {
-    loop.scheduleAtFixedRate(task, millis, millis, TimeUnit.MILLISECONDS);
+    links.learn(settings.seeds());
   }
 
   /** A backend's call; {@code acknowledged} is told once whether it is. */
-  void heartbeat(BackendSession session, Consumer<Boolean> acknowledged) {
+  public void heartbeat(BackendSession session, Consumer<Boolean> acknowledged) {
     sessions.heartbeat(session, acknowledged);
   }
 
   /** A backend is gone; {@code acknowledged} is told once whether the call is. */
-  void depart(String id, Consumer<Boolean> acknowledged) {
+  public void depart(String id, Consumer<Boolean> acknowledged) {
     sessions.depart(id, acknowledged);
   }
 
   /** A call of the operator's; answered once. */
-  void call(OperatorCall call, Consumer<OperatorAnswer> answer) {
+  public void call(OperatorCall call, Consumer<OperatorAnswer> answer) {
     calls.call(call, answer);
   }
 
-  /** Figures of this agent as JSON. */
-  String statusJson() {
-    return StatusReport.json(status());
-  }
-
-  /** Figures of this agent in Prometheus' text format. */
-  String metricsText() {
-    return StatusReport.metrics(status());
-  }
-
-  private AgentStatus status() {
+  /** Figures of this agent. */
+  public AgentStatus status() {
     return new AgentStatus(
         settings.node(),
         replica.role().epoch(),
@@ -169,11 +145,11 @@
         table.isComplete(),
         table.revision(),
         subscribers.streams().size(),
-        links.reachability().reached(clock.micros()));
+        links.reachability().reached(scheduler.nowMicros()));
   }
 
   private void beat() {
-    Set<String> kept = new LinkedHashSet<>(seedAddresses());
+    Set<String> kept = new LinkedHashSet<>(settings.seeds());
     kept.addAll(electorate());
     links.learn(kept);
     links.beat(table.isComplete(), kept);
@@ -181,7 +157,7 @@
   }
 
   private void checkSessions() {
-    boolean heardEverybody = clock.micros() - startMicros > expiryMicros();
+    boolean heardEverybody = scheduler.nowMicros() - startMicros > expiryMicros();
     if (heardEverybody && reachesMajority()) {
       table.markComplete();
     }
@@ -204,7 +180,7 @@
   private boolean reachesMajority() {
     Collection<String> electorate = electorate();
     return !electorate.isEmpty()
-        && links.reachability().reachesMajority(clock.micros(), electorate);
+        && links.reachability().reachesMajority(scheduler.nowMicros(), electorate);
   }
 
   private void configurationChanged() {
@@ -233,7 +209,7 @@
     if (subscribers.progress().slowestVersion() < version) {
       return false;
     }
-    for (String peer : links.reachability().reached(clock.micros())) {
+    for (String peer : links.reachability().reached(scheduler.nowMicros())) {
       if (deliveredByPeer.getOrDefault(peer, 0L) < version) {
         return false;
       }
@@ -242,25 +218,25 @@
   }
 
   private ToDataPlane.Heartbeat heartbeat() {
-    List<String> agents = new ArrayList<>(links.reachability().reached(clock.micros()));
-    agents.add(settings.ip().getHostAddress());
+    List<String> agents = new ArrayList<>(links.reachability().reached(scheduler.nowMicros()));
+    agents.add(settings.address());
     boolean current = replica.hearsPrimary() && reachesMajority();
     return new ToDataPlane.Heartbeat(current, state.version(), table.revision(), agents);
   }
 
   @Override
-  public void fromDataPlane(Channel channel, ToControl message) {
-    subscribers.received(channel, message);
+  public void fromDataPlane(DataPlaneStream stream, ToControl message) {
+    subscribers.received(stream, message);
   }
 
   @Override
-  public void dataPlaneWritable(Channel channel) {
-    subscribers.writable(channel);
+  public void dataPlaneWritable(DataPlaneStream stream) {
+    subscribers.writable(stream);
   }
 
   @Override
-  public void dataPlaneClosed(Channel channel) {
-    subscribers.closed(channel);
+  public void dataPlaneClosed(DataPlaneStream stream) {
+    subscribers.closed(stream);
   }
 
   @Override
@@ -269,7 +245,8 @@
   }
 
   @Override
-  public void fromPeer(String peer, ExchangeMessage message) {
+  public void fromPeer(ExchangeMessage.Greeting sender, ExchangeMessage message) {
+    String peer = sender.address();
     if (message instanceof ExchangeMessage.Beat beat) {
       links.heard(peer, beat);
       if (beat.complete() && copiedFrom.contains(peer)) {
--- a/src/main/java/slateslip/controlplane/DeliveryWaits.java
+++ b/src/main/java/slateslip/controlplane/agent/DeliveryWaits.java
@@ -1,21 +1,21 @@
-package slateslip.controlplane;
+package slateslip.controlplane.agent;
 
-import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /** Answers that wait for deliveries, each for a bounded time. Confined to the event loop. */
 final class DeliveryWaits {
-  private final EventLoop loop;
+  private static final long MICROS_PER_MILLI = 1_000;
+
+  private final Scheduler scheduler;
   private final Set<Wait> waits = new LinkedHashSet<>();
 
-  DeliveryWaits(EventLoop loop) {
-    this.loop = loop;
+  DeliveryWaits(Scheduler scheduler) {
+    this.scheduler = scheduler;
   }
 
   /**
@@ -31,7 +31,7 @@
     }
     Wait wait = new Wait(delivered, then);
     waits.add(wait);
-    loop.schedule(() -> end(wait, false), boundMillis, TimeUnit.MILLISECONDS);
+    scheduler.schedule(boundMillis * MICROS_PER_MILLI, () -> end(wait, false));
   }
 
   /** Something was delivered, or somebody has gone who was waited for. */
--- a/src/main/java/slateslip/controlplane/OperatorCalls.java
+++ b/src/main/java/slateslip/controlplane/agent/OperatorCalls.java
@@ -1,11 +1,9 @@
-package slateslip.controlplane;
+package slateslip.controlplane.agent;
 
-import io.netty.channel.EventLoop;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import slateslip.configuration.ConfigurationDocument;
 import slateslip.controlplane.state.ConfigurationState;
@@ -22,12 +20,12 @@
  */
 final class OperatorCalls {
   /** Callers try another agent after a second of silence. */
-  private static final long FORWARD_BOUND_MILLIS = 900;
+  private static final long FORWARD_BOUND_MICROS = 900_000;
 
   /** How long an acknowledgement waits for data planes to put the version in force. */
   private static final long DELIVERY_BOUND_MILLIS = 400;
 
-  private final EventLoop loop;
+  private final Scheduler scheduler;
   private final ReplicaHost replica;
   private final ConfigurationState state;
   private final PeerLinks links;
@@ -42,12 +40,12 @@
   }
 
   OperatorCalls(
-      EventLoop loop,
+      Scheduler scheduler,
       ReplicaHost replica,
       ConfigurationState state,
       PeerLinks links,
       FleetDelivery delivery) {
-    this.loop = loop;
+    this.scheduler = scheduler;
     this.replica = replica;
     this.state = state;
     this.links = links;
@@ -70,7 +68,7 @@
     long id = lastId;
     forwarded.put(id, answer);
     links.send(peer, new ExchangeMessage.Forwarded(id, call));
-    loop.schedule(() -> giveUp(id), FORWARD_BOUND_MILLIS, TimeUnit.MILLISECONDS);
+    scheduler.schedule(FORWARD_BOUND_MICROS, () -> giveUp(id));
   }
 
   private void giveUp(long id) {
--- a/src/main/java/slateslip/controlplane/PeerLinks.java
+++ b/src/main/java/slateslip/controlplane/agent/PeerLinks.java
@@ -1,7 +1,5 @@
-package slateslip.controlplane;
+package slateslip.controlplane.agent;
 
-import io.netty.channel.EventLoop;
-import java.net.InetSocketAddress;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
@@ -16,14 +14,13 @@
  * loop.
  */
 final class PeerLinks {
-  private final EventLoop loop;
-  private final SteadyClock clock;
+  private final Scheduler scheduler;
   private final ExchangeCodec codec = new ExchangeCodec();
   private final ExchangeMessage.Greeting self;
-  private final int port;
+  private final PeerConnector connector;
   private final Reachability reachability;
   private final Map<String, Long> upSince = new TreeMap<>();
-  private final Map<String, PeerLink> links = new TreeMap<>();
+  private final Map<String, PeerConnector.PeerConnection> links = new TreeMap<>();
   private final Listener listener;
 
   /** Is told which links are up. */
@@ -35,21 +32,15 @@
     void forgotten(String peer);
   }
 
-  /**
-   * No links yet.
-   *
-   * @param port of every agent
-   */
+  /** No links yet. */
   PeerLinks(
-      EventLoop loop,
-      SteadyClock clock,
+      Scheduler scheduler,
       ExchangeMessage.Greeting self,
-      int port,
+      PeerConnector connector,
       Listener listener) {
-    this.loop = loop;
-    this.clock = clock;
+    this.scheduler = scheduler;
     this.self = self;
-    this.port = port;
+    this.connector = connector;
     this.listener = listener;
     reachability = new Reachability(self.address());
   }
@@ -60,28 +51,21 @@
 
   /** Dials agents that were not known. */
   void learn(Collection<String> addresses) {
-    for (String address : reachability.learn(clock.micros(), addresses)) {
-      PeerLink link =
-          new PeerLink(
-              loop,
-              new InetSocketAddress(address, port),
-              codec.encode(self),
-              new LinkListener(address));
-      links.put(address, link);
-      link.dial();
+    for (String address : reachability.learn(scheduler.nowMicros(), addresses)) {
+      links.put(address, connector.connect(address, codec.encode(self), new LinkListener(address)));
     }
   }
 
   /** A beat has come. */
   void heard(String peer, ExchangeMessage.Beat beat) {
     learn(List.of(peer));
-    reachability.heard(clock.micros(), peer, beat);
+    reachability.heard(scheduler.nowMicros(), peer, beat);
     learn(beat.knownAgents());
   }
 
   /** Sends beats, breaks off links that lead nowhere, and forgets agents that are long gone. */
   void beat(boolean complete, Collection<String> keptAgents) {
-    long now = clock.micros();
+    long now = scheduler.nowMicros();
     for (String forgotten : reachability.forget(now, keptAgents)) {
       links.remove(forgotten).close();
       listener.forgotten(forgotten);
@@ -95,7 +79,7 @@
         });
   }
 
-  private void resetIfSilent(long now, String peer, PeerLink link) {
+  private void resetIfSilent(long now, String peer, PeerConnector.PeerConnection link) {
     Long since = upSince.get(peer);
     boolean settled = since != null && now - since > 2 * Reachability.SILENCE_MICROS;
     if (settled && !reachability.isReached(now, peer)) {
@@ -110,7 +94,7 @@
 
   /** Sends an encoded message; it may be lost. */
   void send(String peer, byte[] message) {
-    PeerLink link = links.get(peer);
+    PeerConnector.PeerConnection link = links.get(peer);
     if (link != null) {
       link.send(message);
     }
@@ -118,14 +102,14 @@
 
   /** Whether the link is up and the peer in reach. */
   boolean isUsable(String peer) {
-    return upSince.containsKey(peer) && reachability.isReached(clock.micros(), peer);
+    return upSince.containsKey(peer) && reachability.isReached(scheduler.nowMicros(), peer);
   }
 
   void close() {
-    links.values().forEach(PeerLink::close);
+    links.values().forEach(PeerConnector.PeerConnection::close);
   }
 
-  private final class LinkListener implements PeerLink.Listener {
+  private final class LinkListener implements PeerConnector.Listener {
     private final String peer;
 
     private LinkListener(String peer) {
@@ -136,7 +120,7 @@
     public void up(byte[] peerGreeting) {
       if (codec.decode(peerGreeting) instanceof Decoded.Message<ExchangeMessage> message
           && message.value() instanceof ExchangeMessage.Greeting greeting) {
-        upSince.put(peer, clock.micros());
+        upSince.put(peer, scheduler.nowMicros());
         listener.linkUp(peer, greeting.incarnation());
       } else {
         links.get(peer).reset();
--- a/src/main/java/slateslip/controlplane/ReplicaHost.java
+++ b/src/main/java/slateslip/controlplane/agent/ReplicaHost.java
@@ -1,10 +1,7 @@
-package slateslip.controlplane;
+package slateslip.controlplane.agent;
 
-import io.netty.channel.EventLoop;
-import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jboss.logging.Logger;
 import slateslip.coordination.ClientResult;
@@ -22,16 +19,15 @@
 final class ReplicaHost {
   private static final Logger LOG = Logger.getLogger(ReplicaHost.class);
 
-  private final EventLoop loop;
-  private final SteadyClock clock;
+  private final Scheduler scheduler;
   private final ControlReplica replica;
-  private final RecordDisk disk;
+  private final RecordLog disk;
   private final PeerSender sender;
   private final Runnable applied;
   private final Map<Long, Consumer<ClientResult>> waiting = new HashMap<>();
   private long lastToken;
   private RoleStatus role;
-  private ScheduledFuture<?> wake;
+  private Scheduler.Timer wake;
 
   /** Sends a message to a peer; it may be lost. */
   interface PeerSender {
@@ -39,14 +35,12 @@
   }
 
   ReplicaHost(
-      EventLoop loop,
-      SteadyClock clock,
+      Scheduler scheduler,
       ControlReplica replica,
-      RecordDisk disk,
+      RecordLog disk,
       PeerSender sender,
       Runnable applied) {
-    this.loop = loop;
-    this.clock = clock;
+    this.scheduler = scheduler;
     this.replica = replica;
     this.disk = disk;
     this.sender = sender;
@@ -100,7 +94,7 @@
   }
 
   private void handle(ReplicaInput input) {
-    Effects effects = replica.handle(clock.micros(), input);
+    Effects effects = replica.handle(scheduler.nowMicros(), input);
     logChange(effects.role());
     role = effects.role();
     effects.writes().forEach(this::write);
@@ -123,7 +117,7 @@
   }
 
   private void write(Effects.DurableWrite write) {
-    disk.write(write.record(), durable -> loop.execute(() -> written(write.token(), durable)));
+    disk.write(write.record(), durable -> written(write.token(), durable));
   }
 
   private void written(long token, boolean durable) {
@@ -143,9 +137,9 @@
 
   private void wakeAt(long atMicros) {
     if (wake != null) {
-      wake.cancel(false);
+      wake.cancel();
     }
-    long delay = Math.max(0, atMicros - clock.micros());
-    wake = loop.schedule(() -> handle(new ReplicaInput.Tick()), delay, TimeUnit.MICROSECONDS);
+    long delay = Math.max(0, atMicros - scheduler.nowMicros());
+    wake = scheduler.schedule(delay, () -> handle(new ReplicaInput.Tick()));
   }
 }
--- a/src/main/java/slateslip/controlplane/SessionService.java
+++ b/src/main/java/slateslip/controlplane/agent/SessionService.java
@@ -1,4 +1,4 @@
-package slateslip.controlplane;
+package slateslip.controlplane.agent;
 
 import java.util.HashSet;
 import java.util.List;
@@ -21,7 +21,7 @@
   /** How long a peer's answer waits for its own data planes. */
   private static final long STORED_WAIT_MILLIS = 200;
 
-  private final SteadyClock clock;
+  private final Scheduler scheduler;
   private final SessionTable table;
   private final SessionReplication replication;
   private final PeerLinks links;
@@ -37,13 +37,13 @@
   }
 
   SessionService(
-      SteadyClock clock,
+      Scheduler scheduler,
       SessionTable table,
       PeerLinks links,
       Subscribers subscribers,
       DeliveryWaits waits,
       Majority majority) {
-    this.clock = clock;
+    this.scheduler = scheduler;
     this.table = table;
     this.links = links;
     this.subscribers = subscribers;
@@ -58,7 +58,7 @@
    * the backend has to call one of them.
    */
   void heartbeat(BackendSession session, Consumer<Boolean> acknowledged) {
-    HeartbeatResult result = table.heartbeat(clock.micros(), session);
+    HeartbeatResult result = table.heartbeat(scheduler.nowMicros(), session);
     if (result == HeartbeatResult.RENEWED) {
       replication.renewed(session.id());
     }
@@ -74,7 +74,7 @@
 
   /** A backend says that it is gone. */
   void depart(String id, Consumer<Boolean> acknowledged) {
-    table.depart(clock.micros(), id);
+    table.depart(scheduler.nowMicros(), id);
     leaving(id, acknowledged);
   }
 
@@ -105,7 +105,7 @@
   }
 
   private void changed(long number, String id) {
-    send(replication.changed(clock.micros(), number, List.of(id)));
+    send(replication.changed(scheduler.nowMicros(), number, List.of(id)));
     subscribers.pump();
   }
 
@@ -115,7 +115,7 @@
 
   /** Changes at another agent. */
   void merge(String peer, ExchangeMessage.SessionChanges changes) {
-    long now = clock.micros();
+    long now = scheduler.nowMicros();
     changes.entries().forEach(entry -> table.merge(now, entry));
     changes.departed().forEach(id -> table.depart(now, id));
     subscribers.pump();
@@ -130,7 +130,7 @@
 
   /** Renewals at another agent. */
   void merge(ExchangeMessage.SessionRenewals renewals) {
-    long now = clock.micros();
+    long now = scheduler.nowMicros();
     renewals.renewals().forEach(renewal -> table.merge(now, renewal));
   }
 
@@ -143,12 +143,12 @@
   }
 
   void connected(String peer, long incarnation) {
-    send(replication.connected(clock.micros(), peer, incarnation));
+    send(replication.connected(scheduler.nowMicros(), peer, incarnation));
   }
 
   void disconnected(String peer) {
     replication.disconnected(peer);
-    table.holdExpiry(clock.micros());
+    table.holdExpiry(scheduler.nowMicros());
     unstored.values().forEach(peers -> peers.remove(peer));
     waits.check();
   }
@@ -164,12 +164,12 @@
 
   /** Sends the renewals of the last while. */
   void flushRenewals() {
-    send(replication.flushRenewals(clock.micros()));
+    send(replication.flushRenewals(scheduler.nowMicros()));
   }
 
   /** Drops sessions that were not renewed, unless that is for want of hearing. */
   void expire() {
-    long now = clock.micros();
+    long now = scheduler.nowMicros();
     if (!majority.isReached()) {
       table.holdExpiry(now);
     }
--- a/src/main/java/slateslip/controlplane/ShareService.java
+++ b/src/main/java/slateslip/controlplane/agent/ShareService.java
@@ -1,4 +1,4 @@
-package slateslip.controlplane;
+package slateslip.controlplane.agent;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -25,7 +25,7 @@
   private static final long ENDED_MICROS = 10_000_000;
 
   private final String self;
-  private final SteadyClock clock;
+  private final Scheduler scheduler;
   private final PeerLinks links;
   private final Subscribers subscribers;
   private final Holder holder;
@@ -48,9 +48,9 @@
   private record Origin(String peer, long reportedMicros) {}
 
   ShareService(
-      String self, SteadyClock clock, PeerLinks links, Subscribers subscribers, Holder holder) {
+      String self, Scheduler scheduler, PeerLinks links, Subscribers subscribers, Holder holder) {
     this.self = self;
-    this.clock = clock;
+    this.scheduler = scheduler;
     this.links = links;
     this.subscribers = subscribers;
     this.holder = holder;
@@ -93,7 +93,7 @@
       origins.clear();
     } else if (allocator == null) {
       allocator = new ShareAllocator();
-      allocatorSinceMicros = clock.micros();
+      allocatorSinceMicros = scheduler.nowMicros();
     }
   }
 
@@ -101,13 +101,13 @@
     if (allocator == null) {
       return;
     }
-    long now = clock.micros();
+    long now = scheduler.nowMicros();
     origins.put(demand.node(), new Origin(peer, now));
     allocator.report(now, demand.node(), demand.incarnation(), demand.tenants());
   }
 
   private void divide() {
-    long now = clock.micros();
+    long now = scheduler.nowMicros();
     if (now - allocatorSinceMicros < LISTEN_MICROS) {
       return;
     }
--- a/src/main/java/slateslip/controlplane/Subscribers.java
+++ b/src/main/java/slateslip/controlplane/agent/Subscribers.java
@@ -1,7 +1,5 @@
-package slateslip.controlplane;
+package slateslip.controlplane.agent;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.channel.Channel;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -14,7 +12,6 @@
 import slateslip.distribution.delivery.DeliveryProgress;
 import slateslip.distribution.delivery.SubscriberDelivery;
 import slateslip.distribution.sessions.SessionTable;
-import slateslip.protocol.Framing;
 import slateslip.protocol.distribution.DistributionCodec;
 
 /** The streams of data planes at this agent. Confined to the event loop. */
@@ -22,7 +19,7 @@
   private static final Logger LOG = Logger.getLogger(Subscribers.class);
 
   private final DistributionCodec codec = new DistributionCodec();
-  private final Map<Channel, SubscriberDelivery> streams = new LinkedHashMap<>();
+  private final Map<DataPlaneStream, SubscriberDelivery> streams = new LinkedHashMap<>();
   private final ConfigurationSource configurations;
   private final SessionTable sessions;
   private final Supplier<ToDataPlane.Heartbeat> heartbeat;
@@ -48,37 +45,37 @@
     this.listener = listener;
   }
 
-  void received(Channel channel, ToControl message) {
-    SubscriberDelivery stream = streams.get(channel);
+  void received(DataPlaneStream stream, ToControl message) {
+    SubscriberDelivery delivery = streams.get(stream);
     if (message instanceof ToControl.Subscribe subscribe) {
-      subscribe(channel, subscribe);
-    } else if (stream == null) {
-      channel.close();
+      subscribe(stream, subscribe);
+    } else if (delivery == null) {
+      stream.close();
     } else if (message instanceof ToControl.Acknowledge acknowledge) {
-      stream.acknowledge(acknowledge);
+      delivery.acknowledge(acknowledge);
       listener.progressed();
     } else if (message instanceof ToControl.Demand demand) {
-      stream.subscription().ifPresent(subscriber -> listener.demand(subscriber, demand));
+      delivery.subscription().ifPresent(subscriber -> listener.demand(subscriber, demand));
     } else if (message instanceof ToControl.Ping ping) {
-      send(channel, new ToDataPlane.Pong(ping.nonce()));
+      send(stream, new ToDataPlane.Pong(ping.nonce()));
     }
   }
 
-  private void subscribe(Channel channel, ToControl.Subscribe message) {
-    if (!streams.containsKey(channel)) {
+  private void subscribe(DataPlaneStream stream, ToControl.Subscribe message) {
+    if (!streams.containsKey(stream)) {
       LOG.infof("data plane %s subscribed", message.node());
     }
-    SubscriberDelivery stream =
-        streams.computeIfAbsent(channel, key -> new SubscriberDelivery(configurations, sessions));
-    stream.subscribe(message);
-    send(channel, heartbeat.get());
-    pump(channel, stream);
+    SubscriberDelivery delivery =
+        streams.computeIfAbsent(stream, key -> new SubscriberDelivery(configurations, sessions));
+    delivery.subscribe(message);
+    send(stream, heartbeat.get());
+    pump(stream, delivery);
     listener.progressed();
   }
 
-  void closed(Channel channel) {
-    SubscriberDelivery stream = streams.remove(channel);
-    if (stream != null && stream.isActive()) {
+  void closed(DataPlaneStream stream) {
+    SubscriberDelivery delivery = streams.remove(stream);
+    if (delivery != null && delivery.isActive()) {
       listener.progressed();
     }
   }
@@ -89,49 +86,46 @@
   }
 
   /** The stream takes more again. */
-  void writable(Channel channel) {
-    SubscriberDelivery stream = streams.get(channel);
-    if (stream != null) {
-      pump(channel, stream);
+  void writable(DataPlaneStream stream) {
+    SubscriberDelivery delivery = streams.get(stream);
+    if (delivery != null) {
+      pump(stream, delivery);
     }
   }
 
-  private void pump(Channel channel, SubscriberDelivery stream) {
-    if (!channel.isWritable()) {
+  private void pump(DataPlaneStream stream, SubscriberDelivery delivery) {
+    if (!stream.isWritable()) {
       return;
     }
-    for (ToDataPlane message : stream.pending()) {
-      channel.write(frame(channel, message), channel.voidPromise());
+    for (ToDataPlane message : delivery.pending()) {
+      stream.write(codec.encode(message));
     }
-    channel.flush();
+    stream.flush();
   }
 
   /** Sends a heartbeat on every stream that takes more. */
   void beat() {
     ToDataPlane.Heartbeat message = heartbeat.get();
-    streams.keySet().forEach(channel -> send(channel, message));
+    streams.keySet().forEach(stream -> send(stream, message));
   }
 
   /** Sends a message to the active stream of a data plane. */
   void sendTo(String node, ToDataPlane message) {
     streams.forEach(
-        (channel, stream) -> {
-          if (stream.isActive() && stream.subscription().get().node().equals(node)) {
-            send(channel, message);
+        (stream, delivery) -> {
+          if (delivery.isActive() && delivery.subscription().get().node().equals(node)) {
+            send(stream, message);
           }
         });
   }
 
-  private void send(Channel channel, ToDataPlane message) {
-    if (channel.isWritable()) {
-      channel.writeAndFlush(frame(channel, message), channel.voidPromise());
+  private void send(DataPlaneStream stream, ToDataPlane message) {
+    if (stream.isWritable()) {
+      stream.write(codec.encode(message));
+      stream.flush();
     }
   }
 
-  private ByteBuf frame(Channel channel, ToDataPlane message) {
-    return Framing.frame(channel.alloc(), codec.encode(message));
-  }
-
   /** How far the active streams are. */
   DeliveryProgress progress() {
     return DeliveryProgress.of(streams.values());
--- /dev/null
+++ b/src/main/java/slateslip/controlplane/agent/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * A whole control agent without sockets, clock, disk or threads: its host provides them through
+ * {@link Scheduler}, {@link PeerConnector}, {@link DataPlaneStream} and {@link RecordLog}, so that
+ * a simulation runs the same code.
+ */
+package slateslip.controlplane.agent;
--- a/src/test/java/slateslip/architecture/ArchitectureTest.java
+++ b/src/test/java/slateslip/architecture/ArchitectureTest.java
@@ -82,6 +82,8 @@
   private static final List<String> DECISIONS =
       List.of(
           "configuration",
+          "controlplane.agent",
+          "controlplane.state",
           "coordination",
           "distribution",
           "routing",
