Committed changes are applied whatever this version's checker says

Cause: ConfigurationState.apply asked the checker again and threw where it found a committed change invalid. An agent of an older version, or one with a stricter check, would stop for good, or go on with a state behind its sequence number. A data plane refused such a configuration whole and stayed on the old one.

Change: whether a change is valid is decided once, by the primary that takes it. Replicas and data planes read committed changes without the checks; items that this version cannot use are kept as they were sent and left out of what was read.

Ruled out: checking the same way in every version (checks grow with what the operator may say), and replicating results (a whole document for each change).

--- a/src/main/java/slateslip/configuration/ConfigurationDocument.java
+++ b/src/main/java/slateslip/configuration/ConfigurationDocument.java
@@ -40,6 +40,20 @@
     return DocumentReader.patch(parts, patch);
   }
 
+  /**
+   * Reads a whole configuration that is in force, without asking again whether it is valid: agents
+   * of different versions must not differ in what is committed. Items that this version cannot use
+   * are kept as they were sent, and are missing from {@link #configuration}.
+   */
+  public static ConfigurationOutcome committed(byte[] document) {
+    return DocumentReader.committedWhole(document);
+  }
+
+  /** This configuration with a change applied that is in force, as for {@link #committed}. */
+  public ConfigurationOutcome committedPatch(byte[] patch) {
+    return DocumentReader.committedPatch(parts, patch);
+  }
+
   /** Version of the configuration. */
   public long version() {
     return configuration.version();
--- a/src/main/java/slateslip/configuration/DocumentParts.java
+++ b/src/main/java/slateslip/configuration/DocumentParts.java
@@ -76,6 +76,14 @@
     return new DocumentParts(changed, routes, services, tenants, limits, limitsJson, others);
   }
 
+  /** With empty lists of routes and services where they were not given. */
+  DocumentParts withMissingLists() {
+    DocumentParts withRoutes = routes == null ? withRoutes(NamedItems.none(ROUTES, ROUTE)) : this;
+    return services == null
+        ? withRoutes.withServices(NamedItems.none(SERVICES, SERVICE))
+        : withRoutes;
+  }
+
   private NamedItems<Tenant> tenantsOrNone() {
     return tenants == null ? NamedItems.none(TENANTS, TENANT) : tenants;
   }
--- a/src/main/java/slateslip/configuration/DocumentReader.java
+++ b/src/main/java/slateslip/configuration/DocumentReader.java
@@ -12,20 +12,48 @@
 
   private DocumentReader() {}
 
+  /** Reads a whole document and has it checked. */
   static ConfigurationOutcome whole(byte[] document, long currentVersion) {
-    return read(document, currentVersion, DocumentReader::readWhole);
+    return read(document, DocumentReader::readWhole, checkedAgainst(currentVersion));
   }
 
+  /** Reads a change and has its result checked. */
   static ConfigurationOutcome patch(DocumentParts current, byte[] patch) {
     return read(
-        patch, current.version(), (fields, problems) -> readPatch(current, fields, problems));
+        patch,
+        (fields, problems) -> readPatch(current, fields, problems),
+        checkedAgainst(current.version()));
+  }
+
+  /** Reads a whole document that has been found valid before, maybe by another program version. */
+  static ConfigurationOutcome committedWhole(byte[] document) {
+    return read(document, DocumentReader::readWhole, UNCHECKED);
+  }
+
+  /** Reads a change that has been found valid before, maybe by another program version. */
+  static ConfigurationOutcome committedPatch(DocumentParts current, byte[] patch) {
+    return read(patch, (fields, problems) -> readPatch(current, fields, problems), UNCHECKED);
+  }
+
+  private static Check checkedAgainst(long currentVersion) {
+    return (parts, problems) -> {
+      String problem = problems.first();
+      return problem == null ? DocumentChecks.problem(parts, currentVersion) : problem;
+    };
   }
 
   private interface Reading {
     DocumentParts read(Map<String, JsonSlice> fields, Problems problems);
   }
 
-  private static ConfigurationOutcome read(byte[] json, long currentVersion, Reading reading) {
+  /** Tells what is wrong with a document that was read; null if nothing is. */
+  private interface Check {
+    String problem(DocumentParts parts, Problems problems);
+  }
+
+  private static final Check UNCHECKED = (parts, problems) -> null;
+
+  private static ConfigurationOutcome read(byte[] json, Reading reading, Check check) {
     String malformed = JsonSyntax.problem(json);
     if (malformed != null) {
       return unreadable(malformed);
@@ -37,11 +65,10 @@
     try {
       Problems problems = new Problems();
       DocumentParts parts = reading.read(presentFields(whole), problems);
-      String problem = problems.first();
-      if (problem == null) {
-        problem = DocumentChecks.problem(parts, currentVersion);
-      }
-      return problem == null ? parsed(parts) : new ConfigurationOutcome.Invalid(problem);
+      String problem = check.problem(parts, problems);
+      return problem == null
+          ? parsed(parts.withMissingLists())
+          : new ConfigurationOutcome.Invalid(problem);
     } catch (JsonException unreadable) {
       return unreadable(unreadable.getMessage());
     }
--- a/src/main/java/slateslip/configuration/NamedItems.java
+++ b/src/main/java/slateslip/configuration/NamedItems.java
@@ -9,12 +9,13 @@
 import java.util.Set;
 
 /**
- * A list of items with unique names, each kept as it was sent beside what was read from it.
+ * A list of items with unique names, each kept as it was sent beside what was read from it; an item
+ * with a problem is kept as it was sent alone.
  *
  * @param <T> what an item is read into
  */
 final class NamedItems<T> {
-  /** An item: its JSON as sent, and what was read from it. */
+  /** An item: its JSON as sent, and what was read from it; null if that has a problem. */
   private record Item<T>(byte[] json, T value) {}
 
   private final String field;
@@ -62,7 +63,7 @@
     if (!seen.add(name)) {
       problems.report(field, "has two items of the name \"" + name + "\"");
     }
-    changed.put(name, new Item<>(json, value));
+    changed.put(name, new Item<>(json, ofItem.first() == null ? value : null));
   }
 
   private T read(byte[] json, Problems problems) {
@@ -82,10 +83,14 @@
     return new NamedItems<>(field, format, changed);
   }
 
-  /** What was read, in order. */
+  /** What was read, in order, of items without a problem. */
   List<T> values() {
     List<T> values = new ArrayList<>(items.size());
-    items.values().forEach(item -> values.add(item.value()));
+    for (Item<T> item : items.values()) {
+      if (item.value() != null) {
+        values.add(item.value());
+      }
+    }
     return values;
   }
 
--- a/src/main/java/slateslip/controlplane/state/ConfigurationState.java
+++ b/src/main/java/slateslip/controlplane/state/ConfigurationState.java
@@ -98,7 +98,7 @@
     }
     OperatorCall call = message.value();
     if (!(outcomeOf(call) instanceof ConfigurationOutcome.Parsed parsed)) {
-      throw new IllegalStateException("a committed change that is not valid");
+      throw new IllegalStateException("a committed change that cannot be read");
     }
     document = parsed.document();
     remember(call);
@@ -111,7 +111,14 @@
     if (earlier != null && digest(earlier.call()).equals(digest(call))) {
       return earlier.outcome();
     }
-    return read(call);
+    return readCommitted(call);
+  }
+
+  /** Whether the change is valid was decided by the primary that took it. */
+  private ConfigurationOutcome readCommitted(OperatorCall call) {
+    return call.method() == OperatorCall.Method.PUT || document == null
+        ? ConfigurationDocument.committed(call.body())
+        : document.committedPatch(call.body());
   }
 
   private void remember(OperatorCall call) {
@@ -163,9 +170,9 @@
     if (image.document().length == 0) {
       return;
     }
-    if (!(ConfigurationDocument.parse(image.document())
+    if (!(ConfigurationDocument.committed(image.document())
         instanceof ConfigurationOutcome.Parsed parsed)) {
-      throw new IllegalStateException("a snapshot whose configuration is not valid");
+      throw new IllegalStateException("a snapshot whose configuration cannot be read");
     }
     document = parsed.document();
   }
--- a/src/main/java/slateslip/dataplane/subscription/Subscription.java
+++ b/src/main/java/slateslip/dataplane/subscription/Subscription.java
@@ -362,7 +362,7 @@
 
   private void take(ControlStream stream, ToDataPlane.ConfigurationSnapshot snapshot) {
     if (snapshot.version() > configurationVersion()) {
-      apply(ConfigurationDocument.parse(snapshot.document(), configurationVersion()));
+      apply(ConfigurationDocument.committed(snapshot.document()));
     }
     acknowledge(stream);
   }
@@ -371,7 +371,7 @@
     if (patch.toVersion() <= configurationVersion()) {
       acknowledge(stream);
     } else if (patch.fromVersion() == configurationVersion() && document != null) {
-      apply(document.patched(patch.patch()));
+      apply(document.committedPatch(patch.patch()));
       acknowledge(stream);
     } else {
       subscribe(stream, stream == active); // says which version is here, so that a whole one comes
--- a/src/test/java/slateslip/controlplane/state/ConfigurationStateTest.java
+++ b/src/test/java/slateslip/controlplane/state/ConfigurationStateTest.java
@@ -52,6 +52,26 @@
     assertThat(state.version(), is(5L));
   }
 
+  @Test
+  void aChangeThatAnotherProgramVersionTookIsAppliedThoughThisOneWouldRefuseIt() {
+    commit(put(0, 3));
+    String unusable =
+        "{\"version\":4,\"upsert\":{\"routes\":[{\"name\":\"new-kind\",\"timeout_ms\":0}]}}";
+    OperatorCall patch =
+        new OperatorCall(Method.PATCH, 3, unusable.getBytes(StandardCharsets.UTF_8));
+    assertThat(answer(patch).status(), is(OperatorAnswer.INVALID));
+    int usableBefore = state.document().orElseThrow().configuration().routes().size();
+    state.apply(ChangeCodec.encode(patch));
+    assertThat(state.version(), is(4L));
+    String json = new String(state.document().orElseThrow().toJson(), StandardCharsets.UTF_8);
+    assertThat(json, containsString("{\"name\":\"new-kind\",\"timeout_ms\":0}"));
+    assertThat(state.document().orElseThrow().configuration().routes().size(), is(usableBefore));
+    ConfigurationState copy = new ConfigurationState();
+    copy.restore(state.snapshot());
+    assertThat(copy.snapshot(), equalTo(state.snapshot()));
+    assertThat(answer(patch).status(), is(OperatorAnswer.OK));
+  }
+
   @Test
   void anInvalidChangeIsRefusedWithItsReason() {
     commit(put(0, 3));
