Sessions: a guess by ages is never final, and a lost peer holds only its own

(2) Of two incarnations at one address the table kept the one that ages made look newer, and marked the other as gone for good. Ages told by an agent that was frozen or cut off are too young, so a live backend could be locked out for ever, and whole tables carried that on. (3) Every broken link between agents held the expiry of all sessions for three heartbeats: with one agent in a crash loop a dead backend stayed listed for ever. (4) An agent that reached no majority took calls down before it refused them, and handed them to the others at the join, older than they looked.

Change: only DELETE is final. A superseded or expired incarnation is remembered with its session and comes back with a later call, or a peer's renewal, once the one in its place has been silent for half the expiry time. A lost peer holds what it was the last to tell of.

--- a/src/main/java/slateslip/controlplane/agent/ControlAgent.java
+++ b/src/main/java/slateslip/controlplane/agent/ControlAgent.java
@@ -259,7 +259,7 @@
         copiedFrom.add(peer);
       }
     } else if (message instanceof ExchangeMessage.SessionRenewals renewals) {
-      sessions.merge(renewals);
+      sessions.merge(peer, renewals);
     } else if (message instanceof ExchangeMessage.SessionsStored stored) {
       sessions.stored(peer, stored.number());
     } else {
--- a/src/main/java/slateslip/controlplane/agent/SessionService.java
+++ b/src/main/java/slateslip/controlplane/agent/SessionService.java
@@ -53,9 +53,11 @@
   }
 
   /**
-   * A backend's call; {@code acknowledged} is told once whether it is. It is not by an agent that
-   * reaches no majority: the others do not hear of the call and would let the session expire, so
-   * the backend has to call one of them.
+   * A backend's call; {@code acknowledged} is told once whether it is. An agent that reaches no
+   * majority does not acknowledge it: the others do not hear of the call and would let the session
+   * expire, so the backend has to call one of them. Nor does such an agent take note of it, since
+   * what it hands to the others when it reaches them again would be older than it looks; only that
+   * a known backend leaves, which is never wrong later.
    */
   void heartbeat(BackendSession session, Consumer<Boolean> acknowledged) {
     HeartbeatResult result = table.heartbeat(scheduler.nowMicros(), session);
@@ -68,6 +70,11 @@
     }
     if (result == HeartbeatResult.CHANGED) {
       changed(0, session.id());
+    boolean knownToLeave = session.draining() && table.session(session.id()).isPresent();
+    if (!majority.isReached() && !knownToLeave) {
+      acknowledged.accept(false);
+      return;
+    }
     }
     acknowledged.accept(majority.isReached());
   }
@@ -116,7 +123,7 @@
   /** Changes at another agent. */
   void merge(String peer, ExchangeMessage.SessionChanges changes) {
     long now = scheduler.nowMicros();
-    changes.entries().forEach(entry -> table.merge(now, entry));
+    changes.entries().forEach(entry -> table.merge(now, peer, entry));
     changes.departed().forEach(id -> table.depart(now, id));
     subscribers.pump();
     if (changes.number() != 0) {
@@ -129,9 +136,9 @@
   }
 
   /** Renewals at another agent. */
-  void merge(ExchangeMessage.SessionRenewals renewals) {
+  void merge(String peer, ExchangeMessage.SessionRenewals renewals) {
     long now = scheduler.nowMicros();
-    renewals.renewals().forEach(renewal -> table.merge(now, renewal));
+    renewals.renewals().forEach(renewal -> table.merge(now, peer, renewal));
   }
 
   /** A peer has what was sent to it under this number. */
@@ -148,7 +155,7 @@
 
   void disconnected(String peer) {
     replication.disconnected(peer);
-    table.holdExpiry(scheduler.nowMicros());
+    table.holdExpiry(scheduler.nowMicros(), peer);
     unstored.values().forEach(peers -> peers.remove(peer));
     waits.check();
   }
--- a/src/main/java/slateslip/distribution/BackendSession.java
+++ b/src/main/java/slateslip/distribution/BackendSession.java
@@ -22,4 +22,10 @@
     int slots,
     boolean draining,
     long coldLeftMillis,
-    long sequence) {}
+    long sequence) {
+  /** The same with another call number. */
+  public BackendSession withSequence(long changed) {
+    return new BackendSession(
+        id, service, address, zone, version, slots, draining, coldLeftMillis, changed);
+  }
+}
--- a/src/main/java/slateslip/distribution/sessions/EndedSessions.java
+++ b/src/main/java/slateslip/distribution/sessions/EndedSessions.java
@@ -4,10 +4,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
+import java.util.Optional;
+import slateslip.distribution.BackendSession;
 
 /**
  * Incarnations that are not in the table any more, for as long as a late call of theirs may come.
+ * Only what a backend has said itself is final; that another incarnation seems to have its address,
+ * or that it was not heard, may be wrong, and a later call takes it back.
  */
 final class EndedSessions {
   /** Longer than any call, or copy of another agent's table, can be under way. */
@@ -15,34 +18,47 @@
 
   private final Map<String, Ended> ended = new LinkedHashMap<>();
 
-  /** The incarnation never comes back. */
-  void addFinal(String id, long nowMicros) {
+  /**
+   * A session that was in the table.
+   *
+   * @param session as it was known last
+   * @param registeredAtMicros its first call
+   */
+  record Former(BackendSession session, long registeredAtMicros) {}
+
+  /** The backend has said that it is gone: the incarnation never comes back. */
+  void addDeparted(String id, long nowMicros) {
     ended.remove(id);
-    ended.put(id, new Ended(true, nowMicros, nowMicros));
+    ended.put(id, new Ended(Optional.empty(), nowMicros));
   }
 
-  /** The incarnation was not heard; it may come back. */
-  void addExpired(String id, long registeredAtMicros, long nowMicros) {
+  /** The incarnation was not heard, or another one has its address; it may come back. */
+  void addFormer(Former former, long nowMicros) {
+    String id = former.session().id();
     ended.remove(id);
-    ended.put(id, new Ended(false, registeredAtMicros, nowMicros));
+    ended.put(id, new Ended(Optional.of(former), nowMicros));
   }
 
   /** Whether the incarnation never comes back. */
-  boolean isFinal(String id) {
+  boolean isDeparted(String id) {
     Ended entry = ended.get(id);
-    return entry != null && entry.isFinal;
+    return entry != null && entry.former.isEmpty();
   }
 
-  /** When an incarnation that expired had been registered. */
-  OptionalLong registeredAt(String id) {
-    Ended entry = ended.get(id);
-    return entry == null ? OptionalLong.empty() : OptionalLong.of(entry.registeredAtMicros);
+  /** An incarnation that may come back, if it was in the table. */
+  Optional<Former> former(String id) {
+    return Optional.ofNullable(ended.get(id)).flatMap(Ended::former);
+  }
+
+  /** The incarnation is in the table again. */
+  void remove(String id) {
+    ended.remove(id);
   }
 
   /** Ids of those that never come back. */
-  List<String> finalIds() {
+  List<String> departedIds() {
     return ended.entrySet().stream()
-        .filter(entry -> entry.getValue().isFinal)
+        .filter(entry -> entry.getValue().former.isEmpty())
         .map(Map.Entry::getKey)
         .toList();
   }
@@ -55,5 +71,5 @@
     }
   }
 
-  private record Ended(boolean isFinal, long registeredAtMicros, long endedAtMicros) {}
+  private record Ended(Optional<Former> former, long endedAtMicros) {}
 }
--- a/src/main/java/slateslip/distribution/sessions/SessionTable.java
+++ b/src/main/java/slateslip/distribution/sessions/SessionTable.java
@@ -13,14 +13,24 @@
  * The sessions that one control agent knows: from backends that call it, and from other agents.
  *
  * <p>An incarnation id names one life of a backend. Its {@code sequence} orders what it says; an
- * older call changes nothing. Once it has said that it is gone, or another incarnation has its
- * address, it never comes back. A session that was not renewed for {@code expiryMicros} is dropped,
- * and may come back. Times are of the host's steady clock, in microseconds.
+ * older call changes nothing. Once it has said that it is gone, it never comes back. A session that
+ * was not renewed for {@code expiryMicros} is dropped, and may come back.
+ *
+ * <p>Of two incarnations at one address the one that was registered later is in the table. Ages
+ * told by a peer that was held up may name the wrong one, so this is never final: the other one
+ * comes back when it is heard and the one in the table has been silent for longer than live
+ * backends are. Times are of the host's steady clock, in microseconds.
  */
 public final class SessionTable {
   private static final long MICROS_PER_MILLI = 1_000;
 
+  private static final String SELF = "";
+
   private final long expiryMicros;
+
+  /** A live backend is heard more often than this: expiry takes three heartbeats. */
+  private final long silenceMicros;
+
   private final Map<String, Held> held = new HashMap<>();
   private final Map<String, String> idByAddress = new HashMap<>();
   private final EndedSessions ended = new EndedSessions();
@@ -35,64 +45,91 @@
    */
   public SessionTable(long expiryMicros) {
     this.expiryMicros = expiryMicros;
+    silenceMicros = expiryMicros / 2;
   }
 
   /** A call of a backend. */
   public HeartbeatResult heartbeat(long nowMicros, BackendSession session) {
-    if (ended.isFinal(session.id())) {
+    if (ended.isDeparted(session.id())) {
       return HeartbeatResult.STALE;
     }
     Held known = held.get(session.id());
     if (known == null) {
-      return add(session, ended.registeredAt(session.id()).orElse(nowMicros), nowMicros)
+      return isNews(session) && add(session, registeredAt(session, nowMicros), nowMicros, SELF)
           ? HeartbeatResult.CHANGED
           : HeartbeatResult.STALE;
     }
     if (session.sequence() <= known.session.sequence()) {
       return HeartbeatResult.STALE;
     }
+    known.heardFrom = SELF;
     return renew(known, session, nowMicros) ? HeartbeatResult.CHANGED : HeartbeatResult.RENEWED;
   }
 
+  private boolean isNews(BackendSession session) {
+    return ended
+        .former(session.id())
+        .map(former -> session.sequence() > former.session().sequence())
+        .orElse(true);
+  }
+
+  private long registeredAt(BackendSession session, long firstHeardMicros) {
+    return ended
+        .former(session.id())
+        .map(former -> Math.min(former.registeredAtMicros(), firstHeardMicros))
+        .orElse(firstHeardMicros);
+  }
+
   /** A backend has said that it is gone; whether that was new. */
   public boolean depart(long nowMicros, String id) {
-    boolean news = !ended.isFinal(id);
-    ended.addFinal(id, nowMicros);
+    boolean news = !ended.isDeparted(id);
+    ended.addDeparted(id, nowMicros);
     if (held.containsKey(id)) {
       drop(id);
     }
     return news;
   }
 
-  /** Takes over what another agent holds. */
-  public void merge(long nowMicros, SessionEntry entry) {
+  /** Takes over what a peer holds. */
+  public void merge(long nowMicros, String peer, SessionEntry entry) {
     BackendSession session = entry.session();
     long heardAt = nowMicros - entry.heardAgeMillis() * MICROS_PER_MILLI;
     long registeredAt = nowMicros - entry.registeredAgeMillis() * MICROS_PER_MILLI;
-    if (ended.isFinal(session.id()) || nowMicros - heardAt >= expiryMicros) {
+    if (ended.isDeparted(session.id()) || nowMicros - heardAt >= expiryMicros) {
       return;
     }
     Held known = held.get(session.id());
     if (known == null) {
-      add(session, registeredAt, heardAt);
+      add(session, registeredAt(session, registeredAt), heardAt, peer);
       return;
     }
-    known.heardAtMicros = Math.max(known.heardAtMicros, heardAt);
+    known.heard(heardAt, peer);
     known.registeredAtMicros = Math.min(known.registeredAtMicros, registeredAt);
     if (session.sequence() > known.session.sequence()) {
       renew(known, session, known.heardAtMicros);
     }
   }
 
-  /** Takes over a renewal; false if the session is not known here and has to be asked for whole. */
-  public boolean merge(long nowMicros, SessionRenewal renewal) {
+  /**
+   * Takes over a renewal that a peer tells of; false if the session was never known here, or has
+   * departed.
+   */
+  public boolean merge(long nowMicros, String peer, SessionRenewal renewal) {
+    long heardAt = nowMicros - renewal.heardAgeMillis() * MICROS_PER_MILLI;
     Held known = held.get(renewal.id());
-    if (known == null) {
-      return ended.isFinal(renewal.id());
+    if (known != null) {
+      known.heard(heardAt, peer);
+      return true;
     }
-    long heardAt = nowMicros - renewal.heardAgeMillis() * MICROS_PER_MILLI;
-    known.heardAtMicros = Math.max(known.heardAtMicros, heardAt);
-    return true;
+    Optional<EndedSessions.Former> former = ended.former(renewal.id());
+    if (former.isPresent() && nowMicros - heardAt < expiryMicros) {
+      BackendSession session = former.get().session();
+      // The backend has called again since, so its sequence is one higher at least. Data planes
+      // would take the old one for what they were told has gone.
+      BackendSession renewed = session.withSequence(session.sequence() + 1);
+      add(renewed, former.get().registeredAtMicros(), heardAt, peer);
+    }
+    return former.isPresent();
   }
 
   /** Drops what has not been renewed; nothing while that would be for want of hearing. */
@@ -103,21 +140,38 @@
     }
     List<String> expired = new ArrayList<>();
     for (Held each : held.values()) {
-      if (nowMicros - each.heardAtMicros >= expiryMicros) {
+      if (nowMicros - each.heardAtMicros >= expiryMicros
+          && nowMicros >= each.noExpiryBeforeMicros) {
         expired.add(each.session.id());
       }
     }
     for (String id : expired) {
-      ended.addExpired(id, held.get(id).registeredAtMicros, nowMicros);
-      drop(id);
+      end(held.get(id), nowMicros);
     }
   }
 
+  private void end(Held former, long nowMicros) {
+    ended.addFormer(new EndedSessions.Former(former.session, former.registeredAtMicros), nowMicros);
+    drop(former.session.id());
+  }
+
   /** Nothing expires for one expiry time from now: calls may have gone unheard. */
   public void holdExpiry(long nowMicros) {
     noExpiryBeforeMicros = Math.max(noExpiryBeforeMicros, nowMicros + expiryMicros);
   }
 
+  /**
+   * What a peer was the last to tell of does not expire for one expiry time from now: its backends
+   * may call the peer, whose news do not come, until they call another agent.
+   */
+  public void holdExpiry(long nowMicros, String peer) {
+    for (Held each : held.values()) {
+      if (each.heardFrom.equals(peer)) {
+        each.noExpiryBeforeMicros = nowMicros + expiryMicros;
+      }
+    }
+  }
+
   /** From now on what is not in the table is gone. */
   public void markComplete() {
     if (!complete) {
@@ -161,27 +215,29 @@
     return held.values().stream().map(known -> known.toEntry(nowMicros)).toList();
   }
 
-  /** Ids of backends that have said that they are gone, or whose address has another one. */
+  /** Ids of backends that have said that they are gone. */
   public List<String> departed() {
-    return ended.finalIds();
+    return ended.departedIds();
   }
 
-  /** Whether a backend has said that it is gone, or its address has another one. */
+  /** Whether a backend has said that it is gone. */
   public boolean isDeparted(String id) {
-    return ended.isFinal(id);
+    return ended.isDeparted(id);
   }
 
-  private boolean add(BackendSession session, long registeredAt, long heardAt) {
-    String rivalId = idByAddress.get(session.address());
-    if (rivalId != null) {
-      if (held.get(rivalId).registeredAtMicros > registeredAt) {
-        ended.addFinal(session.id(), heardAt);
+  private boolean add(BackendSession session, long registeredAt, long heardAt, String heardFrom) {
+    Held rival = held.get(idByAddress.getOrDefault(session.address(), ""));
+    if (rival != null) {
+      boolean rivalIsNewer = rival.registeredAtMicros > registeredAt;
+      boolean rivalIsHeard = heardAt - rival.heardAtMicros < silenceMicros;
+      if (rivalIsNewer && rivalIsHeard) {
+        ended.addFormer(new EndedSessions.Former(session, registeredAt), heardAt);
         return false;
       }
-      ended.addFinal(rivalId, heardAt);
-      drop(rivalId);
+      end(rival, heardAt);
     }
-    held.put(session.id(), new Held(session, registeredAt, heardAt));
+    ended.remove(session.id());
+    held.put(session.id(), new Held(session, registeredAt, heardAt, heardFrom));
     idByAddress.put(session.address(), session.id());
     log.changed(session.id());
     return true;
@@ -191,9 +247,8 @@
   private boolean renew(Held known, BackendSession session, long heardAt) {
     BackendSession before = known.session;
     if (!before.address().equals(session.address())) {
-      long registeredAt = known.registeredAtMicros;
       drop(before.id());
-      return add(session, registeredAt, heardAt);
+      return add(session, known.registeredAtMicros, heardAt, known.heardFrom);
     }
     known.session = session;
     known.heardAtMicros = heardAt;
@@ -223,11 +278,24 @@
     private BackendSession session;
     private long registeredAtMicros;
     private long heardAtMicros;
+    private long noExpiryBeforeMicros;
+
+    /** Address of the peer that told of its newest call; {@link #SELF} if the call came here. */
+    private String heardFrom;
 
-    private Held(BackendSession session, long registeredAtMicros, long heardAtMicros) {
+    private Held(
+        BackendSession session, long registeredAtMicros, long heardAtMicros, String heardFrom) {
       this.session = session;
       this.registeredAtMicros = registeredAtMicros;
       this.heardAtMicros = heardAtMicros;
+      this.heardFrom = heardFrom;
+    }
+
+    private void heard(long atMicros, String peer) {
+      if (atMicros > heardAtMicros) {
+        heardAtMicros = atMicros;
+        heardFrom = peer;
+      }
     }
 
     private SessionEntry toEntry(long nowMicros) {
--- a/src/test/java/slateslip/distribution/sessions/SessionReplicationTest.java
+++ b/src/test/java/slateslip/distribution/sessions/SessionReplicationTest.java
@@ -157,7 +157,7 @@
     }
     for (Send send : sends) {
       SessionChanges changes = (SessionChanges) send.message();
-      changes.entries().forEach(entry -> other.merge(now, entry));
+      changes.entries().forEach(entry -> other.merge(now, PEER, entry));
       changes.departed().forEach(id -> other.depart(now, id));
     }
   }
--- a/src/test/java/slateslip/distribution/sessions/SessionTableTest.java
+++ b/src/test/java/slateslip/distribution/sessions/SessionTableTest.java
@@ -18,6 +18,8 @@
   private static final long EXPIRY = 3_600_000;
   private static final long START = 1_000_000;
   private static final String FIRST_ADDRESS = "10.1.0.9:8080";
+  private static final String PEER = "10.2.0.1";
+  private static final String OTHER_PEER = "10.3.0.1";
   private static final String SECOND_ADDRESS = "10.1.0.10:8080";
 
   private final SessionTable table = new SessionTable(EXPIRY);
@@ -54,7 +56,7 @@
     assertThat(table.depart(START, "a"), is(true));
     assertThat(table.depart(START, "a"), is(false));
     assertThat(call(START, "a", FIRST_ADDRESS, 9), is(HeartbeatResult.STALE));
-    table.merge(START, entry(session("a", FIRST_ADDRESS, 10), 0, 0));
+    table.merge(START, PEER, entry(session("a", FIRST_ADDRESS, 10), 0, 0));
     assertThat(ids(), is(empty()));
     assertThat(table.departed(), contains("a"));
   }
@@ -77,14 +79,14 @@
   @Test
   void anOlderIncarnationToldByAPeerDoesNotReplaceTheNewer() {
     call(START + 1_000_000, "b", FIRST_ADDRESS, 1);
-    table.merge(START + 1_500_000, entry(session("a", FIRST_ADDRESS, 7), 1_400, 10));
+    table.merge(START + 1_500_000, PEER, entry(session("a", FIRST_ADDRESS, 7), 1_400, 10));
     assertThat(ids(), contains("b"));
   }
 
   @Test
   void aNewerIncarnationToldByAPeerReplacesTheOlder() {
     call(START, "a", FIRST_ADDRESS, 1);
-    table.merge(START + 1_500_000, entry(session("b", FIRST_ADDRESS, 1), 20, 10));
+    table.merge(START + 1_500_000, PEER, entry(session("b", FIRST_ADDRESS, 1), 20, 10));
     assertThat(ids(), contains("b"));
   }
 
@@ -122,8 +124,8 @@
   void renewalsOfPeersKeepASessionAlive() {
     call(START, "a", FIRST_ADDRESS, 1);
     long later = START + EXPIRY - 1;
-    assertThat(table.merge(later, new SessionRenewal("a", 100)), is(true));
-    assertThat(table.merge(later, new SessionRenewal("unknown", 100)), is(false));
+    assertThat(table.merge(later, PEER, new SessionRenewal("a", 100)), is(true));
+    assertThat(table.merge(later, PEER, new SessionRenewal("unknown", 100)), is(false));
     table.expire(START + EXPIRY);
     assertThat(ids(), contains("a"));
     table.expire(later - 100_000 + EXPIRY);
@@ -132,7 +134,7 @@
 
   @Test
   void aPeersEntryThatIsTooOldIsNotTaken() {
-    table.merge(START + 2 * EXPIRY, entry(session("a", FIRST_ADDRESS, 1), 9_000, 3_600));
+    table.merge(START + 2 * EXPIRY, PEER, entry(session("a", FIRST_ADDRESS, 1), 9_000, 3_600));
     assertThat(ids(), is(empty()));
   }
 
@@ -178,6 +180,76 @@
     assertThat(table.revision(), is(complete));
   }
 
+  @Test
+  void aLiveBackendWinsOverAnOldOneThatAgesOfAHeldUpPeerMadeLookNewer() {
+    table.merge(START, PEER, entry(session("old", FIRST_ADDRESS, 40), 100, 100));
+    table.merge(START + 1, OTHER_PEER, entry(session("live", FIRST_ADDRESS, 3), 900, 0));
+    assertThat(ids(), contains("old"));
+    long later = START + EXPIRY / 2;
+    assertThat(call(later, "live", FIRST_ADDRESS, 4), is(HeartbeatResult.CHANGED));
+    assertThat(ids(), contains("live"));
+    assertThat(table.departed(), is(empty()));
+  }
+
+  @Test
+  void aWrongGuessIsUndoneByTheRenewalsOfAPeer() {
+    table.merge(START, PEER, entry(session("old", FIRST_ADDRESS, 40), 100, 100));
+    table.merge(START + 1, OTHER_PEER, entry(session("live", FIRST_ADDRESS, 3), 900, 0));
+    table.merge(START + EXPIRY / 2, OTHER_PEER, new SessionRenewal("live", 0));
+    assertThat(ids(), contains("live"));
+    assertThat(table.session("live").get().sequence(), is(4L));
+  }
+
+  @Test
+  void aLateCallOfAnOldIncarnationDoesNotDisturbTheLiveOne() {
+    call(START, "old", FIRST_ADDRESS, 1);
+    call(START + 1, "live", FIRST_ADDRESS, 1);
+    long heartbeat = EXPIRY / 3;
+    call(START + heartbeat, "live", FIRST_ADDRESS, 2);
+    long late = START + heartbeat + heartbeat;
+    assertThat(call(late, "old", FIRST_ADDRESS, 2), is(HeartbeatResult.STALE));
+    assertThat(ids(), contains("live"));
+  }
+
+  @Test
+  void aRepeatedCallOfASupersededIncarnationChangesNothing() {
+    call(START, "old", FIRST_ADDRESS, 5);
+    call(START + 1, "new", FIRST_ADDRESS, 1);
+    long later = START + EXPIRY - 1;
+    assertThat(call(later, "old", FIRST_ADDRESS, 5), is(HeartbeatResult.STALE));
+    assertThat(ids(), contains("new"));
+  }
+
+  @Test
+  void whatExpiredForWantOfHearingComesBackWithARenewal() {
+    call(START, "a", FIRST_ADDRESS, 1);
+    table.expire(START + EXPIRY);
+    table.merge(START + EXPIRY + 1, PEER, new SessionRenewal("a", 10));
+    assertThat(ids(), contains("a"));
+    assertThat(table.session("a").get().sequence(), is(2L));
+  }
+
+  @Test
+  void aLostPeerHoldsOnlyWhatItWasTheLastToTellOf() {
+    table.merge(START, PEER, entry(session("a", FIRST_ADDRESS, 1), 0, 0));
+    table.merge(START, OTHER_PEER, entry(session("b", SECOND_ADDRESS, 1), 0, 0));
+    table.holdExpiry(START + EXPIRY - 1, PEER);
+    table.expire(START + EXPIRY);
+    assertThat(ids(), contains("a"));
+    table.expire(START + 2 * EXPIRY - 1);
+    assertThat(ids(), is(empty()));
+  }
+
+  @Test
+  void aPeerThatIsLostOverAndOverKeepsNoDeadBackendOfAnothersAlive() {
+    call(START, "a", FIRST_ADDRESS, 1);
+    for (long at = START; at < START + EXPIRY; at += EXPIRY / 4) {
+      table.holdExpiry(at, PEER);
+    }
+    table.expire(START + EXPIRY);
+    assertThat(ids(), is(empty()));
+  }
+
   private HeartbeatResult call(long now, String id, String address, long sequence) {
     return table.heartbeat(now, session(id, address, sequence));
   }
