Numbers of one life of an agent are not taken for those of another

Change: numbers begin at one drawn at random for each life; an answer counts only from the agent that was asked; an echo outside this life's range shows nothing; PeerProgress counts a report only for the process and the epoch it was made in. No message changes, so agents of both versions understand each other.

Ruled out: a field for the incarnation in each message; a random beginning says the same without two versions on the wire.

--- a/src/main/java/slateslip/controlplane/agent/ControlAgent.java
+++ b/src/main/java/slateslip/controlplane/agent/ControlAgent.java
@@ -2,11 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -20,6 +18,7 @@
 import slateslip.distribution.ToControl;
 import slateslip.distribution.ToDataPlane;
 import slateslip.distribution.delivery.ConfigurationSource;
+import slateslip.distribution.delivery.PeerProgress;
 import slateslip.distribution.exchange.ExchangeMessage;
 import slateslip.distribution.exchange.OperatorAnswer;
 import slateslip.distribution.exchange.OperatorCall;
@@ -51,7 +50,7 @@
   private final DeliveryWaits waits;
   private final SessionService sessions;
   private final OperatorCalls calls;
-  private final Map<String, Long> deliveredByPeer = new HashMap<>();
+  private final PeerProgress peerProgress = new PeerProgress();
 
   /** Peers whose whole table has been taken over. */
   private final Set<String> copiedFrom = new HashSet<>();
@@ -86,8 +85,17 @@
             this::configurationChanged);
     subscribers = new Subscribers(new Committed(), table, this::heartbeat, new StreamListener());
     sessions =
-        new SessionService(scheduler, table, links, subscribers, waits, this::reachesMajority);
-    calls = new OperatorCalls(scheduler, replica, state, links, this::awaitDelivery);
+        new SessionService(
+            identity.incarnation(),
+            scheduler,
+            table,
+            links,
+            subscribers,
+            waits,
+            this::reachesMajority);
+    calls =
+        new OperatorCalls(
+            identity.incarnation(), scheduler, replica, state, links, this::awaitDelivery);
     shares = new ShareService(identity.address(), scheduler, links, subscribers, new Allocator());
   }
 
@@ -210,7 +218,7 @@
       return false;
     }
     for (String peer : links.reachability().reached(scheduler.nowMicros())) {
-      if (deliveredByPeer.getOrDefault(peer, 0L) < version) {
+      if (!peerProgress.isDelivered(peer, replica.role().epoch(), version)) {
         return false;
       }
     }
@@ -252,7 +260,7 @@
       if (beat.complete() && copiedFrom.contains(peer)) {
         table.markComplete();
       }
-      sessions.confirmed(peer, beat.echoed());
+      sessions.confirmed(peer, links.reachability().echoedMicros(peer));
     } else if (message instanceof ExchangeMessage.SessionChanges changes) {
       sessions.merge(peer, changes);
       if (changes.whole()) {
@@ -263,20 +271,24 @@
     } else if (message instanceof ExchangeMessage.SessionsStored stored) {
       sessions.stored(peer, stored.number());
     } else {
-      fromPeerAboutConfiguration(peer, message);
+      fromPeerAboutConfiguration(sender, message);
     }
   }
 
-  private void fromPeerAboutConfiguration(String peer, ExchangeMessage message) {
+  private void fromPeerAboutConfiguration(
+      ExchangeMessage.Greeting sender, ExchangeMessage message) {
+    String peer = sender.address();
     if (message instanceof ExchangeMessage.Greeting) {
       links.reachability().restarted(peer);
+      peerProgress.introduced(peer, sender.incarnation());
       links.learn(List.of(peer));
     } else if (message instanceof ExchangeMessage.Forwarded forwarded) {
       calls.forwarded(peer, forwarded);
     } else if (message instanceof ExchangeMessage.Answered answered) {
-      calls.answered(answered);
+      calls.answered(peer, answered);
     } else if (message instanceof ExchangeMessage.Delivered delivered) {
-      deliveredByPeer.put(peer, delivered.slowestVersion());
+      peerProgress.reported(
+          peer, sender.incarnation(), replica.role().epoch(), delivered.slowestVersion());
       waits.check();
     } else if (message instanceof ExchangeMessage.Demands demands) {
       shares.demands(peer, demands);
@@ -318,7 +330,7 @@
 
     @Override
     public void forgotten(String peer) {
-      deliveredByPeer.remove(peer);
+      peerProgress.forget(peer);
       sessions.forgotten(peer);
     }
   }
--- a/src/main/java/slateslip/controlplane/agent/OperatorCalls.java
+++ b/src/main/java/slateslip/controlplane/agent/OperatorCalls.java
@@ -30,21 +30,34 @@
   private final ConfigurationState state;
   private final PeerLinks links;
   private final FleetDelivery delivery;
-  private final Map<Long, Consumer<OperatorAnswer>> forwarded = new HashMap<>();
+  private final Map<Long, ForwardedCall> forwarded = new HashMap<>();
+
+  /** Begins at a number drawn at random, so that no two lives of an agent use one id. */
   private long lastId;
 
+  /** A call that another agent was asked to answer. */
+  private record ForwardedCall(String peer, Consumer<OperatorAnswer> answer) {}
+
   /** Waits for deliveries at all agents. */
   interface FleetDelivery {
     /** Calls back once all data planes in reach have this version, or after the bound. */
     void await(long version, long boundMillis, Runnable then);
   }
 
+  /**
+   * No calls yet.
+   *
+   * @param incarnation of this process, drawn at random: an answer to a call that an earlier
+   *     process forwarded must not be taken for the answer to a call of this one
+   */
   OperatorCalls(
+      long incarnation,
       Scheduler scheduler,
       ReplicaHost replica,
       ConfigurationState state,
       PeerLinks links,
       FleetDelivery delivery) {
+    lastId = incarnation;
     this.scheduler = scheduler;
     this.replica = replica;
     this.state = state;
@@ -66,15 +79,15 @@
     }
     lastId++;
     long id = lastId;
-    forwarded.put(id, answer);
+    forwarded.put(id, new ForwardedCall(peer, answer));
     links.send(peer, new ExchangeMessage.Forwarded(id, call));
     scheduler.schedule(FORWARD_BOUND_MICROS, () -> giveUp(id));
   }
 
   private void giveUp(long id) {
-    Consumer<OperatorAnswer> answer = forwarded.remove(id);
-    if (answer != null) {
-      answer.accept(OperatorAnswer.unavailable("no answer of the primary"));
+    ForwardedCall call = forwarded.remove(id);
+    if (call != null) {
+      call.answer.accept(OperatorAnswer.unavailable("no answer of the primary"));
     }
   }
 
@@ -89,11 +102,12 @@
     }
   }
 
-  /** The primary's answer to a call that was forwarded. */
-  void answered(ExchangeMessage.Answered message) {
-    Consumer<OperatorAnswer> answer = forwarded.remove(message.id());
-    if (answer != null) {
-      answer.accept(message.answer());
+  /** The answer of the agent that a call was forwarded to. */
+  void answered(String peer, ExchangeMessage.Answered message) {
+    ForwardedCall call = forwarded.get(message.id());
+    if (call != null && call.peer.equals(peer)) {
+      forwarded.remove(message.id());
+      call.answer.accept(message.answer());
     }
   }
 
--- a/src/main/java/slateslip/controlplane/agent/PeerLinks.java
+++ b/src/main/java/slateslip/controlplane/agent/PeerLinks.java
@@ -42,7 +42,7 @@
     this.self = self;
     this.connector = connector;
     this.listener = listener;
-    reachability = new Reachability(self.address());
+    reachability = new Reachability(self.address(), self.incarnation());
   }
 
   Reachability reachability() {
@@ -71,10 +71,11 @@
       listener.forgotten(forgotten);
     }
     List<String> known = reachability.known();
+    long number = reachability.numberOf(now);
     links.forEach(
         (peer, link) -> {
           long echoed = reachability.newestBeat(peer);
-          send(peer, new ExchangeMessage.Beat(now, echoed, complete, known));
+          send(peer, new ExchangeMessage.Beat(number, echoed, complete, known));
           resetIfSilent(now, peer, link);
         });
   }
--- a/src/main/java/slateslip/controlplane/agent/SessionService.java
+++ b/src/main/java/slateslip/controlplane/agent/SessionService.java
@@ -29,6 +29,8 @@
   private final DeliveryWaits waits;
   private final Majority majority;
   private final Map<Long, Set<String>> unstored = new TreeMap<>();
+
+  /** Begins at a number drawn at random, so that no two lives of an agent use one. */
   private long lastNumber;
 
   /** Whether this agent reaches a majority of those that keep the control state. */
@@ -36,13 +38,21 @@
     boolean isReached();
   }
 
+  /**
+   * No calls yet.
+   *
+   * @param incarnation of this process, drawn at random: what a peer has stored for an earlier
+   *     process must not be taken for news of this one's
+   */
   SessionService(
+      long incarnation,
       Scheduler scheduler,
       SessionTable table,
       PeerLinks links,
       Subscribers subscribers,
       DeliveryWaits waits,
       Majority majority) {
+    lastNumber = incarnation;
     this.scheduler = scheduler;
     this.table = table;
     this.links = links;
@@ -60,6 +70,11 @@
    * a known backend leaves, which is never wrong later.
    */
   void heartbeat(BackendSession session, Consumer<Boolean> acknowledged) {
+    boolean knownToLeave = session.draining() && table.session(session.id()).isPresent();
+    if (!majority.isReached() && !knownToLeave) {
+      acknowledged.accept(false);
+      return;
+    }
     HeartbeatResult result = table.heartbeat(scheduler.nowMicros(), session);
     if (result == HeartbeatResult.RENEWED) {
       replication.renewed(session.id());
@@ -70,11 +85,6 @@
     }
     if (result == HeartbeatResult.CHANGED) {
       changed(0, session.id());
-    boolean knownToLeave = session.draining() && table.session(session.id()).isPresent();
-    if (!majority.isReached() && !knownToLeave) {
-      acknowledged.accept(false);
-      return;
-    }
     }
     acknowledged.accept(majority.isReached());
   }
@@ -92,8 +102,7 @@
       acknowledged.accept(false);
       return;
     }
-    lastNumber++;
-    long number = lastNumber;
+    long number = nextNumber();
     unstored.put(number, new HashSet<>(replication.connectedPeers()));
     changed(number, id);
     long revision = table.revision();
@@ -106,6 +115,15 @@
         });
   }
 
+  /** A number that is not 0, which stands for a message that nobody waits for. */
+  private long nextNumber() {
+    lastNumber++;
+    if (lastNumber == 0) {
+      lastNumber++;
+    }
+    return lastNumber;
+  }
+
   private boolean isStored(long number) {
     Set<String> peers = unstored.get(number);
     return peers == null || peers.isEmpty();
--- a/src/main/java/slateslip/distribution/exchange/Reachability.java
+++ b/src/main/java/slateslip/distribution/exchange/Reachability.java
@@ -8,8 +8,9 @@
 
 /**
  * Which control agents this one hears, and which hear it, by their beats. The number of a beat is
- * the steady time at which it was sent, so that an echoed number tells how old the echo is. Times
- * are in microseconds.
+ * the steady time at which it was sent, counted from a base that is drawn at random for each life
+ * of the process, so that an echoed number tells how old the echo is, and the echo of an earlier
+ * life's beat is known as such. Times are in microseconds.
  */
 public final class Reachability {
   /** A peer that was not heard, or has not heard, for this long is out of reach. */
@@ -19,15 +20,29 @@
   private static final long FORGET_MICROS = 20_000_000;
 
   private final String self;
+  private final long numberBase;
   private final Map<String, Contact> contacts = new TreeMap<>();
 
   /**
    * Knows nobody yet.
    *
    * @param self IPv4 address of this agent
+   * @param incarnation of its process, drawn at random
    */
-  public Reachability(String self) {
+  public Reachability(String self, long incarnation) {
     this.self = self;
+    numberBase = incarnation >>> 2; // leaves room above for times
+  }
+
+  /** Number of a beat that is sent now. */
+  public long numberOf(long nowMicros) {
+    return numberBase + nowMicros;
+  }
+
+  /** When the newest beat was sent that the peer is known to have; 0 if none is. */
+  public long echoedMicros(String peer) {
+    Contact contact = contacts.get(peer);
+    return contact == null ? 0 : contact.echoedMicros;
   }
 
   /** Takes note of agents that are said to exist; the new ones among them. */
@@ -48,7 +63,13 @@
     contact.heardAtMicros = nowMicros;
     contact.everHeard = true;
     contact.newestBeat = beat.number();
-    contact.echoedMicros = Math.max(contact.echoedMicros, beat.echoed());
+    contact.echoedMicros = Math.max(contact.echoedMicros, sentAt(nowMicros, beat.echoed()));
+  }
+
+  /** When the beat of this number was sent; 0 if an earlier life of this process sent it. */
+  private long sentAt(long nowMicros, long number) {
+    long micros = number - numberBase;
+    return micros > 0 && micros <= nowMicros ? micros : 0;
   }
 
   /** What the next beat to a peer echoes. */
--- /dev/null
+++ b/src/test/java/slateslip/distribution/delivery/PeerProgressTest.java
@@ -0,0 +1,52 @@
+package slateslip.distribution.delivery;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import org.junit.jupiter.api.Test;
+
+/**
+ * What peers say of their data planes counts only for the process and the tenure it was said in.
+ */
+class PeerProgressTest {
+  private static final String PEER = "10.2.0.1";
+  private static final long EPOCH = 4;
+
+  private final PeerProgress progress = new PeerProgress();
+
+  @Test
+  void aPeerThatHasSaidNothingIsWaitedFor() {
+    assertThat(progress.isDelivered(PEER, EPOCH, 1), is(false));
+    progress.introduced(PEER, 7);
+    progress.reported(PEER, 7, EPOCH, DeliveryProgress.NOBODY);
+    assertThat(progress.isDelivered(PEER, EPOCH, 9), is(true));
+  }
+
+  @Test
+  void whatAnEarlierProcessSaidDoesNotCount() {
+    progress.introduced(PEER, 7);
+    progress.reported(PEER, 7, EPOCH, DeliveryProgress.NOBODY);
+    progress.introduced(PEER, 8);
+    assertThat(progress.isDelivered(PEER, EPOCH, 1), is(false));
+    progress.reported(PEER, 7, EPOCH, DeliveryProgress.NOBODY);
+    assertThat(progress.isDelivered(PEER, EPOCH, 1), is(false));
+    progress.reported(PEER, 8, EPOCH, 3);
+    assertThat(progress.isDelivered(PEER, EPOCH, 3), is(true));
+    assertThat(progress.isDelivered(PEER, EPOCH, 4), is(false));
+  }
+
+  @Test
+  void whatWasSaidInAnEarlierTenureDoesNotCount() {
+    progress.introduced(PEER, 7);
+    progress.reported(PEER, 7, EPOCH, DeliveryProgress.NOBODY);
+    assertThat(progress.isDelivered(PEER, EPOCH + 1, 1), is(false));
+  }
+
+  @Test
+  void anotherConnectionOfTheSameProcessChangesNothing() {
+    progress.introduced(PEER, 7);
+    progress.reported(PEER, 7, EPOCH, 5);
+    progress.introduced(PEER, 7);
+    assertThat(progress.isDelivered(PEER, EPOCH, 5), is(true));
+  }
+}
--- a/src/test/java/slateslip/distribution/exchange/ReachabilityTest.java
+++ b/src/test/java/slateslip/distribution/exchange/ReachabilityTest.java
@@ -14,8 +14,10 @@
   private static final String PEER = "10.2.0.1";
   private static final String OTHER = "10.3.0.1";
   private static final long START = 5_000_000;
+  private static final long INCARNATION = 0x2b5c_9d10_77e1_0345L;
+  private static final long FORMER_INCARNATION = 0x1111_9d10_77e1_0345L;
 
-  private final Reachability reachability = new Reachability(SELF);
+  private final Reachability reachability = new Reachability(SELF, INCARNATION);
 
   @Test
   void learnsEachAgentOnceAndNeverItself() {
@@ -34,6 +36,18 @@
     assertThat(reachability.isReached(START, PEER), is(true));
   }
 
+  @Test
+  void theEchoOfAnEarlierLifesBeatShowsNothing() {
+    Reachability former = new Reachability(SELF, FORMER_INCARNATION);
+    long formerBeat = former.numberOf(START + 900_000_000);
+    reachability.heard(START, PEER, new ExchangeMessage.Beat(1, formerBeat, true, List.of()));
+    assertThat(reachability.isReached(START, PEER), is(false));
+    assertThat(reachability.echoedMicros(PEER), is(0L));
+    long laterBeat = new Reachability(SELF, -FORMER_INCARNATION).numberOf(START);
+    reachability.heard(START, PEER, new ExchangeMessage.Beat(2, laterBeat, true, List.of()));
+    assertThat(reachability.isReached(START, PEER), is(false));
+  }
+
   @Test
   void silenceEndsReach() {
     heard(START, PEER, 1, START);
@@ -66,6 +80,7 @@
   }
 
   private void heard(long now, String peer, long number, long echoed) {
-    reachability.heard(now, peer, new ExchangeMessage.Beat(number, echoed, true, List.of()));
+    long echo = echoed == 0 ? 0 : reachability.numberOf(echoed);
+    reachability.heard(now, peer, new ExchangeMessage.Beat(number, echo, true, List.of()));
   }
 }
