Primary: a peer that missed committed records is sent them, not a null record

The exception left the replica in the middle of an input, on each input again: a primary that leads and commits nothing, until it is killed. Netty only logged it.

Change: records are appended only to a peer that has all but the open one; any other that is behind gets the missing suffix or the whole state. A failure in the middle of an input ends the process, as its state is not to be trusted; the platform starts it again on what its disk holds.

--- a/src/main/java/slateslip/controlplane/ControlPlane.java
+++ b/src/main/java/slateslip/controlplane/ControlPlane.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import org.jboss.logging.Logger;
 import slateslip.controlplane.agent.AgentIdentity;
 import slateslip.controlplane.agent.AgentSettings;
 import slateslip.controlplane.agent.ControlAgent;
@@ -18,6 +19,8 @@
 
 /** A control agent with its sockets, disk and threads. */
 public final class ControlPlane {
+  private static final Logger LOG = Logger.getLogger(ControlPlane.class);
+  private static final int BROKEN_INVARIANT_STATUS = 70;
   private static final int RING_FILES = 3;
   private static final long RING_FILE_BYTES = 16L * 1024 * 1024;
   private static final long STOP_MILLIS = 500;
@@ -43,7 +46,8 @@
             (address, greeting, listener) -> connect(settings, address, greeting, listener),
             agentSettings,
             identity,
-            disk);
+            disk,
+            ControlPlane::stopAtOnce);
     internal = new InternalServer(group, new ExchangeCodec().encode(identity.greeting()), agent);
     api =
         new ControlApi(
@@ -54,6 +58,12 @@
             () -> StatusReport.metrics(agent.status()));
   }
 
+  /** The platform starts the process again, on what its disk holds. */
+  private static void stopAtOnce(RuntimeException broken) {
+    LOG.fatal("a broken invariant ends this process", broken);
+    Runtime.getRuntime().halt(BROKEN_INVARIANT_STATUS);
+  }
+
   private static AgentSettings agentSettings(NodeSettings settings) {
     return new AgentSettings(
         settings.node(),
--- a/src/main/java/slateslip/controlplane/agent/ControlAgent.java
+++ b/src/main/java/slateslip/controlplane/agent/ControlAgent.java
@@ -60,13 +60,19 @@
   private AgentSettings settings;
   private long reportedVersion = -1;
 
-  /** A control agent that does nothing before {@link #start}. */
+  /**
+   * A control agent that does nothing before {@link #start}.
+   *
+   * @param brokenInvariant has to end the process: its replica of the control state is not to be
+   *     trusted any more
+   */
   public ControlAgent(
       Scheduler scheduler,
       PeerConnector connector,
       AgentSettings settings,
       AgentIdentity identity,
-      RecordLog log) {
+      RecordLog log,
+      Consumer<RuntimeException> brokenInvariant) {
     this.scheduler = scheduler;
     this.settings = settings;
     startMicros = scheduler.nowMicros();
@@ -82,7 +88,8 @@
             machine,
             log,
             (to, message) -> links.send(to.toString(), message),
-            this::configurationChanged);
+            this::configurationChanged,
+            brokenInvariant);
     subscribers = new Subscribers(new Committed(), table, this::heartbeat, new StreamListener());
     sessions =
         new SessionService(
--- a/src/main/java/slateslip/controlplane/agent/ReplicaHost.java
+++ b/src/main/java/slateslip/controlplane/agent/ReplicaHost.java
@@ -24,6 +24,7 @@
   private final RecordLog disk;
   private final PeerSender sender;
   private final Runnable applied;
+  private final Consumer<RuntimeException> brokenInvariant;
   private final Map<Long, Consumer<ClientResult>> waiting = new HashMap<>();
   private long lastToken;
   private RoleStatus role;
@@ -34,17 +35,26 @@
     void send(NodeAddress to, byte[] message);
   }
 
+  /**
+   * A replica that has not started.
+   *
+   * @param applied told after the committed state has changed
+   * @param brokenInvariant told of a failure in the middle of an input: the replica's state is then
+   *     not to be trusted, and the process has to end
+   */
   ReplicaHost(
       Scheduler scheduler,
       ControlReplica replica,
       RecordLog disk,
       PeerSender sender,
-      Runnable applied) {
+      Runnable applied,
+      Consumer<RuntimeException> brokenInvariant) {
     this.scheduler = scheduler;
     this.replica = replica;
     this.disk = disk;
     this.sender = sender;
     this.applied = applied;
+    this.brokenInvariant = brokenInvariant;
   }
 
   void start() {
@@ -94,7 +104,13 @@
   }
 
   private void handle(ReplicaInput input) {
-    Effects effects = replica.handle(scheduler.nowMicros(), input);
+    Effects effects;
+    try {
+      effects = replica.handle(scheduler.nowMicros(), input);
+    } catch (RuntimeException broken) {
+      brokenInvariant.accept(broken);
+      throw broken;
+    }
     logChange(effects.role());
     role = effects.role();
     effects.writes().forEach(this::write);
--- a/src/main/java/slateslip/coordination/PrimaryRole.java
+++ b/src/main/java/slateslip/coordination/PrimaryRole.java
@@ -187,10 +187,13 @@
     if (peer.status == null) {
       return;
     }
+    long newest = context.store.lastSequence();
     if (!peer.sentTenure.equals(tenure)) {
       install(peer);
-    } else if (peer.sentSequence < context.store.lastSequence()) {
+    } else if (context.store.hasPending() && peer.sentSequence == newest - 1) {
       append(peer);
+    } else if (peer.sentSequence < newest) {
+      install(peer); // records were committed while it was not heard
     }
   }
 
