SIGTERM: a control agent ends once the view does not need its copy

Change: a node that is asked to end says that it is not fit for duty. By the existing rules the primary drops it once enough members have installed the view, and a primary resigns to another member. The process serves until the view no longer counts on it, for 3 s or half the grace period at most.

Ruled out: waiting without a bound, since the platform kills after the grace period anyway and a lone agent would never leave.

--- a/src/main/java/slateslip/controlplane/ControlPlane.java
+++ b/src/main/java/slateslip/controlplane/ControlPlane.java
@@ -100,6 +100,16 @@
     loop.execute(() -> agent.settingsChanged(agentSettings(settings)));
   }
 
+  /**
+   * Has the others take over what this agent does for the control state, and serves until then.
+   *
+   * @param boundMillis after this time it ends in any case
+   * @param left told once, on the event loop
+   */
+  public void leave(long boundMillis, Runnable left) {
+    loop.execute(() -> agent.leave(TimeUnit.MILLISECONDS.toMicros(boundMillis), left));
+  }
+
   /** Stops taking calls and ends all threads. */
   public void stop() {
     api.stop();
--- a/src/main/java/slateslip/controlplane/ControlPlaneMain.java
+++ b/src/main/java/slateslip/controlplane/ControlPlaneMain.java
@@ -10,6 +10,9 @@
 
 /** Entry point of the control plane binary. */
 public final class ControlPlaneMain {
+  /** Copying the state to another member takes less, also on a slow disk. */
+  private static final long LONGEST_LEAVE_MILLIS = 3_000;
+
   private ControlPlaneMain() {}
 
   /** Starts the control plane, which ends with SIGTERM, or carries out a command. */
@@ -17,6 +20,13 @@
     CommandLine.main(Program.CONTROL_PLANE, ControlPlaneMain::start, arguments);
   }
 
+  /** Ends within the grace period, once the control state does not need this agent's copy. */
+  private static void leave(ControlPlane controlPlane, NodeSettings settings) {
+    long graceMillis = settings.bounds().gracePeriodMillis();
+    long boundMillis = Math.min(LONGEST_LEAVE_MILLIS, graceMillis / 2);
+    controlPlane.leave(boundMillis, () -> System.exit(0));
+  }
+
   private static void start(Path settingsFile, NodeSettings settings) throws IOException {
     if (settings.controlListen() == null || settings.dataDirectory() == null) {
       throw new IOException("listen.control and data_dir are needed by the control plane");
@@ -24,6 +34,7 @@
     ControlPlane controlPlane = ControlPlane.start(settings);
     SettingsWatch watch = new SettingsWatch(settingsFile, controlPlane::settingsChanged);
     Signal.handle(new Signal("HUP"), signal -> watch.read());
+    Signal.handle(new Signal("TERM"), signal -> leave(controlPlane, settings));
     watch.start();
   }
 }
--- a/src/main/java/slateslip/controlplane/agent/ControlAgent.java
+++ b/src/main/java/slateslip/controlplane/agent/ControlAgent.java
@@ -38,6 +38,7 @@
   private static final long STREAM_BEAT_MICROS = 200_000;
   private static final long RENEWAL_MICROS = 300_000;
   private static final long EXPIRY_CHECK_MICROS = 200_000;
+  private static final long LEAVE_CHECK_MICROS = 20_000;
   private static final long SHARES_MICROS = 250_000;
   private static final long JOURNAL_BYTES = 6L * 1024 * 1024;
 
@@ -126,6 +127,25 @@
     scheduler.repeat(SHARES_MICROS, shares::tick);
   }
 
+  /**
+   * The process is asked to end.
+   *
+   * @param boundMicros after this time it ends in any case
+   * @param left told once, when the view no longer counts on this agent's copy of the state
+   */
+  public void leave(long boundMicros, Runnable left) {
+    replica.leave();
+    awaitLeave(scheduler.nowMicros() + boundMicros, left);
+  }
+
+  private void awaitLeave(long latestMicros, Runnable left) {
+    if (!replica.isMember() || scheduler.nowMicros() >= latestMicros) {
+      left.run();
+    } else {
+      scheduler.schedule(LEAVE_CHECK_MICROS, () -> awaitLeave(latestMicros, left));
+    }
+  }
+
   /** Takes over seeds that have changed. */
   public void settingsChanged(AgentSettings changed) {
     settings = changed;
--- a/src/main/java/slateslip/controlplane/agent/ReplicaHost.java
+++ b/src/main/java/slateslip/controlplane/agent/ReplicaHost.java
@@ -93,6 +93,16 @@
     return replica.hearsPrimary();
   }
 
+  /** Others are to take over what this node does in the view. */
+  void leave() {
+    handle(new ReplicaInput.Leave());
+  }
+
+  /** Whether the newest view counts on this node's copy of the state. */
+  boolean isMember() {
+    return replica.isMember();
+  }
+
   View view() {
     return replica.view();
   }
--- a/src/main/java/slateslip/coordination/ControlReplica.java
+++ b/src/main/java/slateslip/coordination/ControlReplica.java
@@ -62,6 +62,8 @@
       written(written.token());
     } else if (input instanceof ReplicaInput.WriteFailed failed) {
       context.disk.failed(context.now, failed.token());
+    } else if (input instanceof ReplicaInput.Leave) {
+      context.leaving = true;
     } else if (input instanceof ReplicaInput.Propose propose) {
       propose(propose);
     } else if (input instanceof ReplicaInput.Confirm confirm) {
@@ -249,6 +251,11 @@
     return context.view();
   }
 
+  /** Whether the newest decided view that is known counts on this node's copy of the state. */
+  public boolean isMember() {
+    return context.view().hasMember(context.self);
+  }
+
   /** Whether this node, at its last input, led the view or had heard its primary lately. */
   public boolean hearsPrimary() {
     return started && primaryAlive();
@@ -307,7 +314,7 @@
           base.members().stream()
               .map(ViewMember::node)
               .filter(node -> promises.containsKey(node))
-              .filter(node -> promises.get(node).status().diskHealthy())
+              .filter(node -> promises.get(node).status().fit())
               .toList();
       List<NodeId> installed =
           answering.stream()
--- a/src/main/java/slateslip/coordination/FollowerRole.java
+++ b/src/main/java/slateslip/coordination/FollowerRole.java
@@ -117,7 +117,7 @@
   boolean wantsToLead() {
     View view = context.view();
     return view.mayLeadNext(context.self, context.disk.durable().tenure().epoch())
-        && context.diskHealthy()
+        && context.fit()
         && (consented() || context.now >= takeOverAt());
   }
 
--- a/src/main/java/slateslip/coordination/Peer.java
+++ b/src/main/java/slateslip/coordination/Peer.java
@@ -77,10 +77,10 @@
     return now - Math.max(echoedSentAt, knownSince);
   }
 
-  /** Whether it answers and its disk works. */
+  /** Whether it answers, its disk works, and it is to stay. */
   boolean well(long now, long leadingSince) {
     return silentFor(now, leadingSince) < Timing.SILENCE
-        && (status == null || status.diskHealthy())
+        && (status == null || status.fit())
         && !overdue(now);
   }
 
--- a/src/main/java/slateslip/coordination/PeerStatus.java
+++ b/src/main/java/slateslip/coordination/PeerStatus.java
@@ -10,7 +10,7 @@
  * @param durable tenure whose installation it has on disk
  * @param durableSequence last record that it has on disk
  * @param committedSequence records that it knows to be committed
- * @param diskHealthy whether its disk takes writes within the bound
+ * @param fit whether its disk takes writes within the bound, and its process is not about to end
  */
 public record PeerStatus(
     long decidedEpoch,
@@ -20,7 +20,7 @@
     Tenure durable,
     long durableSequence,
     long committedSequence,
-    boolean diskHealthy) {
+    boolean fit) {
 
   /** The same with newer news of the disk. */
   PeerStatus withDurable(Tenure tenure, long sequence) {
@@ -32,6 +32,6 @@
         tenure,
         sequence,
         committedSequence,
-        diskHealthy);
+        fit);
   }
 }
--- a/src/main/java/slateslip/coordination/PrimaryRole.java
+++ b/src/main/java/slateslip/coordination/PrimaryRole.java
@@ -298,9 +298,9 @@
         .forEach(node -> peers.of(node).dropped(context.now));
   }
 
-  /** Hands over to a member whose disk works if the own one doesn't. */
+  /** Hands over to another member if the own disk doesn't work or the process is to end. */
   void resignIfUnwell() {
-    if (!leading || context.diskHealthy() || context.now < resignedUntil) {
+    if (!leading || context.fit() || context.now < resignedUntil) {
       return;
     }
     context.view().members().stream()
--- a/src/main/java/slateslip/coordination/ReplicaContext.java
+++ b/src/main/java/slateslip/coordination/ReplicaContext.java
@@ -13,6 +13,9 @@
   WitnessState witness = WitnessState.NONE;
   long now;
 
+  /** Whether the process is about to end. */
+  boolean leaving;
+
   ReplicaContext(ReplicaSettings settings, ReplicatedState state, long randomSeed) {
     this.settings = settings;
     random = new SplittableRandom(randomSeed);
@@ -35,8 +38,9 @@
     return settings.faultTolerance() + 1;
   }
 
-  boolean diskHealthy() {
-    return disk.healthy(now);
+  /** Whether this node may lead or be a member: its disk works, and it is to stay. */
+  boolean fit() {
+    return !leaving && disk.healthy(now);
   }
 
   /** Starts a durable write of what the memory holds already. */
@@ -70,7 +74,7 @@
         disk.durable().tenure(),
         disk.durable().sequence(),
         store.appliedSequence(),
-        diskHealthy());
+        fit());
   }
 
   /** A random time in microseconds. */
--- a/src/main/java/slateslip/coordination/ReplicaInput.java
+++ b/src/main/java/slateslip/coordination/ReplicaInput.java
@@ -36,6 +36,9 @@
    */
   record WriteFailed(long token) implements ReplicaInput {}
 
+  /** The process is asked to end: others are to take over what this node does in the view. */
+  record Leave() implements ReplicaInput {}
+
   /**
    * A client's command; answered by one {@link ClientResult}.
    *
--- a/src/main/java/slateslip/protocol/coordination/Fields.java
+++ b/src/main/java/slateslip/protocol/coordination/Fields.java
@@ -63,7 +63,7 @@
         .durableSequence(status.durableSequence())
         .committedSequence(status.committedSequence())
         .acceptedLater(flag(status.acceptedLater()).value())
-        .diskHealthy(flag(status.diskHealthy()).value());
+        .diskHealthy(flag(status.fit()).value());
   }
 
   static PeerStatus status(StatusReportDecoder decoder) {
