Operator's API: a body that does not come whole is no refusal

Cause: an order whose body broke off was answered 400. The same order may have been taken at another agent, and 400 ends the operator's call as a refusal.

Change: 408 with Connection: close, after which callers turn to another agent.

Ruled out: 503; 408 is the status for it, and callers treat both alike.

--- a/src/main/java/slateslip/controlplane/ControlApi.java
+++ b/src/main/java/slateslip/controlplane/ControlApi.java
@@ -38,6 +38,7 @@
   private static final int BACKLOG = 1024;
   private static final int UNAVAILABLE = 503;
   private static final int BAD_REQUEST = 400;
+  private static final int REQUEST_TIMEOUT = 408;
   private static final int TOO_LARGE = 413;
   private static final String JSON = "application/json";
   private static final byte[] ACKNOWLEDGED = "{}".getBytes(StandardCharsets.UTF_8);
@@ -200,7 +201,10 @@
       context.header("Connection", "close");
       fail(context, TOO_LARGE, failure.getMessage());
     } else {
-      fail(context, BAD_REQUEST, "the body did not come whole");
+      // The order may have been taken before, at another agent, so this must not look like a
+      // refusal.
+      context.header("Connection", "close");
+      fail(context, REQUEST_TIMEOUT, "the body did not come whole");
     }
     return CompletableFuture.completedFuture(null);
   }
