--- a/src/test/java/slateslip/simulation/control/EventQueue.java
+++ b/src/test/java/slateslip/simulation/EventQueue.java
@@ -1,9 +1,9 @@
-package slateslip.simulation.control;
+package slateslip.simulation;
 
 import java.util.PriorityQueue;
 
 /** Simulated time: actions in the order of their times, those of one time in the order given. */
-final class EventQueue {
+public final class EventQueue {
   private record Event(long atMicros, long number, Runnable action) implements Comparable<Event> {
     @Override
     public int compareTo(Event other) {
@@ -16,20 +16,23 @@
   private long now;
   private long number;
 
-  long now() {
+  /** Simulated time in microseconds. */
+  public long now() {
     return now;
   }
 
-  void at(long micros, Runnable action) {
+  /** Runs an action at a time, or now if that has passed. */
+  public void at(long micros, Runnable action) {
     events.add(new Event(Math.max(now, micros), number++, action));
   }
 
-  void in(long micros, Runnable action) {
+  /** Runs an action after some time. */
+  public void in(long micros, Runnable action) {
     at(now + micros, action);
   }
 
   /** Runs what is due until a time; the clock then shows that time. */
-  void runUntil(long micros) {
+  public void runUntil(long micros) {
     while (!events.isEmpty() && events.peek().atMicros() <= micros) {
       Event event = events.poll();
       now = event.atMicros();
--- a/src/test/java/slateslip/simulation/control/LossCount.java
+++ b/src/test/java/slateslip/simulation/LossCount.java
@@ -1,4 +1,4 @@
-package slateslip.simulation.control;
+package slateslip.simulation;
 
 import java.util.HashMap;
 import java.util.HashSet;
@@ -9,36 +9,44 @@
  * Which machines count as lost: those in trouble and for a time after it, and those whose disk was
  * lost until all has been calm for that time. Disks are only lost within the tolerance.
  */
-final class LossCount {
+public final class LossCount {
   private static final long SETTLED = 4_000_000;
 
   private final EventQueue events;
-  private final Map<SimulatedNode, Long> lostUntil = new HashMap<>();
-  private final Set<SimulatedNode> wiped = new HashSet<>();
+  private final Map<Object, Long> lostUntil = new HashMap<>();
+  private final Set<Object> wiped = new HashSet<>();
 
-  LossCount(EventQueue events) {
+  /** Nothing is lost yet. */
+  public LossCount(EventQueue events) {
     this.events = events;
   }
 
   /** A machine is in trouble until a time. */
-  void troubled(SimulatedNode node, long untilMicros) {
-    lostUntil.merge(node, untilMicros + SETTLED, Math::max);
+  public void troubled(Object machine, long untilMicros) {
+    lostUntil.merge(machine, untilMicros + SETTLED, Math::max);
   }
 
   /** A machine is down for good. */
-  void lost(SimulatedNode node) {
-    lostUntil.put(node, Long.MAX_VALUE);
+  public void lost(Object machine) {
+    lostUntil.put(machine, Long.MAX_VALUE);
   }
 
   /** A machine lost its disk and starts again at a time. */
-  void wiped(SimulatedNode node, long startsAtMicros) {
-    wiped.add(node);
-    troubled(node, startsAtMicros);
+  public void wiped(Object machine, long startsAtMicros) {
+    wiped.add(machine);
+    troubled(machine, startsAtMicros);
   }
 
   /** Whether one more machine may lose its disk. */
-  boolean mayLose(SimulatedNode node, int faultTolerance) {
-    Set<SimulatedNode> lost = new HashSet<>();
+  public boolean mayLose(Object machine, int faultTolerance) {
+    Set<Object> lost = lost();
+    lost.add(machine);
+    return lost.size() <= faultTolerance;
+  }
+
+  /** Machines that count as lost now. */
+  public Set<Object> lost() {
+    Set<Object> lost = new HashSet<>();
     lostUntil.forEach(
         (other, until) -> {
           if (until > events.now()) {
@@ -49,7 +57,6 @@
       wiped.clear();
     }
     lost.addAll(wiped);
-    lost.add(node);
-    return lost.size() <= faultTolerance;
+    return lost;
   }
 }
--- a/src/test/java/slateslip/simulation/control/SimulatedDisk.java
+++ b/src/test/java/slateslip/simulation/SimulatedDisk.java
@@ -1,4 +1,4 @@
-package slateslip.simulation.control;
+package slateslip.simulation;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -8,24 +8,25 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
+import java.util.function.UnaryOperator;
 import slateslip.coordination.DurableRecord;
 import slateslip.coordination.Effects;
 import slateslip.protocol.Decoded;
 import slateslip.protocol.coordination.DurableRecordCodec;
-import slateslip.simulation.FaultyFolder;
 import slateslip.storage.RingOptions;
 import slateslip.storage.RingStorage;
 import slateslip.storage.StorageOutcome;
 
 /** One machine's disk and the thread that writes to it. */
-final class SimulatedDisk {
-  private static final RingOptions OPTIONS = new RingOptions(3, 0);
+public final class SimulatedDisk {
+  private static final RingOptions SMALL = new RingOptions(3, 0);
   private static final long LEAST_WRITE = 500;
   private static final long MOST_WRITE = 6_000;
 
   private final EventQueue events;
   private final SplittableRandom random;
-  private final Mutation mutation;
+  private final RingOptions options;
+  private final UnaryOperator<DurableRecord> readBack;
   private final FaultyFolder folder = new FaultyFolder();
   private final Deque<Effects.DurableWrite> queue = new ArrayDeque<>();
   private RingStorage ring;
@@ -38,14 +39,29 @@
   private long fullUntil;
   private boolean lies;
 
-  SimulatedDisk(EventQueue events, SplittableRandom random, Mutation mutation) {
-    this.mutation = mutation;
+  /** An empty disk that works. */
+  public SimulatedDisk(EventQueue events, SplittableRandom random) {
+    this(events, random, SMALL, UnaryOperator.identity());
+  }
+
+  /**
+   * An empty disk that works.
+   *
+   * @param readBack what a record has become when it is read back; mutations change it
+   */
+  public SimulatedDisk(
+      EventQueue events,
+      SplittableRandom random,
+      RingOptions options,
+      UnaryOperator<DurableRecord> readBack) {
     this.events = events;
     this.random = random;
+    this.options = options;
+    this.readBack = readBack;
   }
 
   /** A mutation: says that writes are durable at once. */
-  void lie() {
+  public void lie() {
     lies = true;
   }
 
@@ -54,15 +70,15 @@
    *
    * @param writeListener told of each token whether its write is on disk
    */
-  List<DurableRecord> open(BiConsumer<Long, Boolean> writeListener) {
+  public List<DurableRecord> open(BiConsumer<Long, Boolean> writeListener) {
     listener = writeListener;
     try {
       folder.setMode(FaultyFolder.Mode.WORKING);
-      ring = RingStorage.open(folder, OPTIONS);
+      ring = RingStorage.open(folder, options);
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
-    return ring.recovered().stream().map(SimulatedDisk::decode).map(mutation::recovered).toList();
+    return ring.recovered().stream().map(SimulatedDisk::decode).map(readBack).toList();
   }
 
   private static DurableRecord decode(byte[] bytes) {
@@ -70,10 +86,11 @@
     if (decoded instanceof Decoded.Message<DurableRecord> message) {
       return message.value();
     }
-    throw new CheckedHistory.Violation("unreadable record on disk: " + decoded);
+    throw new RuleViolation("unreadable record on disk: " + decoded);
   }
 
-  void start(Effects.DurableWrite write) {
+  /** Starts a write, behind those started before. */
+  public void start(Effects.DurableWrite write) {
     queue.addLast(write);
     if (lies) {
       int current = life;
@@ -128,7 +145,7 @@
   }
 
   /** The process is killed: what was written stays, what was under way may be there in part. */
-  void processKilled() {
+  public void processKilled() {
     if (busy && random.nextBoolean()) {
       folder.setMode(
           random.nextBoolean() ? FaultyFolder.Mode.SYNC_FAILS : FaultyFolder.Mode.WORKING);
@@ -140,7 +157,7 @@
   }
 
   /** Power is lost: writes that were not synced are there, missing or torn. */
-  void powerLost() {
+  public void powerLost() {
     if (busy && random.nextBoolean()) {
       folder.setMode(FaultyFolder.Mode.SYNC_FAILS);
       List<Effects.DurableWrite> underWay = new ArrayList<>(queue);
@@ -154,24 +171,34 @@
     queue.clear();
   }
 
-  void wipe() {
+  /** Holds a record from now on, whatever it held before. */
+  public void put(DurableRecord record) {
+    ring.begin(DurableRecordCodec.encode(record));
+  }
+
+  /** Loses everything, as a new disk. */
+  public void wipe() {
     folder.wipe();
   }
 
-  void slow(long micros, long factor) {
+  /** Writes take longer by a factor for some time. */
+  public void slow(long micros, long factor) {
     slowUntil = events.now() + micros;
     slowFactor = factor;
   }
 
-  void hang(long micros) {
+  /** Writes do not end before some time has passed. */
+  public void hang(long micros) {
     hungUntil = events.now() + micros;
   }
 
-  void fill(long micros) {
+  /** Writes are refused for some time for want of space. */
+  public void fill(long micros) {
     fullUntil = events.now() + micros;
   }
 
-  void heal() {
+  /** Works again. */
+  public void heal() {
     slowUntil = 0;
     hungUntil = 0;
     fullUntil = 0;
--- /dev/null
+++ b/src/test/java/slateslip/simulation/agents/AgentMutation.java
@@ -0,0 +1,224 @@
+package slateslip.simulation.agents;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import slateslip.coordination.DurableRecord;
+import slateslip.coordination.NodeAddress;
+import slateslip.coordination.NodeId;
+import slateslip.coordination.PeerMessage;
+import slateslip.coordination.PeerStatus;
+import slateslip.coordination.StateTransfer;
+import slateslip.coordination.Tenure;
+import slateslip.coordination.WitnessState;
+import slateslip.distribution.ToDataPlane;
+import slateslip.distribution.delivery.DeliveryProgress;
+import slateslip.distribution.exchange.ExchangeMessage;
+import slateslip.distribution.exchange.StateImage;
+import slateslip.protocol.Decoded;
+import slateslip.protocol.MessageReader;
+import slateslip.protocol.coordination.PeerFrame;
+import slateslip.protocol.coordination.PeerMessageCodec;
+import slateslip.protocol.distribution.DistributionCodec;
+import slateslip.protocol.exchange.ExchangeCodec;
+import slateslip.protocol.exchange.StateImageCodec;
+import slateslip.simulation.SimulatedDisk;
+
+/**
+ * A fault put into the control side, to see that the checks find it: in what agents and data planes
+ * say to each other, or in what a disk does.
+ */
+enum AgentMutation {
+  /** As it is. */
+  NONE,
+  /** A primary takes a majority's confirmation for granted. */
+  SERVES_UNCONFIRMED,
+  /** An agent tells data planes that it is up to date, whatever it hears. */
+  ALWAYS_CURRENT,
+  /** A data plane keeps a stream on which nothing comes. */
+  KEEPS_SILENT_STREAMS,
+  /** Snapshots do not hold the changes by which a repeated call is known. */
+  FORGETS_TAKEN_CHANGES,
+  /** One life of an agent cannot be told from another by its incarnation. */
+  LIVES_ARE_ALIKE,
+  /** A change is acknowledged without waiting for the data planes of other agents. */
+  IGNORES_DELIVERY,
+  /** That a backend leaves is acknowledged without waiting for other agents. */
+  IGNORES_STORED,
+  /** An agent does not tell others which backends have departed. */
+  HIDES_DEPARTURES,
+  /** A member says that it has a record on disk when it is on its way there. */
+  ACKNOWLEDGES_BEFORE_SYNC,
+  /** A disk that was lost leaves the node its identity and its vote. */
+  KEEPS_IDENTITY_WITHOUT_STATE,
+  /** Every node counts as one that has all records. */
+  COUNTS_EMPTY_COPIES,
+  /** A missing suffix is sent from one record too far. */
+  SKIPS_A_RECORD;
+
+  // ---- disks ----
+
+  void apply(SimulatedDisk disk) {
+    if (this == ACKNOWLEDGES_BEFORE_SYNC) {
+      disk.lie();
+    }
+  }
+
+  /** What a record has become when it is read back. */
+  DurableRecord recovered(DurableRecord record) {
+    if (this == FORGETS_TAKEN_CHANGES && record instanceof DurableRecord.Snapshot snapshot) {
+      return new DurableRecord.Snapshot(
+          snapshot.self(), snapshot.witness(), snapshot.installed(), forgetful(snapshot.state()));
+    }
+    return record;
+  }
+
+  private static StateTransfer forgetful(StateTransfer state) {
+    if (!state.whole() || state.base().length == 0) {
+      return state;
+    }
+    StateImage image = ((Decoded.Message<StateImage>) StateImageCodec.decode(state.base())).value();
+    byte[] base = StateImageCodec.encode(new StateImage(List.of(), image.document()));
+    return new StateTransfer(
+        state.baseSequence(), true, base, state.records(), state.committedSequence());
+  }
+
+  /** What a disk holds after it was lost; nothing, unless the mutation keeps the identity. */
+  Optional<DurableRecord> leftAfterLoss(List<DurableRecord> before) {
+    if (this != KEEPS_IDENTITY_WITHOUT_STATE
+        || before.isEmpty()
+        || !(before.get(0) instanceof DurableRecord.Snapshot snapshot)) {
+      return Optional.empty();
+    }
+    WitnessState witness = snapshot.witness();
+    Tenure installed = snapshot.installed();
+    for (DurableRecord record : before) {
+      if (record instanceof DurableRecord.Vote vote) {
+        witness = vote.witness();
+      } else if (record instanceof DurableRecord.Installation installation) {
+        installed = installation.tenure();
+      }
+    }
+    StateTransfer nothing = new StateTransfer(0, true, new byte[0], List.of(), 0);
+    return Optional.of(new DurableRecord.Snapshot(snapshot.self(), witness, installed, nothing));
+  }
+
+  // ---- processes ----
+
+  long incarnation(long drawn) {
+    return this == LIVES_ARE_ALIKE ? 1 : drawn;
+  }
+
+  boolean keepsSilentStreams() {
+    return this == KEEPS_SILENT_STREAMS;
+  }
+
+  // ---- messages ----
+
+  /** What becomes of a message to a data plane, or of a greeting. */
+  byte[] toDataPlane(byte[] message) {
+    if (this != ALWAYS_CURRENT || MessageReader.schemaOf(message) == ExchangeCodec.SCHEMA_ID) {
+      return message;
+    }
+    DistributionCodec codec = new DistributionCodec();
+    if (codec.decodeToDataPlane(message) instanceof Decoded.Message<ToDataPlane> known
+        && known.value() instanceof ToDataPlane.Heartbeat heartbeat) {
+      return codec.encode(
+          new ToDataPlane.Heartbeat(
+              true,
+              heartbeat.configurationVersion(),
+              heartbeat.sessionRevision(),
+              heartbeat.controlAgents()));
+    }
+    return message;
+  }
+
+  /** What an agent takes for the answer to a message of its own, before any has come. */
+  Optional<PeerFrame> supposedAnswer(String to, byte[] message) {
+    if (this == SERVES_UNCONFIRMED
+        && MessageReader.schemaOf(message) != ExchangeCodec.SCHEMA_ID
+        && PeerMessageCodec.decode(message) instanceof Decoded.Message<PeerFrame> frame
+        && frame.value().message() instanceof PeerMessage.Heartbeat heartbeat) {
+      NodeId peer = new NodeId(NodeAddress.parse(to), NodeId.FOUNDER_DISK);
+      Tenure tenure = heartbeat.tenure();
+      long sequence = heartbeat.committedSequence();
+      PeerStatus status =
+          new PeerStatus(tenure.epoch(), false, tenure, sequence, tenure, sequence, sequence, true);
+      return Optional.of(
+          new PeerFrame(peer, new PeerMessage.HeartbeatReply(tenure, heartbeat.round(), status)));
+    }
+    return Optional.empty();
+  }
+
+  /** What becomes of a message from agent to agent. */
+  List<byte[]> betweenAgents(byte[] message) {
+    return switch (this) {
+      case IGNORES_DELIVERY, IGNORES_STORED, HIDES_DEPARTURES -> List.of(exchange(message));
+      case SKIPS_A_RECORD, COUNTS_EMPTY_COPIES -> List.of(replication(message));
+      default -> List.of(message);
+    };
+  }
+
+  private byte[] exchange(byte[] message) {
+    ExchangeCodec codec = new ExchangeCodec();
+    if (MessageReader.schemaOf(message) == ExchangeCodec.SCHEMA_ID
+        && codec.decode(message) instanceof Decoded.Message<ExchangeMessage> known) {
+      return codec.encode(changed(known.value()));
+    }
+    return message;
+  }
+
+  private ExchangeMessage changed(ExchangeMessage message) {
+    if (this == IGNORES_DELIVERY && message instanceof ExchangeMessage.Delivered) {
+      return new ExchangeMessage.Delivered(DeliveryProgress.NOBODY);
+    }
+    if (message instanceof ExchangeMessage.SessionChanges changes) {
+      long number = this == IGNORES_STORED ? 0 : changes.number();
+      List<String> departed = this == HIDES_DEPARTURES ? new ArrayList<>() : changes.departed();
+      return new ExchangeMessage.SessionChanges(
+          number, changes.whole(), changes.entries(), departed);
+    }
+    return message;
+  }
+
+  private byte[] replication(byte[] message) {
+    if (MessageReader.schemaOf(message) != ExchangeCodec.SCHEMA_ID
+        && PeerMessageCodec.decode(message) instanceof Decoded.Message<PeerFrame> frame) {
+      return PeerMessageCodec.encode(frame.value().from(), changed(frame.value().message()));
+    }
+    return message;
+  }
+
+  private PeerMessage changed(PeerMessage message) {
+    if (this == SKIPS_A_RECORD && message instanceof PeerMessage.Install install) {
+      return new PeerMessage.Install(install.tenure(), skipping(install.state()));
+    }
+    if (this == COUNTS_EMPTY_COPIES && message instanceof PeerMessage.HeartbeatReply reply) {
+      PeerStatus status = reply.status();
+      PeerStatus whole =
+          new PeerStatus(
+              status.decidedEpoch(),
+              status.acceptedLater(),
+              reply.tenure(),
+              Long.MAX_VALUE,
+              reply.tenure(),
+              Long.MAX_VALUE,
+              status.committedSequence(),
+              status.fit());
+      return new PeerMessage.HeartbeatReply(reply.tenure(), reply.round(), whole);
+    }
+    return message;
+  }
+
+  private static StateTransfer skipping(StateTransfer state) {
+    if (state.whole() || state.records().size() < 2) {
+      return state;
+    }
+    return new StateTransfer(
+        state.baseSequence() + 1,
+        false,
+        state.base(),
+        state.records().subList(1, state.records().size()),
+        state.committedSequence());
+  }
+}
--- /dev/null
+++ b/src/test/java/slateslip/simulation/agents/AgentWorld.java
@@ -0,0 +1,342 @@
+package slateslip.simulation.agents;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import slateslip.distribution.BackendSession;
+import slateslip.distribution.exchange.OperatorAnswer;
+import slateslip.distribution.exchange.OperatorCall;
+import slateslip.simulation.EventQueue;
+import slateslip.simulation.LossCount;
+import slateslip.simulation.RuleViolation;
+
+/** Core machines, edge machines, operators and backends: one seeded run. */
+final class AgentWorld {
+  /**
+   * Size of a world.
+   *
+   * @param agents core machines
+   * @param seeds of them, those that every process is told of at first
+   * @param tolerance core machines that may be lost at once
+   * @param dataPlanes edge machines
+   * @param backends addresses of backends
+   * @param clockSpread steady clocks run faster or slower by up to this factor; 1 for right ones
+   */
+  record Shape(
+      int agents, int seeds, int tolerance, int dataPlanes, int backends, double clockSpread) {
+    static Shape of(int agents, int tolerance) {
+      return new Shape(agents, Math.min(3, agents), tolerance, 3, 4, 1);
+    }
+  }
+
+  /** Thousands of runs would log more than they do; kept here, as unused loggers are forgotten. */
+  private static final Logger AGENT_LOG = Logger.getLogger("slateslip.controlplane.agent");
+
+  static {
+    AGENT_LOG.setLevel(Level.OFF);
+  }
+
+  private static final long START_SPREAD = 300_000;
+  private static final long HEARTBEAT_MILLIS = 1_200;
+  private static final long CHECK_EVERY = 200_000;
+  private static final int AGENT_ZONES = 3;
+
+  private final Shape shape;
+  private final EventQueue events = new EventQueue();
+  private final SplittableRandom random;
+  private final AgentMutation mutation;
+  private final SimulatedNetwork network;
+  private final FleetHistory history = new FleetHistory();
+  private final List<ControlMachine> controlMachines = new ArrayList<>();
+  private final List<DataPlaneMachine> dataPlanes = new ArrayList<>();
+  private final List<SimulatedOperator> operators = new ArrayList<>();
+  private final List<SimulatedBackend> backends = new ArrayList<>();
+  private final List<SimulatedBackend.Incarnation> incarnations = new ArrayList<>();
+  private final List<String> seeds = new ArrayList<>();
+  private final LossCount losses;
+  private final AgentFaultInjector injector;
+  private final TouchRules rules;
+  private int controlAddresses;
+
+  AgentWorld(Shape shape, long seed, AgentMutation mutation) {
+    this.shape = shape;
+    this.mutation = mutation;
+    random = new SplittableRandom(seed);
+    network = new SimulatedNetwork(events, random.split());
+    losses = new LossCount(events);
+    injector = new AgentFaultInjector(this, random.split());
+    rules = new TouchRules(this);
+    for (int i = 0; i < shape.agents(); i++) {
+      ControlMachine machine = newControlMachine();
+      if (i < shape.seeds()) {
+        seeds.add(machine.address());
+      }
+    }
+    for (int i = 0; i < shape.dataPlanes(); i++) {
+      dataPlanes.add(newDataPlane(i));
+    }
+    for (int i = 0; i < shape.backends(); i++) {
+      backends.add(
+          new SimulatedBackend(this, events, random.split(), "10.9.0." + i + ":80", incarnations));
+    }
+  }
+
+  private ControlMachine newControlMachine() {
+    int number = controlAddresses++;
+    String address = "10.%d.0.%d".formatted(number % AGENT_ZONES + 1, number / AGENT_ZONES + 1);
+    ControlMachine machine =
+        new ControlMachine(address, events, random.split(), network, mutation, clockRate());
+    network.add(machine);
+    controlMachines.add(machine);
+    return machine;
+  }
+
+  private DataPlaneMachine newDataPlane(int number) {
+    String address = "10.%d.1.%d".formatted(number % AGENT_ZONES + 1, number + 1);
+    DataPlaneMachine machine =
+        new DataPlaneMachine(
+            address, events, random.split(), network, mutation, history, clockRate());
+    network.add(machine);
+    return machine;
+  }
+
+  private double clockRate() {
+    double spread = shape.clockSpread();
+    double drawn = random.nextDouble();
+    return spread == 1 ? 1 : Math.pow(spread, 2 * drawn - 1);
+  }
+
+  Shape shape() {
+    return shape;
+  }
+
+  EventQueue events() {
+    return events;
+  }
+
+  SimulatedNetwork network() {
+    return network;
+  }
+
+  LossCount losses() {
+    return losses;
+  }
+
+  FleetHistory history() {
+    return history;
+  }
+
+  TouchRules rules() {
+    return rules;
+  }
+
+  List<ControlMachine> controlMachines() {
+    return controlMachines;
+  }
+
+  List<DataPlaneMachine> dataPlanes() {
+    return dataPlanes;
+  }
+
+  List<SimulatedBackend.Incarnation> incarnations() {
+    return incarnations;
+  }
+
+  // ---- life ----
+
+  /** Starts all machines for the first time, the backends and the operators. */
+  void begin(int operatorCount) {
+    for (ControlMachine machine : controlMachines) {
+      events.in(random.nextLong(START_SPREAD), () -> start(machine, true));
+    }
+    for (DataPlaneMachine machine : dataPlanes) {
+      events.in(random.nextLong(START_SPREAD), () -> machine.start(List.copyOf(seeds)));
+    }
+    for (SimulatedBackend backend : backends) {
+      events.in(random.nextLong(2 * SimulatedBackend.HEARTBEAT), backend::start);
+    }
+    for (int i = 0; i < operatorCount; i++) {
+      addOperator("abcdefgh".substring(i, i + 1));
+    }
+    events.in(CHECK_EVERY, this::check);
+  }
+
+  private void addOperator(String name) {
+    SimulatedOperator operator = new SimulatedOperator(this, events, random.split(), history, name);
+    operators.add(operator);
+    events.in(START_SPREAD, operator::start);
+  }
+
+  private void check() {
+    rules.check();
+    events.in(CHECK_EVERY, this::check);
+  }
+
+  void start(ControlMachine machine, boolean bootstrap) {
+    if (controlMachines.contains(machine)) {
+      machine.start(List.copyOf(seeds), bootstrap, shape.tolerance(), HEARTBEAT_MILLIS);
+    }
+  }
+
+  void start(DataPlaneMachine machine) {
+    machine.start(List.copyOf(seeds));
+  }
+
+  /** An empty machine comes at a new address; the settings name it where they named the other. */
+  ControlMachine replacement(ControlMachine machine) {
+    ControlMachine other = newControlMachine();
+    seeds.replaceAll(seed -> seed.equals(machine.address()) ? other.address() : seed);
+    return other;
+  }
+
+  /** A machine is gone for good. */
+  void remove(ControlMachine machine) {
+    controlMachines.remove(machine);
+  }
+
+  /** The settings of all processes name these control agents. */
+  void changeSeeds(List<String> changed) {
+    seeds.clear();
+    seeds.addAll(changed);
+    List<String> copy = List.copyOf(changed);
+    controlMachines.forEach(
+        machine -> machine.seedsChanged(copy, shape.tolerance(), HEARTBEAT_MILLIS));
+    dataPlanes.forEach(machine -> machine.seedsChanged(copy));
+  }
+
+  void at(long micros, AgentFault fault) {
+    events.at(micros, () -> injector.inject(fault));
+  }
+
+  void runUntil(long micros) {
+    events.runUntil(micros);
+  }
+
+  // ---- calls ----
+
+  void call(ControlMachine machine, OperatorCall call, Consumer<OperatorAnswer> answer) {
+    network.request(
+        machine,
+        once(call.method() + " at " + machine, back -> machine.call(call, back)),
+        answer,
+        () -> answer.accept(OperatorAnswer.unavailable("connection refused")));
+  }
+
+  void heartbeat(
+      ControlMachine machine,
+      BackendSession session,
+      Consumer<Boolean> acknowledged,
+      Runnable refused) {
+    network.request(
+        machine,
+        once("heartbeat", (Consumer<Boolean> back) -> machine.heartbeat(session, back)),
+        acknowledged,
+        refused);
+  }
+
+  void depart(ControlMachine machine, String id, Consumer<Boolean> acknowledged, Runnable refused) {
+    network.request(
+        machine,
+        once("departure", (Consumer<Boolean> back) -> machine.depart(id, back)),
+        acknowledged,
+        refused);
+  }
+
+  /** A call that must be answered once at most. */
+  private static <T> Consumer<Consumer<T>> once(String what, Consumer<Consumer<T>> handle) {
+    return back -> {
+      boolean[] answered = {false};
+      handle.accept(
+          result -> {
+            if (answered[0]) {
+              throw new RuleViolation("answered twice: " + what);
+            }
+            answered[0] = true;
+            back.accept(result);
+          });
+    };
+  }
+
+  // ---- the end ----
+
+  /** Ends all troubles, but some machines may stay down; operators stop and backends stay. */
+  void heal(int staysDown) {
+    operators.forEach(SimulatedOperator::stop);
+    backends.forEach(SimulatedBackend::stay);
+    injector.stop();
+    network.heal();
+    rules.troubled(events.now());
+    int down = 0;
+    for (ControlMachine machine : List.copyOf(controlMachines)) {
+      machine.disk().heal();
+      if (machine.isRunning() && machine.process().isFrozen()) {
+        machine.process().thaw();
+      }
+      if (down < staysDown && losses.mayLose(machine, shape.tolerance())) {
+        losses.lost(machine);
+        machine.kill();
+        down++;
+      } else {
+        start(machine, false);
+      }
+    }
+    for (DataPlaneMachine machine : dataPlanes) {
+      if (machine.isRunning() && machine.process().isFrozen()) {
+        machine.process().thaw();
+      }
+      start(machine);
+    }
+  }
+
+  /** Time until an operator that begins now has a change acknowledged; -1 if the bound passed. */
+  long timeToTakeChange(long bound) {
+    return timeToTakeChange(bound, () -> controlMachines);
+  }
+
+  /** The same for an operator that calls only these agents. */
+  long timeToTakeChange(long bound, Supplier<List<ControlMachine>> called) {
+    ProbingOperator prober = new ProbingOperator(this, "probe" + events.now() + "-", called);
+    long begin = events.now();
+    prober.start();
+    while (!prober.isDone() && events.now() < begin + bound) {
+      events.runUntil(events.now() + 10_000);
+    }
+    prober.stop();
+    return prober.isDone() ? events.now() - begin : -1;
+  }
+
+  /** What its machines are at, for the search of causes. */
+  String describe() {
+    StringBuilder text = new StringBuilder("at " + events.now() / 1_000 + " ms");
+    for (ControlMachine machine : controlMachines) {
+      String state = machine.isWell() ? machine.status().toString() : "down or frozen";
+      text.append("\n  agent ").append(machine).append(": ").append(state);
+    }
+    for (DataPlaneMachine machine : dataPlanes) {
+      text.append("\n  data plane ").append(machine).append(" on ").append(machine.version());
+      text.append(", streams to ").append(machine.connectedAgents());
+      text.append(", backends ").append(machine.backends().keySet());
+    }
+    for (SimulatedBackend.Incarnation backend : incarnations) {
+      text.append("\n  ").append(backend);
+    }
+    return text.toString();
+  }
+
+  /** Addresses of the agents that serve, and the version that each has. */
+  Map<String, Long> versions() {
+    Map<String, Long> versions = new TreeMap<>();
+    for (ControlMachine machine : controlMachines) {
+      if (machine.isWell()) {
+        versions.put(machine.address(), machine.status().configurationVersion());
+      }
+    }
+    return versions;
+  }
+}
--- /dev/null
+++ b/src/test/java/slateslip/simulation/agents/ControlMachine.java
@@ -0,0 +1,244 @@
+package slateslip.simulation.agents;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import slateslip.controlplane.agent.AgentIdentity;
+import slateslip.controlplane.agent.AgentSettings;
+import slateslip.controlplane.agent.AgentStatus;
+import slateslip.controlplane.agent.ControlAgent;
+import slateslip.controlplane.agent.DataPlaneStream;
+import slateslip.controlplane.agent.IncomingConnection;
+import slateslip.controlplane.agent.PeerConnector;
+import slateslip.controlplane.agent.RecordLog;
+import slateslip.coordination.DurableRecord;
+import slateslip.coordination.Effects;
+import slateslip.distribution.BackendSession;
+import slateslip.distribution.exchange.OperatorAnswer;
+import slateslip.distribution.exchange.OperatorCall;
+import slateslip.protocol.exchange.ExchangeCodec;
+import slateslip.simulation.EventQueue;
+import slateslip.simulation.RuleViolation;
+import slateslip.simulation.SimulatedDisk;
+import slateslip.storage.RingOptions;
+
+/** One core machine: its disk, and a whole control agent while its process runs. */
+final class ControlMachine extends SimulatedMachine {
+  private static final RingOptions RING = new RingOptions(3, 0);
+
+  private final EventQueue events;
+  private final SplittableRandom random;
+  private final SimulatedNetwork network;
+  private final AgentMutation mutation;
+  private final double clockRate;
+  private final SimulatedDisk disk;
+  private ControlAgent agent;
+  private byte[] greeting;
+
+  ControlMachine(
+      String address,
+      EventQueue events,
+      SplittableRandom random,
+      SimulatedNetwork network,
+      AgentMutation mutation,
+      double clockRate) {
+    super(address);
+    this.events = events;
+    this.random = random;
+    this.network = network;
+    this.mutation = mutation;
+    this.clockRate = clockRate;
+    disk = new SimulatedDisk(events, random.split(), RING, mutation::recovered);
+    mutation.apply(disk);
+  }
+
+  SimulatedDisk disk() {
+    return disk;
+  }
+
+  /** Starts the process on what the disk holds. */
+  void start(List<String> seeds, boolean bootstrap, int tolerance, long heartbeatMillis) {
+    if (isRunning()) {
+      return;
+    }
+    SimulatedProcess process = new SimulatedProcess(events, random.split(), clockRate);
+    started(process);
+    AgentIdentity identity = new AgentIdentity(address(), mutation.incarnation(random.nextLong()));
+    greeting = new ExchangeCodec().encode(identity.greeting());
+    AgentSettings settings =
+        new AgentSettings(address(), address(), seeds, bootstrap, tolerance, heartbeatMillis);
+    agent =
+        new ControlAgent(
+            process,
+            this::connect,
+            settings,
+            identity,
+            new DiskLog(process),
+            broken -> {
+              throw new RuleViolation("a broken invariant: " + broken);
+            });
+    agent.start();
+  }
+
+  private PeerConnector.PeerConnection connect(
+      String peer, byte[] ownGreeting, PeerConnector.Listener listener) {
+    SimulatedPeerConnection connection =
+        new SimulatedPeerConnection(
+            network,
+            this,
+            peer,
+            ownGreeting,
+            listener,
+            mutation,
+            frame -> agent.fromReplica(frame));
+    connection.dial();
+    return connection;
+  }
+
+  /** Other control agents are named by its settings. */
+  void seedsChanged(List<String> seeds, int tolerance, long heartbeatMillis) {
+    if (isRunning()) {
+      AgentSettings settings =
+          new AgentSettings(address(), address(), seeds, false, tolerance, heartbeatMillis);
+      process().execute(this, () -> agent.settingsChanged(settings));
+    }
+  }
+
+  @Override
+  SimulatedSocket.Listener accept(SimulatedSocket socket) {
+    IncomingConnection connection =
+        new IncomingConnection(new SocketStream(socket, mutation), greeting, agent);
+    return new SimulatedSocket.Listener() {
+      @Override
+      public void received(byte[] message) {
+        connection.received(message);
+      }
+
+      @Override
+      public void closed() {
+        connection.closed();
+      }
+
+      @Override
+      public void writable() {
+        connection.writable();
+      }
+    };
+  }
+
+  AgentStatus status() {
+    return agent.status();
+  }
+
+  boolean isServing() {
+    return isWell() && agent.status().serving();
+  }
+
+  void call(OperatorCall call, Consumer<OperatorAnswer> answer) {
+    agent.call(call, answer);
+  }
+
+  void heartbeat(BackendSession session, Consumer<Boolean> acknowledged) {
+    agent.heartbeat(session, acknowledged);
+  }
+
+  void depart(String id, Consumer<Boolean> acknowledged) {
+    agent.depart(id, acknowledged);
+  }
+
+  /** SIGTERM: the process ends once the view does not count on its copy, or after a bound. */
+  void terminate(long boundMicros, Runnable ended) {
+    if (!isRunning()) {
+      ended.run();
+      return;
+    }
+    SimulatedProcess terminated = process();
+    Runnable end =
+        () -> {
+          if (process() == terminated) {
+            kill();
+            ended.run();
+          }
+        };
+    terminated.execute(this, () -> agent.leave(boundMicros, () -> events.in(0, end)));
+  }
+
+  void kill() {
+    if (isRunning()) {
+      disk.processKilled();
+      ended(true);
+      network.processKilled(this);
+    }
+  }
+
+  void losePower() {
+    if (isRunning()) {
+      disk.powerLost();
+      ended(false);
+      network.powerLost(this);
+    }
+  }
+
+  /** Its disk is lost while no process runs. */
+  void wipe() {
+    List<DurableRecord> before = disk.open((token, durable) -> {});
+    disk.wipe();
+    mutation.leftAfterLoss(before).ifPresent(disk::put);
+  }
+
+  /** A stream on a socket. */
+  private record SocketStream(SimulatedSocket socket, AgentMutation mutation)
+      implements DataPlaneStream {
+    @Override
+    public boolean isWritable() {
+      return socket.isWritable();
+    }
+
+    @Override
+    public void write(byte[] message) {
+      socket.send(mutation.toDataPlane(message));
+    }
+
+    @Override
+    public void flush() {}
+
+    @Override
+    public void close() {
+      socket.reset(true);
+    }
+  }
+
+  /** The records on the simulated disk. */
+  private final class DiskLog implements RecordLog {
+    private final SimulatedProcess process;
+    private final Map<Long, Consumer<Boolean>> waiting = new HashMap<>();
+    private final List<DurableRecord> recovered;
+    private long lastToken;
+
+    private DiskLog(SimulatedProcess process) {
+      this.process = process;
+      recovered = disk.open(this::written);
+    }
+
+    private void written(long token, boolean durable) {
+      process.execute(disk, () -> waiting.remove(token).accept(durable));
+    }
+
+    @Override
+    public List<DurableRecord> recovered() {
+      return recovered;
+    }
+
+    @Override
+    public void start() {}
+
+    @Override
+    public void write(DurableRecord record, Consumer<Boolean> done) {
+      lastToken++;
+      waiting.put(lastToken, done);
+      disk.start(new Effects.DurableWrite(lastToken, record));
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/slateslip/simulation/agents/CutOffTest.java
@@ -0,0 +1,103 @@
+package slateslip.simulation.agents;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.allOf;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import slateslip.distribution.exchange.OperatorAnswer;
+import slateslip.distribution.exchange.OperatorCall;
+import slateslip.simulation.agents.AgentFault.Kind;
+
+/**
+ * A control agent is cut off for 5 to 40 s while operators read and change the configuration: what
+ * it answers, and what the other side does meanwhile.
+ */
+final class CutOffTest {
+  private static final long SECOND = DirectedRun.SECOND;
+  private static final long TAKEN_WITHIN = 2 * SECOND;
+  private static final long SILENCE = SECOND;
+
+  static Stream<Arguments> cuts() {
+    List<Kind> kinds =
+        List.of(
+            Kind.CUT_OFF,
+            Kind.CUT_OFF_PRIMARY,
+            Kind.CUT_FROM_ALL,
+            Kind.CUT_PRIMARY_FROM_ALL,
+            Kind.CUT_FROM_DATA_PLANES,
+            Kind.CUT_PRIMARY_ONE_WAY_OUT,
+            Kind.CUT_PRIMARY_ONE_WAY_IN,
+            Kind.CUT_OFF_WITH_SEEDS);
+    return kinds.stream()
+        .flatMap(
+            kind ->
+                Stream.of(5, 20, 40)
+                    .flatMap(
+                        seconds ->
+                            Stream.of(3, 5, 9).map(size -> Arguments.of(kind, seconds, size))));
+  }
+
+  @ParameterizedTest
+  @MethodSource("cuts")
+  void theOtherSideTakesChangesAndNothingOldIsServed(Kind kind, int seconds, int size) {
+    AgentWorld.Shape shape = AgentWorld.Shape.of(size, size > 3 ? 2 : 1);
+    DirectedRun run = new DirectedRun(shape, seconds * 100L + size, 2);
+    boolean atPrimary = kind.name().contains("PRIMARY");
+    ControlMachine cut = atPrimary ? run.primary() : run.world().controlMachines().get(size - 1);
+    run.fault(kind, size - 1, seconds * SECOND);
+    long taken = run.world().timeToTakeChange(TAKEN_WITHIN, () -> run.allBut(cut));
+    assertThat(
+        "taken in time", taken, allOf(greaterThanOrEqualTo(0L), lessThanOrEqualTo(TAKEN_WITHIN)));
+    run.pass(seconds * SECOND);
+    run.world().heal(0);
+    long newest = run.newest();
+    assertThat(run.timeUntilInForce(newest, 2 * SECOND), greaterThanOrEqualTo(0L));
+    assertThat(run.timeUntilAgentHas(cut, newest, 2 * SECOND), greaterThanOrEqualTo(0L));
+  }
+
+  @Test
+  void thePrimaryThatIsCutOffAnswersNothingOfItsState() {
+    DirectedRun run = new DirectedRun(AgentWorld.Shape.of(3, 1), 7, 0);
+    run.take(Order.whole(0, 3, "first"));
+    ControlMachine cut = run.primary();
+    run.fault(Kind.CUT_OFF_PRIMARY, 0, 20 * SECOND);
+    Order taken = Order.whole(0, 3, "first");
+    Order invalid = Order.invalid(3, 4, "invalid");
+    Order stale = Order.whole(0, 2, "stale");
+    for (int second = 0; second < 18; second++) {
+      assertUnclear(run.call(cut, new OperatorCall(OperatorCall.Method.GET, 0, new byte[0])));
+      assertUnclear(run.send(cut, taken));
+      assertUnclear(run.send(cut, invalid));
+      assertUnclear(run.send(cut, stale));
+      assertUnclear(run.send(cut, Order.whole(3, 5, "new" + second)));
+      run.pass(SECOND / 4);
+    }
+  }
+
+  private static void assertUnclear(OperatorAnswer answer) {
+    if (answer != null) {
+      assertThat(answer.status(), is(OperatorAnswer.UNAVAILABLE));
+    }
+  }
+
+  @Test
+  void dataPlanesLeaveAnAgentThatIsCutOffAndDoNotGoBack() {
+    DirectedRun run = new DirectedRun(AgentWorld.Shape.of(3, 1), 11, 0);
+    run.take(Order.whole(0, 3, "first"));
+    ControlMachine cut = run.primary();
+    run.fault(Kind.CUT_OFF_PRIMARY, 0, 20 * SECOND);
+    run.pass(SILENCE);
+    assertThat(cut.status().current(), is(false));
+    long taken = run.world().timeToTakeChange(TAKEN_WITHIN, () -> run.allBut(cut));
+    assertThat(taken, greaterThanOrEqualTo(0L));
+    assertThat(run.timeUntilInForce(run.newest(), SECOND), greaterThanOrEqualTo(0L));
+  }
+}
--- /dev/null
+++ b/src/test/java/slateslip/simulation/agents/DataPlaneMachine.java
@@ -0,0 +1,239 @@
+package slateslip.simulation.agents;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import slateslip.configuration.FleetConfiguration;
+import slateslip.dataplane.subscription.DataPlaneIdentity;
+import slateslip.dataplane.subscription.Subscription;
+import slateslip.dataplane.subscription.SubscriptionInput;
+import slateslip.dataplane.subscription.SubscriptionOutput;
+import slateslip.distribution.BackendSession;
+import slateslip.distribution.ToDataPlane;
+import slateslip.protocol.Decoded;
+import slateslip.protocol.distribution.DistributionCodec;
+import slateslip.simulation.EventQueue;
+
+/** One edge machine: a whole subscription, and what it has put into force. */
+final class DataPlaneMachine extends SimulatedMachine {
+  private static final long TICK_MICROS = 100_000;
+  private static final long CONNECT_MICROS = 1_000_000;
+  private static final long MICROS_PER_MILLI = 1_000;
+
+  private final EventQueue events;
+  private final SplittableRandom random;
+  private final SimulatedNetwork network;
+  private final AgentMutation mutation;
+  private final FleetHistory history;
+  private final double clockRate;
+  private final DistributionCodec codec = new DistributionCodec();
+  private Subscription subscription;
+  private Map<String, SimulatedSocket> sockets = new HashMap<>();
+  private Map<String, Object> dialled = new HashMap<>();
+  private Map<String, ToDataPlane.Heartbeat> newestHeartbeats = new HashMap<>();
+  private FleetConfiguration configuration;
+  private Map<String, BackendSession> backends = new TreeMap<>();
+  private boolean listed;
+  private long reportedAt;
+
+  DataPlaneMachine(
+      String address,
+      EventQueue events,
+      SplittableRandom random,
+      SimulatedNetwork network,
+      AgentMutation mutation,
+      FleetHistory history,
+      double clockRate) {
+    super(address);
+    this.events = events;
+    this.random = random;
+    this.network = network;
+    this.mutation = mutation;
+    this.history = history;
+    this.clockRate = clockRate;
+  }
+
+  void start(List<String> seeds) {
+    if (isRunning()) {
+      return;
+    }
+    SimulatedProcess process = new SimulatedProcess(events, random.split(), clockRate);
+    started(process);
+    sockets = new HashMap<>();
+    dialled = new HashMap<>();
+    configuration = null;
+    backends = new TreeMap<>();
+    listed = false;
+    subscription =
+        new Subscription(
+            new DataPlaneIdentity(address(), random.nextLong(), "z", address()), seeds);
+    newestHeartbeats = new HashMap<>();
+    process.repeat(TICK_MICROS, this::tick);
+  }
+
+  void seedsChanged(List<String> seeds) {
+    if (isRunning()) {
+      process().execute(this, () -> feed(new SubscriptionInput.SeedsChanged(seeds)));
+    }
+  }
+
+  /** Version in force; 0 if none. */
+  long version() {
+    return configuration == null ? 0 : configuration.version();
+  }
+
+  FleetConfiguration configuration() {
+    return configuration;
+  }
+
+  /** When it has last reported that it turned to another agent. */
+  long reportedAt() {
+    return reportedAt;
+  }
+
+  /** Whether it has been told of backends at all. */
+  boolean hasList() {
+    return listed;
+  }
+
+  Map<String, BackendSession> backends() {
+    return backends;
+  }
+
+  Set<String> connectedAgents() {
+    return new HashSet<>(sockets.keySet());
+  }
+
+  void kill() {
+    if (isRunning()) {
+      ended(true);
+      network.processKilled(this);
+    }
+  }
+
+  @Override
+  SimulatedSocket.Listener accept(SimulatedSocket socket) {
+    throw new IllegalStateException("nobody calls a data plane here");
+  }
+
+  private void tick() {
+    if (mutation.keepsSilentStreams()) {
+      sockets.keySet().stream().toList().forEach(this::repeatNewestHeartbeat);
+    }
+    feed(new SubscriptionInput.Tick(List.of()));
+  }
+
+  private void repeatNewestHeartbeat(String agent) {
+    ToDataPlane.Heartbeat newest = newestHeartbeats.get(agent);
+    if (newest != null) {
+      feed(new SubscriptionInput.Received(agent, newest));
+    }
+  }
+
+  private void feed(SubscriptionInput input) {
+    long nowMillis = process().nowMicros() / MICROS_PER_MILLI;
+    for (SubscriptionOutput output : subscription.handle(nowMillis, input)) {
+      carryOut(output);
+    }
+  }
+
+  private void carryOut(SubscriptionOutput output) {
+    if (output instanceof SubscriptionOutput.Dial dial) {
+      dial(dial.agent());
+    } else if (output instanceof SubscriptionOutput.Close close) {
+      close(close.agent());
+    } else if (output instanceof SubscriptionOutput.Send send) {
+      SimulatedSocket socket = sockets.get(send.agent());
+      if (socket != null) {
+        socket.send(codec.encode(send.message()));
+      }
+    } else if (output instanceof SubscriptionOutput.Configure configure) {
+      history.inForce(this, configuration, configure.configuration());
+      configuration = configure.configuration();
+    } else if (output instanceof SubscriptionOutput.Report) {
+      reportedAt = events.now();
+    } else if (output instanceof SubscriptionOutput.ListBackends list) {
+      listed = true;
+      backends = new TreeMap<>();
+      list.backends().forEach(session -> backends.put(session.id(), session));
+    }
+  }
+
+  private void close(String agent) {
+    dialled.remove(agent);
+    SimulatedSocket socket = sockets.remove(agent);
+    if (socket != null) {
+      socket.reset(true);
+    }
+  }
+
+  private void dial(String agent) {
+    Object attempt = new Object();
+    dialled.put(agent, attempt);
+    network.connect(this, agent, CONNECT_MICROS, new Dialling(agent, attempt));
+  }
+
+  private void ended(String agent, SimulatedSocket socket) {
+    if (sockets.remove(agent, socket)) {
+      feed(new SubscriptionInput.Disconnected(agent));
+    }
+  }
+
+  private final class Dialling implements SimulatedNetwork.Connecting {
+    private final String agent;
+    private final Object attempt;
+
+    private Dialling(String agent, Object attempt) {
+      this.agent = agent;
+      this.attempt = attempt;
+    }
+
+    @Override
+    public SimulatedSocket.Listener connected(SimulatedSocket socket) {
+      if (dialled.remove(agent, attempt)) {
+        sockets.put(agent, socket);
+        feed(new SubscriptionInput.Connected(agent));
+      } else {
+        socket.reset(true);
+      }
+      return new Messages(agent, socket);
+    }
+
+    @Override
+    public void failed() {
+      if (dialled.remove(agent, attempt)) {
+        feed(new SubscriptionInput.Disconnected(agent));
+      }
+    }
+  }
+
+  private final class Messages implements SimulatedSocket.Listener {
+    private final String agent;
+    private final SimulatedSocket socket;
+
+    private Messages(String agent, SimulatedSocket socket) {
+      this.agent = agent;
+      this.socket = socket;
+    }
+
+    @Override
+    public void received(byte[] message) {
+      Decoded<ToDataPlane> decoded = codec.decodeToDataPlane(message);
+      if (sockets.get(agent) == socket && decoded instanceof Decoded.Message<ToDataPlane> known) {
+        if (known.value() instanceof ToDataPlane.Heartbeat heartbeat) {
+          newestHeartbeats.put(agent, heartbeat);
+        }
+        feed(new SubscriptionInput.Received(agent, known.value()));
+      }
+    }
+
+    @Override
+    public void closed() {
+      ended(agent, socket);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/slateslip/simulation/agents/DirectedRun.java
@@ -0,0 +1,131 @@
+package slateslip.simulation.agents;
+
+import java.util.List;
+import java.util.NavigableMap;
+import java.util.function.BooleanSupplier;
+import slateslip.distribution.exchange.OperatorAnswer;
+import slateslip.distribution.exchange.OperatorCall;
+import slateslip.simulation.RuleViolation;
+
+/** A run whose steps a test gives one by one; all rules are checked along the way. */
+final class DirectedRun {
+  static final long SECOND = 1_000_000;
+  private static final long STEP = 10_000;
+  private static final long START = 2_500_000;
+  private static final long CALL_PATIENCE = 1_000_000;
+
+  private final AgentWorld world;
+
+  /**
+   * All machines run, and nobody calls yet but backends.
+   *
+   * @param operators that read and change the configuration all along
+   */
+  DirectedRun(AgentWorld.Shape shape, long seed, int operators) {
+    world = new AgentWorld(shape, seed, AgentMutation.NONE);
+    world.begin(operators);
+    world.runUntil(START);
+  }
+
+  AgentWorld world() {
+    return world;
+  }
+
+  long now() {
+    return world.events().now();
+  }
+
+  void pass(long micros) {
+    world.runUntil(now() + micros);
+  }
+
+  /** A fault begins now. */
+  void fault(AgentFault.Kind kind, int target, long micros) {
+    world.at(now(), new AgentFault(now(), kind, target, micros));
+    world.runUntil(now());
+  }
+
+  ControlMachine primary() {
+    return world.controlMachines().stream()
+        .filter(ControlMachine::isServing)
+        .findFirst()
+        .orElseThrow(() -> new RuleViolation("nobody serves"));
+  }
+
+  List<ControlMachine> allBut(ControlMachine machine) {
+    return world.controlMachines().stream().filter(other -> other != machine).toList();
+  }
+
+  /** Sends an order to one agent once; null without an answer in time. */
+  OperatorAnswer send(ControlMachine machine, Order order) {
+    world.history().sent(order);
+    long newestAtCall = world.history().newestAcknowledged();
+    OperatorAnswer answer = call(machine, order.call());
+    if (answer != null) {
+      world.history().answered(now(), order, newestAtCall, answer);
+    }
+    return answer;
+  }
+
+  /** Makes a call once; null without an answer in time. */
+  OperatorAnswer call(ControlMachine machine, OperatorCall call) {
+    OperatorAnswer[] got = {null};
+    world.call(machine, call, answer -> got[0] = answer);
+    long bound = now() + CALL_PATIENCE;
+    while (got[0] == null && now() < bound) {
+      world.runUntil(now() + STEP / 10);
+    }
+    return got[0];
+  }
+
+  /** Sends an order to one agent after the other until it is acknowledged. */
+  void take(Order order) {
+    int turn = 0;
+    OperatorAnswer answer = null;
+    while (answer == null || answer.status() == OperatorAnswer.UNAVAILABLE) {
+      List<ControlMachine> machines = world.controlMachines();
+      answer = send(machines.get(turn % machines.size()), order);
+      turn++;
+      if (turn > 100) {
+        throw new RuleViolation("never taken: " + order);
+      }
+    }
+    if (answer.status() != OperatorAnswer.OK) {
+      throw new RuleViolation("refused with " + answer.status() + ": " + order);
+    }
+  }
+
+  /** Takes a number of changes one after the other, each on top of the one before. */
+  void takeMany(int changes, int bytes, String marker) {
+    for (int number = 1; number <= changes; number++) {
+      long base = newest();
+      take(Order.large(base, base + 1, marker + number, bytes));
+    }
+  }
+
+  long newest() {
+    NavigableMap<Long, Long> acknowledged = world.history().acknowledgements();
+    return acknowledged.isEmpty() ? 0 : acknowledged.lastKey();
+  }
+
+  /** Time until an agent has a version. */
+  long timeUntilAgentHas(ControlMachine machine, long version, long bound) {
+    return timeUntil(
+        () -> machine.isWell() && machine.status().configurationVersion() >= version, bound);
+  }
+
+  /** Time until all data planes that run have a version. */
+  long timeUntilInForce(long version, long bound) {
+    return timeUntil(
+        () -> world.dataPlanes().stream().allMatch(each -> each.version() >= version), bound);
+  }
+
+  /** Time until something holds; -1 if the bound passed. */
+  long timeUntil(BooleanSupplier condition, long bound) {
+    long begin = now();
+    while (!condition.getAsBoolean() && now() < begin + bound) {
+      world.runUntil(now() + STEP);
+    }
+    return condition.getAsBoolean() ? now() - begin : -1;
+  }
+}
--- /dev/null
+++ b/src/test/java/slateslip/simulation/agents/Order.java
@@ -0,0 +1,103 @@
+package slateslip.simulation.agents;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import slateslip.configuration.FleetConfiguration;
+import slateslip.configuration.Service;
+import slateslip.distribution.exchange.OperatorCall;
+
+/**
+ * A change that an operator wants. Its configuration can be told from every other one: a service's
+ * health path names its author and number.
+ *
+ * @param base version that it builds on
+ * @param version its own
+ * @param marker unlike that of every other order
+ * @param valid whether the configuration is one
+ * @param call as it is sent
+ */
+record Order(long base, long version, String marker, boolean valid, OperatorCall call) {
+  private static final String SERVICE = "pool";
+
+  /** A whole configuration. */
+  static Order whole(long base, long version, String marker) {
+    String body =
+        "{\"version\":%d,\"routes\":[%s],\"services\":[%s]}"
+            .formatted(version, route("first", "/first/"), service(marker));
+    return order(OperatorCall.Method.PUT, base, version, marker, true, body);
+  }
+
+  /** A change of the service and one more route. */
+  static Order patch(long base, long version, String marker) {
+    String body =
+        "{\"version\":%d,\"upsert\":{\"services\":[%s],\"routes\":[%s]}}"
+            .formatted(version, service(marker), route("r-" + marker, "/" + marker + "/"));
+    return order(OperatorCall.Method.PATCH, base, version, marker, true, body);
+  }
+
+  /** A whole configuration with routes of about this many bytes in all. */
+  static Order large(long base, long version, String marker, int bytes) {
+    StringBuilder routes = new StringBuilder(route("first", "/first/"));
+    for (int number = 0; routes.length() < bytes; number++) {
+      routes.append(',').append(route("n" + number, "/n" + number + "/"));
+    }
+    String body =
+        "{\"version\":%d,\"routes\":[%s],\"services\":[%s]}"
+            .formatted(version, routes, service(marker));
+    return order(OperatorCall.Method.PUT, base, version, marker, true, body);
+  }
+
+  /** A configuration whose route names a service that is not there. */
+  static Order invalid(long base, long version, String marker) {
+    String body =
+        "{\"version\":%d,\"routes\":[%s],\"services\":[]}"
+            .formatted(version, route("first", "/first/"));
+    return order(OperatorCall.Method.PUT, base, version, marker, false, body);
+  }
+
+  private static Order order(
+      OperatorCall.Method method,
+      long base,
+      long version,
+      String marker,
+      boolean valid,
+      String body) {
+    byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+    return new Order(base, version, marker, valid, new OperatorCall(method, base, bytes));
+  }
+
+  private static String service(String marker) {
+    return "{\"name\":\"%s\",\"health_path\":\"/%s\"}".formatted(SERVICE, marker);
+  }
+
+  private static String route(String name, String prefix) {
+    return ("{\"name\":\"%s\",\"hostname\":\"h\",\"path_prefix\":\"%s\",\"timeout_ms\":1000,"
+            + "\"service\":\"%s\"}")
+        .formatted(name, prefix, SERVICE);
+  }
+
+  /** The marker of the order that made a configuration. */
+  static String markerOf(FleetConfiguration configuration) {
+    List<Service> services = configuration.services();
+    return services.get(0).healthPath().substring(1);
+  }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof Order order
+        && marker.equals(order.marker)
+        && base == order.base
+        && version == order.version
+        && call.method() == order.call.method();
+  }
+
+  @Override
+  public int hashCode() {
+    return marker.hashCode();
+  }
+
+  @Override
+  public String toString() {
+    return marker + " (" + call.method() + " " + base + " -> " + version + ")";
+  }
+}
--- /dev/null
+++ b/src/test/java/slateslip/simulation/agents/RepeatedOrderTest.java
@@ -0,0 +1,109 @@
+package slateslip.simulation.agents;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import slateslip.distribution.exchange.OperatorAnswer;
+import slateslip.simulation.agents.AgentFault.Kind;
+
+/** Two operators under one number, and orders that are sent again after a lost answer. */
+final class RepeatedOrderTest {
+  private static final long SECOND = DirectedRun.SECOND;
+
+  @ParameterizedTest
+  @ValueSource(ints = {3, 5, 9})
+  void ofTwoOrdersUnderOneNumberOneIsTaken(int size) {
+    for (long seed = 1; seed <= 10; seed++) {
+      DirectedRun run = new DirectedRun(AgentWorld.Shape.of(size, 1), seed, 0);
+      run.take(Order.whole(0, 3, "first"));
+      List<Order> rivals = List.of(Order.whole(3, 5, "a"), Order.whole(3, 5, "b"));
+      List<OperatorAnswer> answers = new ArrayList<>();
+      for (Order rival : rivals) {
+        run.world().history().sent(rival);
+        for (ControlMachine machine : run.world().controlMachines()) {
+          run.world()
+              .call(
+                  machine,
+                  rival.call(),
+                  answer -> {
+                    run.world().history().answered(run.now(), rival, 3, answer);
+                    answers.add(answer);
+                  });
+        }
+      }
+      run.pass(2 * SECOND);
+      assertThat(answers, hasSize(2 * size));
+      long taken = answers.stream().filter(each -> each.status() == OperatorAnswer.OK).count();
+      long refused =
+          answers.stream().filter(each -> each.status() == OperatorAnswer.CONFLICT).count();
+      assertThat(taken, is((long) size));
+      assertThat(refused, is((long) size));
+    }
+  }
+
+  @Test
+  void anOrderInFlightWhileThePrimaryDiesIsNeverRefused() {
+    for (long seed = 1; seed <= 60; seed++) {
+      DirectedRun run = new DirectedRun(AgentWorld.Shape.of(3, 1), seed, 0);
+      run.take(Order.whole(0, 3, "first"));
+      Order order = Order.patch(3, 4, "in-flight");
+      ControlMachine primary = run.primary();
+      run.world().history().sent(order);
+      for (ControlMachine machine : run.world().controlMachines()) {
+        run.world()
+            .call(
+                machine,
+                order.call(),
+                answer -> run.world().history().answered(run.now(), order, 3, answer));
+      }
+      run.pass(seed * 250);
+      run.fault(Kind.KILL_PRIMARY, 0, 100_000);
+      run.take(order);
+      assertThat(run.send(run.allBut(primary).get(0), order).status(), is(OperatorAnswer.OK));
+    }
+  }
+
+  @Test
+  void anOrderIsKnownAfterManyOthersASnapshotAndTheLossOfTheAgentThatTookIt() {
+    DirectedRun run = new DirectedRun(AgentWorld.Shape.of(3, 1), 5, 0);
+    Order first = Order.whole(0, 1, "first");
+    run.take(first);
+    Order second = Order.patch(1, 2, "second");
+    run.take(second);
+    run.takeMany(500, 400, "m");
+    assertKnownEverywhere(run, first, second);
+    run.fault(Kind.WIPE_PRIMARY, 0, SECOND);
+    run.pass(8 * SECOND);
+    assertKnownEverywhere(run, first, second);
+    run.fault(Kind.KILL_ALL, 0, SECOND);
+    run.pass(4 * SECOND);
+    assertKnownEverywhere(run, first, second);
+  }
+
+  private static void assertKnownEverywhere(DirectedRun run, Order... orders) {
+    for (Order order : orders) {
+      for (ControlMachine machine : run.world().controlMachines()) {
+        OperatorAnswer answer = run.send(machine, order);
+        assertThat(answer.status(), is(OperatorAnswer.OK));
+        assertThat(answer.version(), is(order.version()));
+      }
+    }
+  }
+
+  @Test
+  void bodiesThatDifferByOneByteAreDifferentOrders() {
+    DirectedRun run = new DirectedRun(AgentWorld.Shape.of(3, 1), 6, 0);
+    run.take(Order.whole(0, 3, "base"));
+    run.take(Order.whole(3, 4, "one"));
+    ControlMachine any = run.allBut(run.primary()).get(0);
+    assertThat(run.send(any, Order.whole(3, 4, "onf")).status(), is(OperatorAnswer.CONFLICT));
+    assertThat(run.send(any, Order.patch(3, 4, "ong")).status(), is(OperatorAnswer.CONFLICT));
+    assertThat(run.send(any, Order.whole(3, 4, "one")).status(), is(OperatorAnswer.OK));
+  }
+}
--- /dev/null
+++ b/src/test/java/slateslip/simulation/agents/SimulatedBackend.java
@@ -0,0 +1,265 @@
+package slateslip.simulation.agents;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import slateslip.distribution.BackendSession;
+import slateslip.simulation.EventQueue;
+
+/**
+ * The backends at one address, one incarnation after the other: each calls an agent at regular
+ * times, and leaves by draining, by DELETE alone, or without a word.
+ */
+final class SimulatedBackend {
+  static final long HEARTBEAT = 1_200_000;
+  private static final long PATIENCE = 1_000_000;
+  private static final long LEAST_LIFE = 2_000_000;
+  private static final long MOST_LIFE = 14_000_000;
+  private static final long DRAIN = 2_300_000;
+  private static final long UNACKNOWLEDGED_DRAIN = 4_000_000;
+  private static final long REUSE = 2_000_000;
+  private static final long MOST_LATE = 4_000_000;
+  private static final int LATE_EVERY = 25;
+  private static final int TRIES = 6;
+  private static final int SERVICES = 2;
+
+  /** How an incarnation ends. */
+  enum Ending {
+    DRAINS,
+    DELETES_FIRST,
+    CRASHES
+  }
+
+  /** One life of a backend. */
+  final class Incarnation {
+    private final String id;
+    private final long startedAt;
+    private final String service;
+    private long sequence;
+    private boolean draining;
+    private boolean ended;
+    private boolean departing;
+    private boolean departureAcknowledged;
+    private long leavingAcknowledgedAt = Long.MAX_VALUE;
+    private long endedAt = Long.MAX_VALUE;
+    private long acknowledgedAt;
+
+    private Incarnation(String id, String service) {
+      this.id = id;
+      this.service = service;
+      startedAt = events.now();
+    }
+
+    String id() {
+      return id;
+    }
+
+    /** Since when it must not get new requests from data planes in touch. */
+    long leavingAcknowledgedAt() {
+      return leavingAcknowledgedAt;
+    }
+
+    /** When it ended; never yet if it lives. */
+    long endedAt() {
+      return endedAt;
+    }
+
+    long startedAt() {
+      return startedAt;
+    }
+
+    /** Whether it is up and wants requests. */
+    boolean isReady() {
+      return !ended && !draining && !departing;
+    }
+
+    long acknowledgedAt() {
+      return acknowledgedAt;
+    }
+
+    @Override
+    public String toString() {
+      return "%s %s, started %d, acknowledged %d, leaving acknowledged %d, ended %d"
+          .formatted(
+              id,
+              isReady() ? "ready" : "not ready",
+              startedAt / 1_000,
+              acknowledgedAt / 1_000,
+              leavingAcknowledgedAt / 1_000,
+              endedAt / 1_000);
+    }
+
+    private BackendSession nextSession() {
+      sequence++;
+      return new BackendSession(id, service, address, "z", "v1", 8, draining, 0, sequence);
+    }
+  }
+
+  private final AgentWorld world;
+  private final EventQueue events;
+  private final SplittableRandom random;
+  private final String address;
+  private final List<Incarnation> all;
+  private Incarnation current;
+  private ControlMachine agent;
+  private boolean endless;
+  private int incarnations;
+
+  /**
+   * Backends at an address.
+   *
+   * @param all takes each incarnation that is started
+   */
+  SimulatedBackend(
+      AgentWorld world,
+      EventQueue events,
+      SplittableRandom random,
+      String address,
+      List<Incarnation> all) {
+    this.world = world;
+    this.events = events;
+    this.random = random;
+    this.address = address;
+    this.all = all;
+  }
+
+  void start() {
+    incarnations++;
+    String service = "s" + random.nextInt(SERVICES);
+    Incarnation started = new Incarnation("i-" + address + "-" + incarnations, service);
+    current = started;
+    all.add(started);
+    beat(started);
+    events.in(random.nextLong(LEAST_LIFE, MOST_LIFE), () -> leave(started));
+  }
+
+  /** The incarnation that lives now stays until the end. */
+  void stay() {
+    endless = true;
+  }
+
+  private void beat(Incarnation own) {
+    if (own.ended) {
+      return;
+    }
+    call(own, TRIES, own.nextSession());
+    events.in(HEARTBEAT, () -> beat(own));
+  }
+
+  private void call(Incarnation own, int triesLeft, BackendSession session) {
+    if (triesLeft == 0 || own.ended) {
+      return;
+    }
+    long late = random.nextInt(LATE_EVERY) == 0 ? random.nextLong(MOST_LATE) : 0;
+    ControlMachine called = calledAgent();
+    boolean[] over = {false};
+    events.in(
+        late,
+        () ->
+            world.heartbeat(
+                called,
+                session,
+                acknowledged -> {
+                  if (acknowledged) {
+                    acknowledged(own, session);
+                  }
+                  tryNext(own, triesLeft, session, over, acknowledged);
+                },
+                () -> tryNext(own, triesLeft, session, over, false)));
+    events.in(PATIENCE, () -> tryNext(own, triesLeft, session, over, false));
+  }
+
+  private ControlMachine calledAgent() {
+    if (agent == null || !world.controlMachines().contains(agent)) {
+      agent = world.controlMachines().get(random.nextInt(world.controlMachines().size()));
+    }
+    return agent;
+  }
+
+  private void tryNext(
+      Incarnation own,
+      int triesLeft,
+      BackendSession session,
+      boolean[] over,
+      boolean acknowledged) {
+    if (over[0]) {
+      return;
+    }
+    over[0] = true;
+    if (!acknowledged && own == current) {
+      agent = null;
+      call(own, triesLeft - 1, session);
+    }
+  }
+
+  private void acknowledged(Incarnation own, BackendSession session) {
+    own.acknowledgedAt = events.now();
+    if (session.draining() && own.leavingAcknowledgedAt == Long.MAX_VALUE) {
+      world.rules().leavingAcknowledged(own.id);
+      own.leavingAcknowledgedAt = events.now();
+      events.in(DRAIN, () -> depart(own, TRIES));
+    }
+  }
+
+  private void leave(Incarnation own) {
+    if (endless) {
+      return;
+    }
+    Ending ending = Ending.values()[random.nextInt(Ending.values().length)];
+    switch (ending) {
+      case DRAINS -> drain(own);
+      case DELETES_FIRST -> {
+        own.draining = true;
+        depart(own, TRIES);
+        events.in(DRAIN, () -> end(own));
+      }
+      case CRASHES -> end(own);
+    }
+  }
+
+  private void drain(Incarnation own) {
+    own.draining = true;
+    call(own, TRIES, own.nextSession());
+    events.in(UNACKNOWLEDGED_DRAIN, () -> depart(own, TRIES));
+    events.in(UNACKNOWLEDGED_DRAIN, () -> end(own));
+  }
+
+  private void depart(Incarnation own, int triesLeft) {
+    if (own.departureAcknowledged || triesLeft == 0) {
+      return;
+    }
+    own.departing = true;
+    boolean[] over = {false};
+    Runnable again =
+        () -> {
+          if (!over[0]) {
+            over[0] = true;
+            agent = null;
+            depart(own, triesLeft - 1);
+          }
+        };
+    world.depart(
+        calledAgent(),
+        own.id,
+        acknowledged -> {
+          if (acknowledged) {
+            over[0] = true;
+            own.departureAcknowledged = true;
+            world.rules().leavingAcknowledged(own.id);
+            own.leavingAcknowledgedAt = Math.min(own.leavingAcknowledgedAt, events.now());
+          } else {
+            again.run();
+          }
+        },
+        again);
+    events.in(PATIENCE, again);
+  }
+
+  private void end(Incarnation own) {
+    if (own.ended) {
+      return;
+    }
+    own.ended = true;
+    own.endedAt = events.now();
+    events.in(REUSE + random.nextLong(REUSE), this::start);
+  }
+}
--- /dev/null
+++ b/src/test/java/slateslip/simulation/agents/SimulatedOperator.java
@@ -0,0 +1,165 @@
+package slateslip.simulation.agents;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import slateslip.distribution.exchange.OperatorAnswer;
+import slateslip.distribution.exchange.OperatorCall;
+import slateslip.simulation.EventQueue;
+
+/**
+ * Reads the configuration, changes it, and sends a change without a clear answer again, unchanged,
+ * to any agent; at times to several at once, and at times long after it was taken.
+ */
+final class SimulatedOperator {
+  private static final long PATIENCE = 1_000_000;
+  private static final long LONG_PAUSE = 250_000;
+  private static final long SHORT_PAUSE = 20_000;
+  private static final int ANSWER_LOST_EVERY = 6;
+  private static final int SEVERAL_AT_ONCE_EVERY = 5;
+  private static final int REPEATED_EVERY = 4;
+  private static final int INVALID_EVERY = 9;
+
+  private final AgentWorld world;
+  private final EventQueue events;
+  private final SplittableRandom random;
+  private final FleetHistory history;
+  private final String name;
+  private final List<Order> takenOrders = new ArrayList<>();
+  private Order order;
+  private long knownVersion;
+  private long call;
+  private int orders;
+  private boolean stopped;
+
+  SimulatedOperator(
+      AgentWorld world,
+      EventQueue events,
+      SplittableRandom random,
+      FleetHistory history,
+      String name) {
+    this.world = world;
+    this.events = events;
+    this.random = random;
+    this.history = history;
+    this.name = name;
+  }
+
+  void start() {
+    next();
+  }
+
+  void stop() {
+    stopped = true;
+  }
+
+  private void next() {
+    if (stopped) {
+      return;
+    }
+    call++;
+    long current = call;
+    if (order == null) {
+      read(current);
+    } else {
+      send(current);
+    }
+    events.in(PATIENCE, () -> goOn(current, SHORT_PAUSE));
+  }
+
+  /** The call is over, or given up; the next one follows after a pause. */
+  private void goOn(long current, long longestPause) {
+    if (current == call) {
+      call++;
+      events.in(random.nextLong(longestPause), this::next);
+    }
+  }
+
+  private ControlMachine anyAgent() {
+    List<ControlMachine> machines = world.controlMachines();
+    return machines.get(random.nextInt(machines.size()));
+  }
+
+  private void read(long current) {
+    long newestAtCall = history.newestAcknowledged();
+    OperatorCall get = new OperatorCall(OperatorCall.Method.GET, 0, new byte[0]);
+    world.call(anyAgent(), get, answer -> readAnswer(current, newestAtCall, answer));
+  }
+
+  private void readAnswer(long current, long newestAtCall, OperatorAnswer answer) {
+    boolean clear = answer.status() != OperatorAnswer.UNAVAILABLE;
+    if (clear) {
+      knownVersion = history.read(newestAtCall, answer);
+    }
+    if (current != call) {
+      return;
+    }
+    if (clear) {
+      order = newOrder();
+    }
+    goOn(current, clear ? LONG_PAUSE : SHORT_PAUSE);
+  }
+
+  private Order newOrder() {
+    orders++;
+    String marker = name + orders;
+    long version = knownVersion + 1 + random.nextInt(2);
+    if (random.nextInt(INVALID_EVERY) == 0) {
+      return Order.invalid(knownVersion, version, marker);
+    }
+    return knownVersion > 0 && random.nextBoolean()
+        ? Order.patch(knownVersion, version, marker)
+        : Order.whole(knownVersion, version, marker);
+  }
+
+  private void send(long current) {
+    int copies = random.nextInt(SEVERAL_AT_ONCE_EVERY) == 0 ? world.controlMachines().size() : 1;
+    for (int copy = 0; copy < copies; copy++) {
+      Order sent = order;
+      sendOnce(sent, answer -> answered(current, sent, answer));
+    }
+  }
+
+  private void sendOnce(Order sent, Consumer<OperatorAnswer> then) {
+    history.sent(sent);
+    long newestAtCall = history.newestAcknowledged();
+    world.call(
+        anyAgent(),
+        sent.call(),
+        answer -> {
+          boolean lost = random.nextInt(ANSWER_LOST_EVERY) == 0;
+          if (!lost) {
+            history.answered(events.now(), sent, newestAtCall, answer);
+            if (answer.status() == OperatorAnswer.OK) {
+              world.rules().acknowledged(sent.version());
+            }
+            then.accept(answer);
+          }
+        });
+  }
+
+  private void answered(long current, Order sent, OperatorAnswer answer) {
+    if (current != call || !sent.equals(order)) {
+      return;
+    }
+    boolean clear = answer.status() != OperatorAnswer.UNAVAILABLE;
+    if (answer.status() == OperatorAnswer.OK) {
+      knownVersion = sent.version();
+      takenOrders.add(sent);
+      order = random.nextInt(REPEATED_EVERY) == 0 ? null : newOrder();
+      repeatOne();
+    } else if (clear) {
+      order = null;
+    }
+    goOn(current, clear ? LONG_PAUSE : SHORT_PAUSE);
+  }
+
+  /** Sends an order again that was taken before, as if its answer had been lost. */
+  private void repeatOne() {
+    if (random.nextInt(REPEATED_EVERY) == 0) {
+      Order old = takenOrders.get(random.nextInt(takenOrders.size()));
+      sendOnce(old, answer -> {});
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/slateslip/simulation/agents/SimulatedPeerConnection.java
@@ -0,0 +1,139 @@
+package slateslip.simulation.agents;
+
+import java.util.function.Consumer;
+import slateslip.controlplane.agent.PeerConnector;
+import slateslip.protocol.coordination.PeerFrame;
+
+/** A control agent's connection to a peer, dialled anew whenever it breaks, as in service. */
+final class SimulatedPeerConnection implements PeerConnector.PeerConnection {
+  private static final long CONNECT_MICROS = 500_000;
+  private static final long FIRST_PAUSE = 30_000;
+  private static final long LONGEST_PAUSE = 400_000;
+  private static final long MAX_UNSENT_BYTES = 16 * 1024 * 1024;
+
+  private final AgentMutation mutation;
+  private final SimulatedNetwork network;
+  private final SimulatedMachine machine;
+  private final SimulatedProcess process;
+  private final String address;
+  private final byte[] greeting;
+  private final PeerConnector.Listener listener;
+  private final Consumer<PeerFrame> supposedAnswers;
+  private SimulatedSocket socket;
+  private boolean greeted;
+  private boolean closed;
+  private long pause = FIRST_PAUSE;
+
+  SimulatedPeerConnection(
+      SimulatedNetwork network,
+      SimulatedMachine machine,
+      String address,
+      byte[] greeting,
+      PeerConnector.Listener listener,
+      AgentMutation mutation,
+      Consumer<PeerFrame> supposedAnswers) {
+    this.supposedAnswers = supposedAnswers;
+    this.mutation = mutation;
+    this.network = network;
+    this.machine = machine;
+    process = machine.process();
+    this.address = address;
+    this.greeting = greeting;
+    this.listener = listener;
+  }
+
+  void dial() {
+    if (!closed) {
+      network.connect(machine, address, CONNECT_MICROS, new Dialling());
+    }
+  }
+
+  private void dialLater() {
+    if (!closed) {
+      process.schedule(pause, this::dial);
+      pause = Math.min(LONGEST_PAUSE, 2 * pause);
+    }
+  }
+
+  @Override
+  public void send(byte[] message) {
+    mutation
+        .supposedAnswer(address, message)
+        .ifPresent(answer -> process.schedule(1, () -> supposedAnswers.accept(answer)));
+    if (socket == null) {
+      return;
+    }
+    if (socket.underWayBytes() > MAX_UNSENT_BYTES) {
+      reset();
+    } else {
+      mutation.betweenAgents(message).forEach(changed -> socket.send(changed));
+    }
+  }
+
+  @Override
+  public void reset() {
+    if (socket != null) {
+      socket.reset(true);
+      broken();
+    }
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    reset();
+  }
+
+  private void broken() {
+    boolean wasUp = greeted;
+    socket = null;
+    greeted = false;
+    if (wasUp) {
+      listener.down();
+    }
+    dialLater();
+  }
+
+  private final class Dialling implements SimulatedNetwork.Connecting {
+    @Override
+    public SimulatedSocket.Listener connected(SimulatedSocket connected) {
+      if (closed) {
+        connected.reset(true);
+      } else {
+        socket = connected;
+        socket.send(greeting);
+      }
+      return new Answers(connected);
+    }
+
+    @Override
+    public void failed() {
+      dialLater();
+    }
+  }
+
+  /** The peer's greeting is all that comes back. */
+  private final class Answers implements SimulatedSocket.Listener {
+    private final SimulatedSocket own;
+
+    private Answers(SimulatedSocket own) {
+      this.own = own;
+    }
+
+    @Override
+    public void received(byte[] message) {
+      if (socket == own && !greeted) {
+        greeted = true;
+        pause = FIRST_PAUSE;
+        listener.up(message);
+      }
+    }
+
+    @Override
+    public void closed() {
+      if (socket == own) {
+        broken();
+      }
+    }
+  }
+}
--- a/src/test/java/slateslip/simulation/control/CheckedHistory.java
+++ b/src/test/java/slateslip/simulation/control/CheckedHistory.java
@@ -8,18 +8,10 @@
 import java.util.Set;
 import slateslip.coordination.NodeId;
 import slateslip.coordination.View;
+import slateslip.simulation.RuleViolation;
 
 /** What must never happen, checked at each step. */
 final class CheckedHistory {
-  /** A rule was broken. */
-  static final class Violation extends RuntimeException {
-    private static final long serialVersionUID = 1L;
-
-    Violation(String message) {
-      super(message);
-    }
-  }
-
   private final List<LedgerState.Change> committed = new ArrayList<>();
   private final Set<LedgerState.Change> acknowledged = new HashSet<>();
   private final Set<LedgerState.Change> refused = new HashSet<>();
@@ -30,20 +22,20 @@
   /** A replica applies a change behind others. */
   void applied(int position, long versionBefore, LedgerState.Change change) {
     if (change.base() != versionBefore) {
-      throw new Violation("applied " + change + " on version " + versionBefore);
+      throw new RuleViolation("applied " + change + " on version " + versionBefore);
     }
     if (position < committed.size()) {
       if (!committed.get(position).equals(change)) {
-        throw new Violation(
+        throw new RuleViolation(
             "forked at " + position + ": " + committed.get(position) + " and " + change);
       }
       return;
     }
     if (position > committed.size()) {
-      throw new Violation("a gap before " + position);
+      throw new RuleViolation("a gap before " + position);
     }
     if (refused.contains(change)) {
-      throw new Violation("in force, though refused: " + change);
+      throw new RuleViolation("in force, though refused: " + change);
     }
     committed.add(change);
   }
@@ -52,7 +44,7 @@
   void decided(View view) {
     View first = views.putIfAbsent(view.epoch(), view);
     if (first != null && !first.equals(view)) {
-      throw new Violation("two views of one epoch: " + first + " and " + view);
+      throw new RuleViolation("two views of one epoch: " + first + " and " + view);
     }
   }
 
@@ -60,7 +52,7 @@
   void committedBy(NodeId primary, long epoch, LedgerState.Change change) {
     NodeId first = acknowledgers.putIfAbsent(epoch, primary);
     if (first != null && !first.equals(primary)) {
-      throw new Violation(first + " and " + primary + " acknowledge in epoch " + epoch);
+      throw new RuleViolation(first + " and " + primary + " acknowledge in epoch " + epoch);
     }
     acknowledged(change);
   }
@@ -68,7 +60,7 @@
   /** An operator gets an acknowledgement. */
   void acknowledged(LedgerState.Change change) {
     if (!committed.contains(change)) {
-      throw new Violation("acknowledged, but not committed: " + change);
+      throw new RuleViolation("acknowledged, but not committed: " + change);
     }
     acknowledged.add(change);
     acknowledgedVersion = Math.max(acknowledgedVersion, change.version());
@@ -77,7 +69,7 @@
   /** A change is refused for good. */
   void refused(LedgerState.Change change) {
     if (committed.contains(change)) {
-      throw new Violation("refused, though in force: " + change);
+      throw new RuleViolation("refused, though in force: " + change);
     }
     refused.add(change);
   }
@@ -94,7 +86,7 @@
   /** A read that is confirmed to be current. */
   void read(long acknowledgedAtCall, long version) {
     if (version < acknowledgedAtCall) {
-      throw new Violation(
+      throw new RuleViolation(
           "read version " + version + " after " + acknowledgedAtCall + " was acknowledged");
     }
   }
@@ -103,7 +95,7 @@
   void atEnd(List<LedgerState.Change> changes) {
     for (LedgerState.Change change : acknowledged) {
       if (!changes.contains(change)) {
-        throw new Violation("lost: " + change);
+        throw new RuleViolation("lost: " + change);
       }
     }
   }
--- a/src/test/java/slateslip/simulation/control/ControlWorld.java
+++ b/src/test/java/slateslip/simulation/control/ControlWorld.java
@@ -11,6 +11,9 @@
 import slateslip.coordination.PeerMessage;
 import slateslip.coordination.ReplicaInput;
 import slateslip.protocol.coordination.PeerFrame;
+import slateslip.simulation.EventQueue;
+import slateslip.simulation.LossCount;
+import slateslip.simulation.RuleViolation;
 
 /** Core nodes, their network and the operators: one seeded run. */
 final class ControlWorld {
@@ -242,7 +245,7 @@
         nodes.stream()
             .filter(node -> node.role().serving())
             .findFirst()
-            .orElseThrow(() -> new CheckedHistory.Violation("nobody serves at the end"));
+            .orElseThrow(() -> new RuleViolation("nobody serves at the end"));
     history.atEnd(serving.state().changes());
   }
 
--- a/src/test/java/slateslip/simulation/control/CrashAtMessage.java
+++ b/src/test/java/slateslip/simulation/control/CrashAtMessage.java
@@ -1,6 +1,7 @@
 package slateslip.simulation.control;
 
 import slateslip.coordination.NodeAddress;
+import slateslip.simulation.RuleViolation;
 
 /**
  * One crash in a run without chance: three nodes, two changes.
@@ -46,12 +47,12 @@
       world.runUntil(world.events().now() + 10_000);
     }
     if (!client.done()) {
-      throw new CheckedHistory.Violation("changes not taken in time");
+      throw new RuleViolation("changes not taken in time");
     }
     boolean struck = seen[0] >= number;
     world.heal(0);
     if (world.timeToTakeChange(BOUND) < 0) {
-      throw new CheckedHistory.Violation("no change taken at the end");
+      throw new RuleViolation("no change taken at the end");
     }
     world.checkEnd();
     return struck;
@@ -61,7 +62,7 @@
     return world.nodes().stream()
         .filter(node -> node.role().serving())
         .findFirst()
-        .orElseThrow(() -> new CheckedHistory.Violation("nobody serves at first"));
+        .orElseThrow(() -> new RuleViolation("nobody serves at first"));
   }
 
   private boolean strike(ControlWorld world, NodeAddress address) {
--- a/src/test/java/slateslip/simulation/control/ExhaustiveCrashTest.java
+++ b/src/test/java/slateslip/simulation/control/ExhaustiveCrashTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import slateslip.simulation.RuleViolation;
 
 /** Three nodes, two changes, one crash at every message, in every way. */
 final class ExhaustiveCrashTest {
@@ -45,7 +46,7 @@
   private static boolean play(CrashAtMessage crash, List<String> failures) {
     try {
       return crash.play(Mutation.NONE);
-    } catch (CheckedHistory.Violation violation) {
+    } catch (RuleViolation violation) {
       failures.add(crash + ": " + violation.getMessage());
       return true;
     }
--- a/src/test/java/slateslip/simulation/control/Mutation.java
+++ b/src/test/java/slateslip/simulation/control/Mutation.java
@@ -7,6 +7,7 @@
 import slateslip.coordination.PeerMessage;
 import slateslip.coordination.View;
 import slateslip.coordination.WitnessState;
+import slateslip.simulation.SimulatedDisk;
 
 /** A fault in the protocol, put in to see that the checks find it. */
 enum Mutation {
--- a/src/test/java/slateslip/simulation/control/ScheduleRunner.java
+++ b/src/test/java/slateslip/simulation/control/ScheduleRunner.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import slateslip.simulation.RuleViolation;
 
 /** Plays seeded schedules; a seed repeats what it did. */
 final class ScheduleRunner {
@@ -67,7 +68,7 @@
       }
       world.checkEnd();
       return new Result(Optional.empty(), taken, world.changesTaken());
-    } catch (CheckedHistory.Violation violation) {
+    } catch (RuleViolation violation) {
       return failed(world, violation.getMessage());
     }
   }
--- a/src/test/java/slateslip/simulation/control/SimulatedNetwork.java
+++ b/src/test/java/slateslip/simulation/control/SimulatedNetwork.java
@@ -12,6 +12,7 @@
 import slateslip.protocol.Decoded;
 import slateslip.protocol.coordination.PeerFrame;
 import slateslip.protocol.coordination.PeerMessageCodec;
+import slateslip.simulation.EventQueue;
 
 /**
  * Connections between nodes: in order on each, with delay; cut one way, reset, and between an old
--- a/src/test/java/slateslip/simulation/control/SimulatedNode.java
+++ b/src/test/java/slateslip/simulation/control/SimulatedNode.java
@@ -13,6 +13,9 @@
 import slateslip.coordination.ReplicaInput;
 import slateslip.coordination.ReplicaSettings;
 import slateslip.protocol.coordination.PeerFrame;
+import slateslip.simulation.EventQueue;
+import slateslip.simulation.SimulatedDisk;
+import slateslip.storage.RingOptions;
 
 /** One core machine: its disk, and its process while it runs. */
 final class SimulatedNode {
@@ -21,6 +24,7 @@
     void answered(SimulatedNode node, ClientResult result);
   }
 
+  private static final RingOptions RING = new RingOptions(3, 0);
   private static final long JOURNAL_BYTES = 4_000;
   private static final Effects.RoleStatus DOWN =
       new Effects.RoleStatus(NodeId.NONE, 0, NodeId.NONE, false, 0);
@@ -57,7 +61,7 @@
     this.history = history;
     this.clients = clients;
     this.address = address;
-    disk = new SimulatedDisk(events, random.split(), mutation);
+    disk = new SimulatedDisk(events, random.split(), RING, mutation::recovered);
   }
 
   NodeAddress address() {
--- a/src/test/java/slateslip/simulation/control/SimulatedOperator.java
+++ b/src/test/java/slateslip/simulation/control/SimulatedOperator.java
@@ -4,6 +4,7 @@
 import java.util.SplittableRandom;
 import slateslip.coordination.ClientResult;
 import slateslip.coordination.ReplicaInput;
+import slateslip.simulation.EventQueue;
 
 /** Sends changes one after the other; without a clear answer the same again, to any node. */
 final class SimulatedOperator implements Caller {
