Data plane: an answer that comes before the body is out counts as one

Such an answer was taken for a broken connection on which nothing had been sent, so a request that may not be repeated was sent to another backend although the first one had answered it, with a failure or a success of its own.

Change: an answer with the request's own id counts from its head on; what breaks off behind it may have run. A connection whose body is not out is not kept.

Ruled out: to write the rest and keep the connection, for what saves a dial.

--- a/src/main/java/slateslip/dataplane/backend/AnswerReader.java
+++ b/src/main/java/slateslip/dataplane/backend/AnswerReader.java
@@ -66,7 +66,8 @@
 
   /** Takes a part of an answer; false if it can be none of this attempt's. */
   private boolean read(BackendAttempt attempt, HttpObject part) {
-    if (part.decoderResult().isFailure() || !attempt.isWritten()) {
+    boolean early = !attempt.isWritten() && attempt.request().attemptId().isEmpty();
+    if (part.decoderResult().isFailure() || early) {
       connection.badAnswer();
       return false;
     }
@@ -95,6 +96,7 @@
       connection.surplusAnswer();
       return ++surplusCount <= SURPLUS_MOST;
     }
+    attempt.answerBegan();
     long length = Decoders.framing(headers);
     if (length == Decoders.UNCLEAR || length > BODY_BYTES_MOST) {
       connection.badAnswer();
@@ -160,7 +162,7 @@
     var outcome = new AttemptOutcome(kind, head.status().code());
     BackendLoad load = splitter == null ? load(head.headers()) : null;
     var result = new AttemptResult(outcome, load, whole);
-    boolean reusable = isReusable();
+    boolean reusable = isReusable() && attempt.isWritten();
     reset();
     attempt.end(result, reusable);
     return true;
--- a/src/main/java/slateslip/dataplane/backend/BackendAttempt.java
+++ b/src/main/java/slateslip/dataplane/backend/BackendAttempt.java
@@ -39,6 +39,10 @@
   private BackendConnection connection;
   private long idledNanos = -1;
   private boolean written;
+
+  /** Whether an answer of its own has begun, maybe before the backend had the whole request. */
+  private boolean answerBegan;
+
   private boolean started;
   private boolean ended;
   private Future<?> timer;
@@ -163,13 +167,21 @@
             done -> {
               written |= done.isSuccess();
               if (!done.isSuccess()) {
-                end(
-                    AttemptOutcome.Kind
-                        .NOT_SENT); // its last byte never left, so it cannot have begun
+                broken(); // its last byte never left
               }
             });
   }
 
+  /** The head of an answer of its own has come. */
+  void answerBegan() {
+    answerBegan = true;
+  }
+
+  /** Whether the backend may have run the request, if nothing else says that it has not. */
+  private boolean mayHaveRun() {
+    return written || answerBegan;
+  }
+
   /** The head of a stream has come. */
   void streamBegan(BackendAnswer head, BackendLoad load) {
     listener.streamBegan(head, load);
@@ -220,12 +232,12 @@
   }
 
   private void timeOut() {
-    end(written ? AttemptOutcome.Kind.TIMEOUT : AttemptOutcome.Kind.NOT_SENT);
+    end(mayHaveRun() ? AttemptOutcome.Kind.TIMEOUT : AttemptOutcome.Kind.NOT_SENT);
   }
 
   /** The connection has ended under the attempt, or what came is no answer. */
   void broken() {
-    end(written ? AttemptOutcome.Kind.BROKEN : AttemptOutcome.Kind.NOT_SENT);
+    end(mayHaveRun() ? AttemptOutcome.Kind.BROKEN : AttemptOutcome.Kind.NOT_SENT);
   }
 
   /** Stops it and closes its connection. */
--- /dev/null
+++ b/src/test/java/slateslip/dataplane/EarlyAnswersTest.java
@@ -0,0 +1,145 @@
+package slateslip.dataplane;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static slateslip.routing.RouterInput.AttemptOutcome.Kind.BROKEN;
+import static slateslip.routing.RouterInput.AttemptOutcome.Kind.ERROR_ANSWER;
+import static slateslip.routing.RouterInput.AttemptOutcome.Kind.NOT_EXECUTED;
+import static slateslip.routing.RouterInput.AttemptOutcome.Kind.SUCCESS;
+
+import gatefront.net.Peer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import slateslip.dataplane.Stage.Answer;
+import slateslip.routing.RouterInput.AttemptOutcome;
+
+/** Backends that answer a request that may not be repeated before they have read its body. */
+class EarlyAnswersTest {
+  private static final int RECEIVE_BUFFER = 4_096;
+
+  /** More than the sockets between the two hold. */
+  private static final int BODY_BYTES = 4_000_000;
+
+  private final List<Socket> accepted = new CopyOnWriteArrayList<>();
+  private Stage stage;
+  private ServerSocket server;
+
+  /** What a backend does once it has read the head of a request. */
+  private interface HeadScript {
+    void handle(String attemptId, Socket socket) throws IOException;
+  }
+
+  @BeforeEach
+  void open() throws IOException {
+    stage = new Stage();
+    stage.router.repeatable = false;
+    server = new ServerSocket();
+    server.setReceiveBufferSize(RECEIVE_BUFFER);
+    server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+  }
+
+  @AfterEach
+  void close() throws IOException {
+    for (Socket socket : accepted) {
+      socket.close();
+    }
+    server.close();
+    stage.close();
+  }
+
+  private void backendThatReadsHeads(HeadScript script) {
+    Peer.daemon(
+        () -> {
+          while (true) {
+            Socket socket = server.accept();
+            accepted.add(socket);
+            script.handle(attemptId(socket), socket);
+          }
+        });
+    stage.listed(server.getInetAddress().getHostAddress() + ":" + server.getLocalPort());
+  }
+
+  private static String attemptId(Socket socket) throws IOException {
+    return Answer.readHead(socket.getInputStream()).stream()
+        .filter(line -> line.regionMatches(true, 0, "X-Attempt-Id:", 0, 13))
+        .map(line -> line.substring(13).trim())
+        .findFirst()
+        .orElseThrow();
+  }
+
+  private Peer good() throws IOException {
+    return stage.backend((message, socket) -> Stage.serve(message, socket, "", "good"));
+  }
+
+  private Answer callWithLongBody(String id) throws IOException {
+    Socket client = stage.dial();
+    Peer.daemon(() -> Peer.write(client, Stage.request(id, "", "x".repeat(BODY_BYTES))));
+    return Answer.read(client.getInputStream());
+  }
+
+  private void awaitEnds(AttemptOutcome.Kind... expected) {
+    Stage.await(() -> stage.router.ends().size() >= expected.length);
+    assertThat(stage.router.ends(), is(List.of(expected)));
+  }
+
+  @Test
+  void anEarlyRejectionSaysThatItHasNotRun() throws IOException {
+    backendThatReadsHeads(
+        (id, socket) ->
+            Peer.answer(socket, 503, "X-Attempt-Id: " + id + "\r\nX-Not-Executed: 1\r\n", ""));
+    good();
+    assertThat(callWithLongBody("a1").body(), is("good"));
+    awaitEnds(NOT_EXECUTED, SUCCESS);
+  }
+
+  @Test
+  void anEarlyFailureIsPassedOnAndNotRepeated() throws IOException {
+    backendThatReadsHeads(
+        (id, socket) ->
+            Peer.answer(
+                socket, 500, "X-Attempt-Id: " + id + "\r\nX-Response-Stamp: s\r\n", "failed"));
+    Peer other = good();
+    assertThat(callWithLongBody("a1").status(), is(500));
+    awaitEnds(ERROR_ANSWER);
+    assertThat(other.requests.size(), is(0));
+  }
+
+  @Test
+  void anEarlyAnswerThatBreaksOffIsNotRepeated() throws IOException {
+    backendThatReadsHeads(
+        (id, socket) -> {
+          Peer.write(
+              socket,
+              "HTTP/1.1 200 OK\r\nX-Attempt-Id: "
+                  + id
+                  + "\r\nX-Response-Stamp: s\r\nContent-Length: 9\r\n\r\nhalf");
+          socket.shutdownOutput();
+        });
+    Peer other = good();
+    assertThat(callWithLongBody("a1").status(), is(502));
+    awaitEnds(BROKEN);
+    assertThat(other.requests.size(), is(0));
+  }
+
+  @Test
+  void aConnectionWhoseBodyIsNotOutIsNotUsedAgain() throws IOException {
+    backendThatReadsHeads(
+        (id, socket) ->
+            Peer.answer(
+                socket,
+                200,
+                "X-Attempt-Id: " + id + "\r\nX-Response-Stamp: s\r\nKeep-Alive: timeout=60\r\n",
+                "early"));
+    assertThat(callWithLongBody("a1").body(), is("early"));
+    assertThat(stage.call("a2").body(), is("early"));
+    assertThat(accepted.size(), is(2));
+  }
+}
--- a/src/test/java/slateslip/dataplane/Stage.java
+++ b/src/test/java/slateslip/dataplane/Stage.java
@@ -70,7 +70,8 @@
     listed(peer.address());
   }
 
-  private void listed(String address) {
+  /** Lists a backend at this address. */
+  void listed(String address) {
     String id = "b-" + (sessions.size() + 1);
     sessions.add(new BackendSession(id, "svc", address, "z", "v1", 4, false, 0, 1));
     list(List.copyOf(sessions));
