--- /dev/null
+++ b/src/test/java/slateslip/dataplane/CrossingsTest.java
@@ -0,0 +1,168 @@
+package slateslip.dataplane;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import gatefront.net.Peer;
+import java.io.IOException;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import slateslip.dataplane.Stage.Answer;
+
+/**
+ * A request that may not be repeated meets one behaviour of a backend, and what goes on elsewhere
+ * meets another: it runs once at most, its answer is its own, and the connection that it leaves
+ * behind spoils no later request.
+ */
+class CrossingsTest {
+  private static final long SILENCE_MICROS = 800_000;
+  private static final int NOT_REPEATED = 502;
+
+  /** What a backend does with a request. */
+  enum Behaviour {
+    /** Runs it and answers. */
+    ANSWERS(true, 200),
+    /** Runs it and fails. */
+    FAILS(true, 500),
+    /** Runs it, and its answer is lost with the connection. */
+    RESETS(true, NOT_REPEATED),
+    /** Runs it and says nothing. */
+    STAYS_SILENT(true, NOT_REPEATED),
+    /** Runs it and breaks its answer off. */
+    BREAKS_OFF(true, NOT_REPEATED),
+    /** Runs it, and sends an answer to an earlier request before its own. */
+    ANSWERS_ANOTHER_FIRST(true, 200),
+    /** Runs it, and sends bytes behind its answer. */
+    ANSWERS_TOO_MUCH(true, 200),
+    /** Runs it, and only an answer to another request comes. */
+    ANSWERS_ONLY_ANOTHER(true, NOT_REPEATED),
+    /** Is full, and says that it has not run it. */
+    IS_FULL(false, 0),
+    /** Is another instance at the same address. */
+    IS_ANOTHER(false, 0);
+
+    private final boolean runs;
+    private final int status;
+
+    Behaviour(boolean runs, int status) {
+      this.runs = runs;
+      this.status = status;
+    }
+  }
+
+  private final List<String> runs = new CopyOnWriteArrayList<>();
+  private Stage stage;
+
+  static Stream<Arguments> pairs() {
+    return Stream.of(Behaviour.values())
+        .flatMap(
+            first ->
+                Stream.of(Behaviour.values())
+                    .filter(second -> !first.runs || second == Behaviour.ANSWERS)
+                    .map(second -> Arguments.of(first, second)));
+  }
+
+  @BeforeEach
+  void open() throws IOException {
+    stage = new Stage();
+    stage.router.repeatable = false;
+    stage.router.firstEventTimeoutMicros = SILENCE_MICROS;
+  }
+
+  @AfterEach
+  void close() throws IOException {
+    stage.close();
+  }
+
+  private void backend(Behaviour behaviour) throws IOException {
+    stage.backend(
+        (message, socket) -> {
+          String id = message.header("X-Attempt-Id");
+          if (!id.startsWith("crossing")) {
+            Stage.serve(message, socket, "Keep-Alive: timeout=60\r\n", id);
+            return;
+          }
+          if (behaviour.runs) {
+            runs.add(id);
+          }
+          behave(behaviour, message, socket);
+        });
+  }
+
+  private static void behave(Behaviour behaviour, Peer.Message message, Socket socket)
+      throws IOException {
+    String id = message.header("X-Attempt-Id");
+    String keep = "Keep-Alive: timeout=60\r\n";
+    switch (behaviour) {
+      case ANSWERS -> Stage.serve(message, socket, keep, id);
+      case FAILS -> Peer.answer(socket, 500, Stage.stamped(message) + keep, id);
+      case RESETS -> Peer.reset(socket);
+      case STAYS_SILENT -> {}
+      case BREAKS_OFF -> {
+        Peer.write(
+            socket,
+            "HTTP/1.1 200 OK\r\n" + Stage.stamped(message) + "Content-Length: 90\r\n\r\n" + id);
+        socket.close();
+      }
+      case ANSWERS_ANOTHER_FIRST -> {
+        Peer.answer(socket, 200, "X-Attempt-Id: old\r\nX-Response-Stamp: s\r\n", "old");
+        Stage.serve(message, socket, keep, id);
+      }
+      case ANSWERS_TOO_MUCH ->
+          Peer.write(
+              socket,
+              "HTTP/1.1 200 OK\r\n"
+                  + Stage.stamped(message)
+                  + keep
+                  + "Content-Length: "
+                  + id.length()
+                  + "\r\n\r\n"
+                  + id
+                  + "HTTP/1.1 200 OK\r\nX-Attempt-Id: later-1\r\nContent-Length: 0\r\n\r\n");
+      case ANSWERS_ONLY_ANOTHER ->
+          Peer.answer(socket, 200, "X-Attempt-Id: old\r\nX-Response-Stamp: s\r\n", "old");
+      case IS_FULL ->
+          Peer.answer(socket, 503, Stage.idOf(message) + keep + "X-Not-Executed: 1\r\n", "");
+      case IS_ANOTHER ->
+          Peer.answer(socket, 421, Stage.idOf(message) + keep + "X-Instance-Id: i-9\r\n", "");
+    }
+  }
+
+  @ParameterizedTest
+  @MethodSource("pairs")
+  void onANewConnection(Behaviour first, Behaviour second) throws IOException {
+    backend(first);
+    backend(second);
+    check(first, second, "crossing-1");
+  }
+
+  @ParameterizedTest
+  @MethodSource("pairs")
+  void onAConnectionThatWasKept(Behaviour first, Behaviour second) throws IOException {
+    backend(first);
+    assertThat(stage.call("before").body(), is("before"));
+    backend(second);
+    check(first, second, "crossing-1");
+  }
+
+  private void check(Behaviour first, Behaviour second, String id) throws IOException {
+    Behaviour last = first.runs ? first : second;
+    Answer answer = stage.call(id);
+    int expected = last.status == 0 ? NOT_REPEATED : last.status;
+    assertThat(answer.status(), is(expected));
+    if (last.status != NOT_REPEATED && last.status != 0) {
+      assertThat(answer.body(), is(id));
+    }
+    assertThat(runs.size(), lessThanOrEqualTo(1));
+    assertThat(stage.call("later-1").body(), is("later-1"));
+    assertThat(stage.call("later-2").body(), is("later-2"));
+  }
+}
--- a/src/test/java/slateslip/simulation/agents/AgentScheduleRunner.java
+++ b/src/test/java/slateslip/simulation/agents/AgentScheduleRunner.java
@@ -1,10 +1,10 @@
 package slateslip.simulation.agents;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import slateslip.simulation.RuleViolation;
+import slateslip.simulation.ShortestSchedule;
 
 /** Plays seeded schedules of whole agents; a seed repeats what it did. */
 final class AgentScheduleRunner {
@@ -146,18 +146,8 @@
 
   /** Leaves out faults as long as the schedule still fails. */
   List<AgentFault> shortened(long seed) {
-    List<AgentFault> faults = new ArrayList<>(faults(seed));
-    int position = 0;
-    while (position < faults.size()) {
-      List<AgentFault> fewer = new ArrayList<>(faults);
-      fewer.remove(position);
-      if (play(seed, shape(seed), fewer).violation().isPresent()) {
-        faults = fewer;
-      } else {
-        position++;
-      }
-    }
-    return faults;
+    return ShortestSchedule.of(
+        faults(seed), fewer -> play(seed, shape(seed), fewer).violation().isPresent());
   }
 
   /** A failure with its seed and its shortened schedule. */
--- a/src/test/java/slateslip/simulation/control/ScheduleRunner.java
+++ b/src/test/java/slateslip/simulation/control/ScheduleRunner.java
@@ -1,10 +1,10 @@
 package slateslip.simulation.control;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import slateslip.simulation.RuleViolation;
+import slateslip.simulation.ShortestSchedule;
 
 /** Plays seeded schedules; a seed repeats what it did. */
 final class ScheduleRunner {
@@ -79,18 +79,7 @@
 
   /** Leaves out faults as long as the schedule still fails. */
   List<Fault> shortened(long seed) {
-    List<Fault> faults = new ArrayList<>(faults(seed));
-    int position = 0;
-    while (position < faults.size()) {
-      List<Fault> fewer = new ArrayList<>(faults);
-      fewer.remove(position);
-      if (play(seed, fewer).violation().isPresent()) {
-        faults = fewer;
-      } else {
-        position++;
-      }
-    }
-    return faults;
+    return ShortestSchedule.of(faults(seed), fewer -> play(seed, fewer).violation().isPresent());
   }
 
   /** A failure with its seed and its shortened schedule. */
