Mutation IGNORES_STORED: a change counts as stored once it is sent

Cause: the mutation set the number of a change to 0, so that peers sent no answer and the wait ran its full time: longer, not shorter.

Change: the sender takes a change for stored as soon as it is sent.

Ruled out: dropping the mutation; the wait is what DRAIN rests on.

--- a/src/test/java/slateslip/simulation/agents/AgentMutation.java
+++ b/src/test/java/slateslip/simulation/agents/AgentMutation.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import slateslip.coordination.DurableRecord;
 import slateslip.coordination.NodeAddress;
 import slateslip.coordination.NodeId;
@@ -43,7 +44,7 @@
   LIVES_ARE_ALIKE,
   /** A change is acknowledged without waiting for the data planes of other agents. */
   IGNORES_DELIVERY,
-  /** That a backend leaves is acknowledged without waiting for other agents. */
+  /** A change of sessions counts as stored at another agent once it is sent. */
   IGNORES_STORED,
   /** An agent does not tell others which backends have departed. */
   HIDES_DEPARTURES,
@@ -150,10 +151,22 @@
     return Optional.empty();
   }
 
+  /** The number of a change that its sender takes for stored at the receiver at once. */
+  OptionalLong supposedlyStored(byte[] message) {
+    if (this == IGNORES_STORED
+        && MessageReader.schemaOf(message) == ExchangeCodec.SCHEMA_ID
+        && new ExchangeCodec().decode(message) instanceof Decoded.Message<ExchangeMessage> known
+        && known.value() instanceof ExchangeMessage.SessionChanges changes
+        && changes.number() != 0) {
+      return OptionalLong.of(changes.number());
+    }
+    return OptionalLong.empty();
+  }
+
   /** What becomes of a message from agent to agent. */
   List<byte[]> betweenAgents(byte[] message) {
     return switch (this) {
-      case IGNORES_DELIVERY, IGNORES_STORED, HIDES_DEPARTURES -> List.of(exchange(message));
+      case IGNORES_DELIVERY, HIDES_DEPARTURES -> List.of(exchange(message));
       case SKIPS_A_RECORD, COUNTS_EMPTY_COPIES -> List.of(replication(message));
       default -> List.of(message);
     };
@@ -173,10 +186,9 @@
       return new ExchangeMessage.Delivered(DeliveryProgress.NOBODY);
     }
     if (message instanceof ExchangeMessage.SessionChanges changes) {
-      long number = this == IGNORES_STORED ? 0 : changes.number();
       List<String> departed = this == HIDES_DEPARTURES ? new ArrayList<>() : changes.departed();
       return new ExchangeMessage.SessionChanges(
-          number, changes.whole(), changes.entries(), departed);
+          changes.number(), changes.whole(), changes.entries(), departed);
     }
     return message;
   }
--- a/src/test/java/slateslip/simulation/agents/ControlMachine.java
+++ b/src/test/java/slateslip/simulation/agents/ControlMachine.java
@@ -16,6 +16,7 @@
 import slateslip.coordination.DurableRecord;
 import slateslip.coordination.Effects;
 import slateslip.distribution.BackendSession;
+import slateslip.distribution.exchange.ExchangeMessage;
 import slateslip.distribution.exchange.OperatorAnswer;
 import slateslip.distribution.exchange.OperatorCall;
 import slateslip.protocol.exchange.ExchangeCodec;
@@ -92,11 +93,17 @@
             ownGreeting,
             listener,
             mutation,
-            frame -> agent.fromReplica(frame));
+            frame -> agent.fromReplica(frame),
+            number -> stored(peer, number));
     connection.dial();
     return connection;
   }
 
+  private void stored(String peer, long number) {
+    agent.fromPeer(
+        new ExchangeMessage.Greeting(peer, 0), new ExchangeMessage.SessionsStored(number));
+  }
+
   /** Other control agents are named by its settings. */
   void seedsChanged(List<String> seeds, int tolerance, long heartbeatMillis) {
     if (isRunning()) {
--- a/src/test/java/slateslip/simulation/agents/SimulatedPeerConnection.java
+++ b/src/test/java/slateslip/simulation/agents/SimulatedPeerConnection.java
@@ -1,6 +1,7 @@
 package slateslip.simulation.agents;
 
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import slateslip.controlplane.agent.PeerConnector;
 import slateslip.protocol.coordination.PeerFrame;
 
@@ -19,6 +20,7 @@
   private final byte[] greeting;
   private final PeerConnector.Listener listener;
   private final Consumer<PeerFrame> supposedAnswers;
+  private final LongConsumer supposedlyStored;
   private SimulatedSocket socket;
   private boolean greeted;
   private boolean closed;
@@ -31,7 +33,9 @@
       byte[] greeting,
       PeerConnector.Listener listener,
       AgentMutation mutation,
-      Consumer<PeerFrame> supposedAnswers) {
+      Consumer<PeerFrame> supposedAnswers,
+      LongConsumer supposedlyStored) {
+    this.supposedlyStored = supposedlyStored;
     this.supposedAnswers = supposedAnswers;
     this.mutation = mutation;
     this.network = network;
@@ -60,6 +64,9 @@
     mutation
         .supposedAnswer(address, message)
         .ifPresent(answer -> process.schedule(1, () -> supposedAnswers.accept(answer)));
+    mutation
+        .supposedlyStored(message)
+        .ifPresent(number -> process.schedule(1, () -> supposedlyStored.accept(number)));
     if (socket == null) {
       return;
     }
