Class archives: trained by a local fleet that serves requests of every kind

The data plane's archive was trained by a start and a SIGTERM, with no control agent, no backend and no request, so that every process loaded and verified the classes of the request's path anew.

--- a/src/main/java/slateslip/standin/ChildProcess.java
+++ b/src/main/java/slateslip/standin/ChildProcess.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
@@ -22,18 +24,20 @@
 
   /** Starts a jar with a settings file; the log stands beside that file. */
   public static ChildProcess start(Path jar, Path settings) throws IOException {
+    return start(jar, settings, List.of());
+  }
+
+  /** Starts a jar with a settings file, and with further options of its JVM. */
+  public static ChildProcess start(Path jar, Path settings, List<String> jvmOptions)
+      throws IOException {
     String name = settings.getFileName().toString().replace(".conf", "");
     Path log = settings.resolveSibling(name + ".log");
     String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-    ProcessBuilder builder =
-        new ProcessBuilder(
-            List.of(
-                java,
-                "-Xmx160m",
-                "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1",
-                "-jar",
-                jar.toString()));
+    List<String> command = new ArrayList<>();
+    command.addAll(List.of(java, "-Xmx160m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
+    command.addAll(jvmOptions);
+    command.addAll(List.of("-jar", jar.toString()));
+    ProcessBuilder builder = new ProcessBuilder(command);
     builder.environment().put("SLATESLIP_CONFIG", settings.toString());
     builder
         .redirectErrorStream(true)
@@ -60,6 +64,11 @@
     }
   }
 
+  /** Processor time that it has used so far; zero once it has ended. */
+  Duration processorTime() {
+    return process.info().totalCpuDuration().orElse(Duration.ZERO);
+  }
+
   /** Sends SIGTERM. */
   public void askToEnd() {
     process.destroy();
--- /dev/null
+++ b/src/main/java/slateslip/standin/FleetTraffic.java
@@ -0,0 +1,140 @@
+package slateslip.standin;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import okio.BufferedSink;
+import okio.BufferedSource;
+
+/**
+ * Requests of every kind that a data plane serves in a normal life: streams, plain requests,
+ * rejected ones, streams that their client leaves, questions for its state.
+ */
+final class FleetTraffic {
+  private static final MediaType JSON = MediaType.get("application/json");
+  private static final String LEDGER_PATH = "/ledger/entry";
+  private static final String UNKNOWN_PATH = "/nowhere/";
+  private static final int DEADLINE_MILLIS = 5_000;
+  private static final int PROMPTS = 8;
+  private static final int OK = 200;
+  private static final int NOT_FOUND = 404;
+  private static final int UNAUTHORIZED = 401;
+
+  private final FleetAddresses addresses;
+  private final OkHttpClient client =
+      new OkHttpClient.Builder().callTimeout(DEADLINE_MILLIS, TimeUnit.MILLISECONDS).build();
+  private long attempts;
+
+  FleetTraffic(FleetAddresses addresses) {
+    this.addresses = addresses;
+  }
+
+  /** One request of each kind, so many times; how many had the response that is due to them. */
+  int rounds(int count) throws IOException {
+    int answered = 0;
+    for (int round = 0; round < count; round++) {
+      answered += isAnswered(chat(round), OK);
+      answered += isAnswered(ledger(), OK);
+    }
+    return answered;
+  }
+
+  /** Requests that are no ordinary ones: each ends early or is rejected. */
+  void exceptions() throws IOException {
+    isAnswered(request(UNKNOWN_PATH).get().build(), NOT_FOUND);
+    isAnswered(
+        request(SampleRequest.PATH).removeHeader("X-Credential").get().build(), UNAUTHORIZED);
+    isAnswered(chunked(), OK);
+    leaveStream();
+    for (String path : List.of("/ready", "/metrics")) {
+      String url = addresses.readyUrl(0).replace("/ready", path);
+      isAnswered(new Request.Builder().url(url).build(), OK);
+    }
+  }
+
+  /** Reads the configuration, and adds a route to it, at each control agent in turn. */
+  void changeConfiguration(int versions) throws IOException {
+    for (int version = 2; version < versions + 2; version++) {
+      String url = "http://" + addresses.controlAddresses().get(0) + "/config";
+      isAnswered(new Request.Builder().url(url).build(), OK);
+      String patch =
+          "{\"version\":%d,\"upsert\":{\"routes\":[{\"name\":\"extra-%d\","
+                  .formatted(version, version)
+              + "\"hostname\":\"extra.example\",\"path_prefix\":\"/%d/\",".formatted(version)
+              + "\"kind\":\"idempotent\",\"timeout_ms\":5000,\"target_latency_ms\":200,"
+              + "\"priority\":1,\"service\":\"ledger\",\"max_attempts\":2,\"public\":true}]}}";
+      isAnswered(
+          new Request.Builder()
+              .url(url)
+              .header("If-Match", String.valueOf(version - 1))
+              .patch(RequestBody.create(patch, JSON))
+              .build(),
+          OK);
+    }
+  }
+
+  private Request chat(int round) {
+    int prompt = round % PROMPTS;
+    return request(SampleRequest.PATH)
+        .header("X-Token-Usage", "410,60")
+        .header("X-Prompt-Prefix", "5c1e07a%d:400,91bd3f%02x:10".formatted(prompt, round))
+        .post(RequestBody.create("Why does the turbine stop?", null))
+        .build();
+  }
+
+  private Request ledger() {
+    return request(LEDGER_PATH).post(RequestBody.create("{\"alarm\":1}", JSON)).build();
+  }
+
+  private Request chunked() {
+    return request(LEDGER_PATH)
+        .post(
+            new RequestBody() {
+              @Override
+              public MediaType contentType() {
+                return JSON;
+              }
+
+              @Override
+              public void writeTo(BufferedSink sink) throws IOException {
+                sink.writeUtf8("{}");
+              }
+            })
+        .build();
+  }
+
+  /** Closes the connection of a stream after its first line. */
+  private void leaveStream() throws IOException {
+    try (Response response = client.newCall(chat(0)).execute()) {
+      BufferedSource source = response.body().source();
+      source.readUtf8Line();
+    }
+    client.connectionPool().evictAll();
+  }
+
+  private Request.Builder request(String path) {
+    return new Request.Builder()
+        .url(addresses.frontUrl(0) + path)
+        .header("Host", SampleRequest.HOST)
+        .header("X-Credential", SampleRequest.KEY)
+        .header("X-Attempt-Id", "traffic-" + ++attempts)
+        .header("X-Deadline-Ms", String.valueOf(DEADLINE_MILLIS));
+  }
+
+  private int isAnswered(Request request, int status) throws IOException {
+    try (Response response = client.newCall(request).execute()) {
+      response.body().bytes();
+      return response.code() == status ? 1 : 0;
+    }
+  }
+
+  void close() {
+    client.dispatcher().executorService().shutdown();
+    client.connectionPool().evictAll();
+  }
+}
--- a/src/main/java/slateslip/standin/LocalFleet.java
+++ b/src/main/java/slateslip/standin/LocalFleet.java
@@ -25,7 +25,7 @@
   private static final String CONFIGURATION = "configuration.json";
 
   private final FleetAddresses addresses;
-  private final Path jars;
+  private final FleetPrograms programs;
   private final Path folder;
   private final List<ChildProcess> controlAgents = new CopyOnWriteArrayList<>();
   private final List<ChildProcess> dataPlanes = new CopyOnWriteArrayList<>();
@@ -46,11 +46,11 @@
   /**
    * Nothing runs yet.
    *
-   * @param jars folder with the jars of both programs
+   * @param programs how both programs are started
    */
-  LocalFleet(FleetAddresses addresses, Path jars) throws IOException {
+  LocalFleet(FleetAddresses addresses, FleetPrograms programs) throws IOException {
     this.addresses = addresses;
-    this.jars = jars;
+    this.programs = programs;
     this.folder = Files.createTempDirectory("slateslip-local-");
   }
 
@@ -62,12 +62,10 @@
   Outcome start() throws IOException, InterruptedException {
     LocalSettings settings = new LocalSettings(addresses, folder);
     for (int i = 0; i < FleetAddresses.CONTROL_AGENTS; i++) {
-      controlAgents.add(
-          ChildProcess.start(jars.resolve("slateslip-controlplane.jar"), settings.controlAgent(i)));
+      controlAgents.add(programs.startControlAgent(i, settings.controlAgent(i)));
     }
     for (int i = 0; i < FleetAddresses.DATA_PLANES; i++) {
-      dataPlanes.add(
-          ChildProcess.start(jars.resolve("slateslip-dataplane.jar"), settings.dataPlane(i)));
+      dataPlanes.add(programs.startDataPlane(i, settings.dataPlane(i)));
     }
     startBackends();
     Operator operator =
@@ -78,6 +76,20 @@
     return awaitReady();
   }
 
+  ChildProcess controlAgent(int index) {
+    return controlAgents.get(index);
+  }
+
+  ChildProcess dataPlane(int index) {
+    return dataPlanes.get(index);
+  }
+
+  /** Withdraws the registration of the newest backend and ends it. */
+  void removeLastBackend() {
+    heartbeats.remove(heartbeats.size() - 1).close();
+    backends.remove(backends.size() - 1).close();
+  }
+
   private void startBackends() {
     for (int i = 0; i < ENGINES + LEDGERS; i++) {
       boolean engine = i < ENGINES;
--- a/src/main/java/slateslip/standin/LocalFleetMain.java
+++ b/src/main/java/slateslip/standin/LocalFleetMain.java
@@ -4,6 +4,7 @@
 import java.io.PrintStream;
 import java.net.URISyntaxException;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.logging.Level;
@@ -57,7 +58,8 @@
 
   private static void run(FleetAddresses addresses, boolean once, PrintStream out)
       throws IOException, URISyntaxException, InterruptedException {
-    LocalFleet fleet = new LocalFleet(addresses, jarFolder());
+    LocalFleet fleet =
+        new LocalFleet(addresses, new FleetPrograms(jarFolder(), List.of(), List.of()));
     AtomicInteger status = new AtomicInteger();
     Runtime.getRuntime().addShutdownHook(new Thread(() -> end(fleet, status), "ending"));
     out.println("starting; settings, data and logs are in " + fleet.folder());
