Router: idle backends are probed by all data planes together, and it wakes when due

Change: the interval between probes of an idle backend is 8 s times the number of data planes, so that the fleet's probes do not grow with its size; suspected backends are probed every 400 ms as before. The router asks for a wake when the next probe, late probe reply, overdue response or deadline is due, instead of every 50 ms and once for every request. Placement ranks all backends only where the first one is not soon enough, and the checks of a request's head are plain loops: this code runs interpreted in a process that has just started.

--- a/src/main/java/slateslip/dataplane/ingress/RequestHead.java
+++ b/src/main/java/slateslip/dataplane/ingress/RequestHead.java
@@ -33,6 +33,7 @@
   private static final int HEX_RADIX = 16;
   private static final int HEX_DIGITS_OF_LONG = 16;
   private static final int MAX_PROMPT_PARTS = 256;
+  private static final char DELETE = 0x7f;
 
   private RequestHead() {}
 
@@ -90,12 +91,23 @@
   }
 
   private static boolean isVisible(String text) {
-    return text.chars().allMatch(character -> character > ' ' && character < 0x7f);
+    for (int i = 0; i < text.length(); i++) {
+      char character = text.charAt(i);
+      if (character <= ' ' || character >= DELETE) {
+        return false;
+      }
+    }
+    return true;
   }
 
   private static boolean hasControlCharacter(String text) {
-    return text.chars()
-        .anyMatch(character -> (character < ' ' && character != '\t') || character == 0x7f);
+    for (int i = 0; i < text.length(); i++) {
+      char character = text.charAt(i);
+      if ((character < ' ' && character != '\t') || character == DELETE) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /** What a well-formed request says of itself; numbers that cannot be read count as not given. */
--- a/src/main/java/slateslip/routing/BackendTable.java
+++ b/src/main/java/slateslip/routing/BackendTable.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import slateslip.distribution.BackendSession;
 import slateslip.loadbalancer.policy.BackendHealth;
@@ -49,7 +50,12 @@
 
   /** Whether some backend of a service may be sent to. */
   boolean serves(String service) {
-    return ofService(service).stream().anyMatch(Backend::registered);
+    for (Backend backend : ofService(service)) {
+      if (backend.registered()) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /** Health of the other backends of the same service. */
@@ -67,13 +73,17 @@
     }
   }
 
-  /** Probes that are due. */
-  List<RouterOutput> probes(long nowMicros) {
+  /**
+   * Probes that are due.
+   *
+   * @param dataPlanes that send to the same backends, and share the probes of idle ones
+   */
+  List<RouterOutput> probes(long nowMicros, int dataPlanes) {
     List<RouterOutput> probes = new ArrayList<>();
     for (Backend backend : backends.values()) {
       BackendHealthMonitor healthMonitor = backend.healthMonitor();
       healthMonitor.checkProbeTimeout(nowMicros);
-      if (backend.registered() && healthMonitor.probeDue(nowMicros)) {
+      if (backend.registered() && healthMonitor.probeDue(nowMicros, idleProbeMicros(dataPlanes))) {
         healthMonitor.probeSent(nowMicros);
         probes.add(new RouterOutput.Probe(backend.id()));
       }
@@ -81,11 +91,31 @@
     return probes;
   }
 
-  /** Takes how a probe ended. */
-  void probeEnded(long nowMicros, ProbeEnded ended) {
+  private static long idleProbeMicros(int dataPlanes) {
+    return BackendHealthMonitor.IDLE_PROBE_MICROS * Math.max(1, dataPlanes);
+  }
+
+  /** When some backend is to be looked at again. */
+  long nextCheckMicros(int dataPlanes) {
+    long next = Long.MAX_VALUE;
+    for (Backend backend : backends.values()) {
+      next = Math.min(next, nextCheckMicros(backend, dataPlanes));
+    }
+    return next;
+  }
+
+  /** When one backend is to be looked at again. */
+  static long nextCheckMicros(Backend backend, int dataPlanes) {
+    return backend.registered()
+        ? backend.healthMonitor().nextCheckMicros(idleProbeMicros(dataPlanes))
+        : Long.MAX_VALUE;
+  }
+
+  /** Takes how a probe ended; says of which backend, if that is still known. */
+  Optional<Backend> probeEnded(long nowMicros, ProbeEnded ended) {
     Backend backend = backends.get(ended.backendId());
     if (backend == null) {
-      return;
+      return Optional.empty();
     }
     reported(nowMicros, backend, ended.load());
     BackendHealthMonitor healthMonitor = backend.healthMonitor();
@@ -96,5 +126,6 @@
       case TIMEOUT -> healthMonitor.probeTimedOut();
       case OTHER_INSTANCE -> backend.replaced();
     }
+    return Optional.of(backend);
   }
 }
--- a/src/main/java/slateslip/routing/FleetRouter.java
+++ b/src/main/java/slateslip/routing/FleetRouter.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import slateslip.configuration.RoutingTable;
 import slateslip.distribution.TenantDemand;
@@ -29,7 +30,7 @@
    */
   static final long RETRY_UNKNOWN_MICROS = 1_200_000;
 
-  /** How often probes that are due and answers that are overdue are looked at. */
+  /** Probes that are due and answers that are overdue are looked at so often at most. */
   private static final long TICK_MICROS = 50_000;
 
   /** A response is overdue this long after it was expected; then its backend is probed. */
@@ -48,8 +49,12 @@
   private Dispatcher dispatcher;
   private List<RouterOutput> outputs = new ArrayList<>();
   private RoutingTable table;
+  private long lastTick;
   private long nextTick = Long.MIN_VALUE;
 
+  /** The earliest wake-up that was asked for and has not come yet. */
+  private long nextWake = Long.MAX_VALUE;
+
   /** A router within these bounds that knows no configuration and no backend yet. */
   public FleetRouter(RouterSettings settings) {
     this.settings = settings;
@@ -76,9 +81,31 @@
     if (nowMicros >= nextTick) {
       tick(nowMicros);
     }
+    askForWake(nowMicros);
     return outputs;
   }
 
+  /** Asks to be woken when the next request ends or something is to be looked at. */
+  private void askForWake(long now) {
+    if (now >= nextWake) {
+      nextWake = Long.MAX_VALUE;
+    }
+    long due = byEnd.isEmpty() ? nextTick : Math.min(nextTick, byEnd.peek().endMicros);
+    if (due < nextWake) {
+      nextWake = due;
+      outputs.add(new RouterOutput.WakeAt(due));
+    }
+  }
+
+  /** Something is to be looked at again at this time. */
+  private void lookAgainAt(long atMicros) {
+    nextTick = Math.min(nextTick, Math.max(lastTick + TICK_MICROS, atMicros));
+  }
+
+  private void lookAgainAt(Backend backend) {
+    lookAgainAt(BackendTable.nextCheckMicros(backend, quotas.agents()));
+  }
+
   @Override
   public List<TenantDemand> demand() {
     return quotas == null ? List.of() : quotas.demand();
@@ -96,6 +123,7 @@
       quotas.tenants(table.configuration().tenants());
     } else if (input instanceof RouterInput.BackendsChanged changed) {
       backends.registrations(now, changed.backends());
+      lookAgainAt(backends.nextCheckMicros(quotas.agents()));
     } else if (input instanceof RouterInput.QuotaAllocationChanged changed) {
       quotas.shares(changed.allocation(), now);
     } else if (input instanceof RouterInput.RequestArrived arrived) {
@@ -109,7 +137,7 @@
     } else if (input instanceof RouterInput.AttemptEnded ended) {
       attemptEnded(now, ended);
     } else if (input instanceof RouterInput.ProbeEnded ended) {
-      backends.probeEnded(now, ended);
+      backends.probeEnded(now, ended).ifPresent(this::lookAgainAt);
     }
   }
 
@@ -122,13 +150,20 @@
     PendingRequest request = ((Admission.Verdict.Admitted) verdict).request();
     open.put(request.id, request);
     byEnd.add(request);
-    outputs.add(new RouterOutput.WakeAt(request.endMicros));
     dispatcher.admitted(now, request);
     send(now, request);
   }
 
   private void send(long now, PendingRequest request) {
-    dispatcher.send(now, table, request).ifPresent(reason -> giveUp(request, reason));
+    Optional<AbortReason> obstacle = dispatcher.send(now, table, request);
+    if (obstacle.isPresent()) {
+      giveUp(request, obstacle.get());
+    } else {
+      lookAgainAt(
+          now
+              + OVERDUE_MICROS
+              + request.attempts.get(request.attempts.size() - 1).expectedMicros());
+    }
   }
 
   /** Nothing more can be tried: a promise if nothing has run, none otherwise. */
@@ -188,6 +223,7 @@
     if (request.activeAttempts() == 1 && dispatcher.hasBetter(now, request)) {
       request.reachedBackend = true;
       dispatcher.send(now, table, request);
+      lookAgainAt(now);
     }
   }
 
@@ -264,6 +300,7 @@
         }
       }
     }
+    lookAgainAt(backend);
   }
 
   private void clientGone(long id) {
@@ -290,14 +327,15 @@
   }
 
   private void tick(long now) {
-    nextTick = now + TICK_MICROS;
-    outputs.add(new RouterOutput.WakeAt(nextTick));
+    lastTick = now;
+    nextTick = Long.MAX_VALUE;
     for (PendingRequest request : open.values()) {
       if (!request.responded) {
         checkOverdue(now, request);
       }
     }
-    outputs.addAll(backends.probes(now));
+    outputs.addAll(backends.probes(now, quotas.agents()));
+    lookAgainAt(backends.nextCheckMicros(quotas.agents()));
   }
 
   /**
@@ -314,6 +352,7 @@
       long unresponsive = now - Math.max(attempt.sentMicros(), healthMonitor.heardMicros());
       long patience =
           attempt.started() ? STREAM_DOUBT_MICROS : OVERDUE_MICROS + attempt.expectedMicros();
+      lookAgainAt(now - unresponsive + patience);
       if (unresponsive < patience) {
         continue;
       }
--- a/src/main/java/slateslip/routing/health/BackendHealthMonitor.java
+++ b/src/main/java/slateslip/routing/health/BackendHealthMonitor.java
@@ -14,10 +14,10 @@
  */
 public final class BackendHealthMonitor {
   /**
-   * Without traffic a backend is probed this often; a probe costs 0.006 to 0.0082 of a request's
-   * worth.
+   * Without traffic a backend is probed this often by all data planes together: however many there
+   * are, what idle backends spend on probes stays the same.
    */
-  static final long IDLE_PROBE_MICROS = 8_000_000;
+  public static final long IDLE_PROBE_MICROS = 8_000_000;
 
   /** A suspected or unhealthy one is probed this often: crashes last about 4 s. */
   static final long SUSPECT_PROBE_MICROS = 400_000;
@@ -120,16 +120,25 @@
     probeRequested = true;
   }
 
-  /** Whether it is to be probed now. */
-  public boolean probeDue(long nowMicros) {
-    if (probePending) {
-      return false;
-    }
-    long sinceProbe = nowMicros - probeSentMicros;
+  /** Whether it is to be probed now, with this interval between probes of an idle backend. */
+  public boolean probeDue(long nowMicros, long idleProbeMicros) {
+    return !probePending && nowMicros >= probeDueMicros(idleProbeMicros);
+  }
+
+  private long probeDueMicros(long idleProbeMicros) {
     if (suspected || probeRequested || !health.available()) {
-      return sinceProbe >= SUSPECT_PROBE_MICROS;
+      return probeSentMicros + SUSPECT_PROBE_MICROS;
+    }
+    return Math.max(probeSentMicros, heardMicros) + idleProbeMicros;
+  }
+
+  /** When it is to be looked at again; nothing changes before unless something is heard of it. */
+  public long nextCheckMicros(long idleProbeMicros) {
+    if (!probePending) {
+      return probeDueMicros(idleProbeMicros);
     }
-    return sinceProbe >= IDLE_PROBE_MICROS && nowMicros - heardMicros >= IDLE_PROBE_MICROS;
+    boolean answered = heardMicros > probeSentMicros;
+    return suspected || answered ? Long.MAX_VALUE : probeSentMicros + PROBE_SUSPECT_MICROS;
   }
 
   /** A probe goes out. */
--- a/src/main/java/slateslip/routing/placement/Placement.java
+++ b/src/main/java/slateslip/routing/placement/Placement.java
@@ -18,11 +18,8 @@
  * few the one is taken that will have read the prompt soonest.
  */
 public final class Placement {
-  /** Backends of a key that are looked at first. */
-  private static final int FIRST_CHOICES = 1;
-
   /**
-   * Part of the objective over which, at all first choices, the other backends are looked at too.
+   * Part of the objective over which, at the first choice, the other backends are looked at too.
    */
   private static final double SPILL_PART = 0.4;
 
@@ -88,12 +85,8 @@
    */
   public Choice pick(
       long nowMicros, Demand demand, List<Backend> backends, Predicate<Backend> permitted) {
-    List<Backend> open = new ArrayList<>();
-    for (Backend backend : backends) {
-      if (backend.registered() && permitted.test(backend)) {
-        open.add(backend);
-      }
-    }
+    List<Backend> open =
+        filter(backends, backend -> backend.registered() && permitted.test(backend));
     List<Backend> candidates = healthiest(nowMicros, open);
     if (candidates.isEmpty()) {
       return null;
@@ -117,8 +110,15 @@
     return available.isEmpty() ? open : available;
   }
 
+  /** A plain loop: it runs for every request, also before it has been compiled. */
   private static List<Backend> filter(List<Backend> backends, Predicate<Backend> condition) {
-    return backends.stream().filter(condition).toList();
+    List<Backend> passed = new ArrayList<>(backends.size());
+    for (Backend backend : backends) {
+      if (condition.test(backend)) {
+        passed.add(backend);
+      }
+    }
+    return passed;
   }
 
   private Backend draw(long nowMicros, List<Backend> candidates) {
@@ -144,16 +144,37 @@
 
   private Choice byPrompt(long nowMicros, Demand demand, List<Backend> candidates) {
     long key = key(demand.prompt());
+    Choice home = reckon(nowMicros, demand, home(candidates, key), true);
+    return isSoon(home, demand) ? home : spill(nowMicros, demand, candidates, key, home);
+  }
+
+  /** The backend that all data planes turn to first with this key. */
+  private static Backend home(List<Backend> candidates, long key) {
+    Backend home = candidates.get(0);
+    long highest = home.weight(key);
+    for (int i = 1; i < candidates.size(); i++) {
+      long weight = candidates.get(i).weight(key);
+      if (weight > highest) {
+        home = candidates.get(i);
+        highest = weight;
+      }
+    }
+    return home;
+  }
+
+  private static boolean isSoon(Choice choice, Demand demand) {
+    return choice.firstMicros() <= SPILL_PART * demand.objectiveMicros();
+  }
+
+  /** Looks at the other backends, in the order of the key, until one is soon enough. */
+  private Choice spill(
+      long nowMicros, Demand demand, List<Backend> candidates, long key, Choice home) {
     List<Backend> ordered = new ArrayList<>(candidates);
     ordered.sort(Comparator.comparingLong((Backend backend) -> backend.weight(key)).reversed());
-    Choice best = null;
-    for (int rank = 0; rank < ordered.size(); rank++) {
-      boolean spill = best != null && best.firstMicros() > SPILL_PART * demand.objectiveMicros();
-      if (rank >= FIRST_CHOICES && !spill) {
-        break;
-      }
-      Choice choice = reckon(nowMicros, demand, ordered.get(rank), rank);
-      if (best == null || cost(choice) < cost(best)) {
+    Choice best = home;
+    for (int rank = 1; rank < ordered.size() && !isSoon(best, demand); rank++) {
+      Choice choice = reckon(nowMicros, demand, ordered.get(rank), false);
+      if (cost(choice) < cost(best)) {
         best = choice;
       }
     }
@@ -165,11 +186,11 @@
     return prompt.get(Math.max(0, prompt.size() - 2)).id();
   }
 
-  private Choice reckon(long nowMicros, Demand demand, Backend backend, int rank) {
+  private Choice reckon(long nowMicros, Demand demand, Backend backend, boolean isHome) {
     EngineModel engine = backend.engine();
     long cachedTokens =
         engine.cachedTokens(demand.prompt(), demand.memoryTokens(), demand.agents());
-    if (rank == 0) {
+    if (isHome) {
       int last = demand.prompt().size() - 1;
       long shared = demand.promptTokens() - demand.prompt().get(last).tokens();
       cachedTokens = Math.max(cachedTokens, (long) (CACHED_BY_PEERS * shared));
--- a/src/test/java/slateslip/routing/health/BackendHealthMonitorTest.java
+++ b/src/test/java/slateslip/routing/health/BackendHealthMonitorTest.java
@@ -19,7 +19,8 @@
     watch.connectFailed(SECOND, NO_PEERS);
     assertThat(watch.trusted(SECOND), is(false));
     assertThat("still available", watch.available(SECOND), is(true));
-    assertThat("probed at once", watch.probeDue(SECOND), is(true));
+    assertThat(
+        "probed at once", watch.probeDue(SECOND, BackendHealthMonitor.IDLE_PROBE_MICROS), is(true));
     watch.probeSent(SECOND);
     watch.probeSucceeded(SECOND + 2 * MILLI);
     assertThat(watch.trusted(SECOND + 2 * MILLI), is(true));
@@ -29,7 +30,10 @@
   void oneBrokenAnswerIsNoReasonButTwoInARowAre() {
     watch.requestBroken(SECOND, NO_PEERS);
     assertThat(watch.trusted(SECOND), is(true));
-    assertThat("but it is probed", watch.probeDue(SECOND), is(true));
+    assertThat(
+        "but it is probed",
+        watch.probeDue(SECOND, BackendHealthMonitor.IDLE_PROBE_MICROS),
+        is(true));
     watch.requestSucceeded(SECOND + MILLI);
     watch.requestBroken(SECOND + 2 * MILLI, NO_PEERS);
     assertThat(watch.trusted(SECOND + 2 * MILLI), is(true));
@@ -80,7 +84,7 @@
   @Test
   void aProbeWithoutReplyRaisesSuspicionBeforeItTimesOut() {
     watch.requestProbe();
-    assertThat(watch.probeDue(SECOND), is(true));
+    assertThat(watch.probeDue(SECOND, BackendHealthMonitor.IDLE_PROBE_MICROS), is(true));
     watch.probeSent(SECOND);
     assertThat(
         watch.checkProbeTimeout(SECOND + BackendHealthMonitor.PROBE_SUSPECT_MICROS - 1), is(false));
@@ -89,11 +93,28 @@
     assertThat(watch.trusted(2 * SECOND), is(false));
   }
 
+  @Test
+  void checkIsDueWhenTheProbeIsOrItsReplyIsLate() {
+    long idle = BackendHealthMonitor.IDLE_PROBE_MICROS;
+    watch.requestSucceeded(SECOND);
+    assertThat(watch.nextCheckMicros(idle), is(SECOND + idle));
+    watch.requestProbe();
+    watch.probeSent(2 * SECOND);
+    assertThat(
+        watch.nextCheckMicros(idle), is(2 * SECOND + BackendHealthMonitor.PROBE_SUSPECT_MICROS));
+    watch.activity(2 * SECOND + MILLI);
+    assertThat("it lives", watch.nextCheckMicros(idle), is(Long.MAX_VALUE));
+  }
+
   @Test
   void trafficSparesProbes() {
     watch.requestSucceeded(7 * SECOND);
-    assertThat(watch.probeDue(8 * SECOND), is(false));
-    assertThat(watch.probeDue(7 * SECOND + BackendHealthMonitor.IDLE_PROBE_MICROS), is(true));
+    assertThat(watch.probeDue(8 * SECOND, BackendHealthMonitor.IDLE_PROBE_MICROS), is(false));
+    assertThat(
+        watch.probeDue(
+            7 * SECOND + BackendHealthMonitor.IDLE_PROBE_MICROS,
+            BackendHealthMonitor.IDLE_PROBE_MICROS),
+        is(true));
   }
 
   @Test
@@ -101,8 +122,16 @@
     watch.connectFailed(SECOND, NO_PEERS);
     watch.probeSent(SECOND);
     watch.probeFailed();
-    assertThat(watch.probeDue(SECOND + BackendHealthMonitor.SUSPECT_PROBE_MICROS - 1), is(false));
-    assertThat(watch.probeDue(SECOND + BackendHealthMonitor.SUSPECT_PROBE_MICROS), is(true));
+    assertThat(
+        watch.probeDue(
+            SECOND + BackendHealthMonitor.SUSPECT_PROBE_MICROS - 1,
+            BackendHealthMonitor.IDLE_PROBE_MICROS),
+        is(false));
+    assertThat(
+        watch.probeDue(
+            SECOND + BackendHealthMonitor.SUSPECT_PROBE_MICROS,
+            BackendHealthMonitor.IDLE_PROBE_MICROS),
+        is(true));
   }
 
   @Test
