Routing: engine speed is learnt for each service, reading counts in placement, mechanisms can be off

Cause: the figures of the first customer's engine (63.9 tokens a ms, 12 ms) judged all engines, and a prompt was read at another backend for any gain of its own, however much that delayed the requests there.

Each deciding mechanism is named in Mechanism, and RoutingPolicy (system property slateslip.disabled, or an experiment's variant) switches it off.

--- a/src/main/java/slateslip/dataplane/DataPlane.java
+++ b/src/main/java/slateslip/dataplane/DataPlane.java
@@ -27,6 +27,7 @@
 import slateslip.logging.LogContext;
 import slateslip.routing.FleetRouter;
 import slateslip.routing.RouterSettings;
+import slateslip.routing.policy.RoutingPolicy;
 import slateslip.routing.quota.QuotaBounds;
 import slateslip.routing.retry.RetryBounds;
 import slateslip.settings.Bounds;
@@ -42,6 +43,9 @@
    */
   private static final int DESCRIPTORS_RESERVED = 264;
 
+  /** System property with the mechanisms that an experiment switches off. */
+  private static final String DISABLED_MECHANISMS = "slateslip.disabled";
+
   /** Where the settings name no limit. */
   private static final int DESCRIPTORS_DEFAULT = 1_024;
 
@@ -102,7 +106,8 @@
             TimeUnit.MILLISECONDS.toMicros(bounds.quotaWindowMillis()),
             bounds.quotaOvershoot(),
             bounds.quotaSlack());
-    return new RouterSettings(settings.zone(), seed, retries, quotas);
+    RoutingPolicy policy = RoutingPolicy.without(System.getProperty(DISABLED_MECHANISMS, ""));
+    return new RouterSettings(settings.zone(), seed, retries, quotas, policy);
   }
 
   /** Connections on either side. */
--- a/src/main/java/slateslip/routing/Attempt.java
+++ b/src/main/java/slateslip/routing/Attempt.java
@@ -71,9 +71,7 @@
     backend().noLongerAwaiting();
     backend().healthMonitor().activity(nowMicros);
     if (choice.newTokens() > 0) {
-      backend()
-          .engine()
-          .started(nowMicros, nowMicros - sentMicros, choice.firstMicros(), !backend().someAwait());
+      backend().engine().started(nowMicros, nowMicros - sentMicros, choice, !backend().someAwait());
     }
   }
 
--- a/src/main/java/slateslip/routing/BackendTable.java
+++ b/src/main/java/slateslip/routing/BackendTable.java
@@ -14,11 +14,19 @@
 import slateslip.routing.RouterInput.ProbeEnded;
 import slateslip.routing.health.BackendHealthMonitor;
 import slateslip.routing.placement.Backend;
+import slateslip.routing.placement.PrefillEstimator;
+import slateslip.routing.policy.RoutingPolicy;
 
 /** The backends that are known, what is learned of them, and the probes that are due. */
 final class BackendTable {
   private final Map<String, Backend> backends = new LinkedHashMap<>();
   private final Map<String, List<Backend>> byService = new HashMap<>();
+  private final Map<String, PrefillEstimator> estimators = new HashMap<>();
+  private final RoutingPolicy policy;
+
+  BackendTable(RoutingPolicy policy) {
+    this.policy = policy;
+  }
 
   /** Takes the whole list of registrations. */
   void registrations(long nowMicros, List<BackendSession> sessions) {
@@ -26,7 +34,7 @@
     for (BackendSession session : sessions) {
       present.add(session.id());
       backends
-          .computeIfAbsent(session.id(), id -> new Backend(session, nowMicros))
+          .computeIfAbsent(session.id(), id -> newBackend(nowMicros, session))
           .registered(session);
     }
     for (Backend backend : backends.values()) {
@@ -43,6 +51,13 @@
     }
   }
 
+  /** All engines of a service share an estimate: each alone is met too seldom to learn from. */
+  private Backend newBackend(long nowMicros, BackendSession session) {
+    PrefillEstimator estimator =
+        estimators.computeIfAbsent(session.service(), service -> new PrefillEstimator());
+    return new Backend(session, nowMicros, estimator, policy);
+  }
+
   /** Backends of a service, those that may not be sent to included. */
   List<Backend> ofService(String service) {
     return byService.getOrDefault(service, List.of());
--- a/src/main/java/slateslip/routing/Dispatcher.java
+++ b/src/main/java/slateslip/routing/Dispatcher.java
@@ -12,6 +12,8 @@
 import slateslip.configuration.Service;
 import slateslip.routing.placement.Backend;
 import slateslip.routing.placement.Placement;
+import slateslip.routing.policy.Mechanism;
+import slateslip.routing.policy.RoutingPolicy;
 import slateslip.routing.quota.TenantQuotas;
 import slateslip.routing.retry.RetryBounds;
 import slateslip.routing.retry.RetryBudget;
@@ -34,6 +36,7 @@
   private final Map<String, RetryBudget> budgets = new HashMap<>();
   private final SplittableRandom random;
   private final Placement placement;
+  private final RoutingPolicy policy;
   private final Consumer<RouterOutput> outputs;
 
   Dispatcher(
@@ -45,7 +48,8 @@
     this.quotas = quotas;
     this.retryBounds = settings.retries();
     this.random = new SplittableRandom(settings.seed());
-    this.placement = new Placement(settings.zone(), random.split());
+    this.policy = settings.policy();
+    this.placement = new Placement(settings.zone(), random.split(), policy);
     this.outputs = outputs;
   }
 
@@ -61,7 +65,8 @@
    * @return empty if it was sent; else what keeps it from being sent
    */
   Optional<AbortReason> send(long nowMicros, RoutingTable table, PendingRequest request) {
-    if (!request.attemptsLeft()) {
+    boolean retry = !request.attempts.isEmpty();
+    if (!request.attemptsLeft() || (retry && !policy.uses(Mechanism.RETRIES))) {
       return Optional.of(AbortReason.ATTEMPTS_EXHAUSTED);
     }
     if (!followConfiguration(table, request)) {
--- a/src/main/java/slateslip/routing/FleetRouter.java
+++ b/src/main/java/slateslip/routing/FleetRouter.java
@@ -12,6 +12,7 @@
 import slateslip.routing.RouterInput.AttemptOutcome;
 import slateslip.routing.health.BackendHealthMonitor;
 import slateslip.routing.placement.Backend;
+import slateslip.routing.policy.Mechanism;
 import slateslip.routing.quota.QuotaBounds;
 import slateslip.routing.quota.TenantQuotas;
 import slateslip.routing.retry.RetryBounds;
@@ -40,7 +41,7 @@
   private static final long STREAM_DOUBT_MICROS = 1_000_000;
 
   private final RouterSettings settings;
-  private final BackendTable backends = new BackendTable();
+  private final BackendTable backends;
   private final Map<Long, PendingRequest> open = new HashMap<>();
   private final PriorityQueue<PendingRequest> byEnd =
       new PriorityQueue<>(Comparator.comparingLong(request -> request.endMicros));
@@ -58,6 +59,7 @@
   /** A router within these bounds that knows no configuration and no backend yet. */
   public FleetRouter(RouterSettings settings) {
     this.settings = settings;
+    this.backends = new BackendTable(settings.policy());
   }
 
   /**
@@ -220,6 +222,9 @@
    * may still go on. Silence alone never ends a response.
    */
   private void takeUpElsewhere(long now, PendingRequest request) {
+    if (!settings.policy().uses(Mechanism.STREAM_TAKEOVER)) {
+      return;
+    }
     if (request.activeAttempts() == 1 && dispatcher.hasBetter(now, request)) {
       request.reachedBackend = true;
       dispatcher.send(now, table, request);
@@ -357,7 +362,9 @@
         continue;
       }
       if (!healthMonitor.suspected()) {
-        healthMonitor.requestProbe();
+        if (settings.policy().uses(Mechanism.OVERDUE_PROBES)) {
+          healthMonitor.requestProbe();
+        }
       } else if (request.started && request.resumable()) {
         takeUpElsewhere(now, request);
       } else if (mayMove(now, request)) {
--- a/src/main/java/slateslip/routing/RouterSettings.java
+++ b/src/main/java/slateslip/routing/RouterSettings.java
@@ -1,5 +1,6 @@
 package slateslip.routing;
 
+import slateslip.routing.policy.RoutingPolicy;
 import slateslip.routing.quota.QuotaBounds;
 import slateslip.routing.retry.RetryBounds;
 
@@ -10,5 +11,17 @@
  * @param seed of its random choices
  * @param retries bounds of repeated arrivals
  * @param quotas bounds of quotas
+ * @param policy mechanisms that it uses
  */
-public record RouterSettings(String zone, long seed, RetryBounds retries, QuotaBounds quotas) {}
+public record RouterSettings(
+    String zone, long seed, RetryBounds retries, QuotaBounds quotas, RoutingPolicy policy) {
+  /** The same with all mechanisms. */
+  public RouterSettings(String zone, long seed, RetryBounds retries, QuotaBounds quotas) {
+    this(zone, seed, retries, quotas, RoutingPolicy.DEFAULT);
+  }
+
+  /** The same with another policy. */
+  public RouterSettings withPolicy(RoutingPolicy other) {
+    return new RouterSettings(zone, seed, retries, quotas, other);
+  }
+}
--- a/src/main/java/slateslip/routing/health/BackendHealthMonitor.java
+++ b/src/main/java/slateslip/routing/health/BackendHealthMonitor.java
@@ -3,6 +3,8 @@
 import java.util.Collection;
 import slateslip.loadbalancer.policy.BackendHealth;
 import slateslip.loadbalancer.policy.HealthParameters;
+import slateslip.routing.policy.Mechanism;
+import slateslip.routing.policy.RoutingPolicy;
 
 /**
  * Health of one backend: the active and passive states of {@link BackendHealth}, when it is to be
@@ -41,6 +43,7 @@
       new HealthParameters(2, 60_000_000, 10, 0.3, 1, 5_000_000);
 
   private final BackendHealth health = new BackendHealth(PARAMETERS);
+  private final RoutingPolicy policy;
   private long heardMicros;
   private long probeSentMicros;
   private boolean probePending;
@@ -49,7 +52,8 @@
   private int consecutiveBroken;
 
   /** Of a backend that was registered at this time. */
-  public BackendHealthMonitor(long nowMicros) {
+  public BackendHealthMonitor(long nowMicros, RoutingPolicy policy) {
+    this.policy = policy;
     heardMicros = nowMicros;
     probeSentMicros = nowMicros;
   }
@@ -129,7 +133,9 @@
     if (suspected || probeRequested || !health.available()) {
       return probeSentMicros + SUSPECT_PROBE_MICROS;
     }
-    return Math.max(probeSentMicros, heardMicros) + idleProbeMicros;
+    return policy.uses(Mechanism.IDLE_PROBES)
+        ? Math.max(probeSentMicros, heardMicros) + idleProbeMicros
+        : Long.MAX_VALUE;
   }
 
   /** When it is to be looked at again; nothing changes before unless something is heard of it. */
@@ -203,12 +209,14 @@
   }
 
   private void suspect() {
-    suspected = true;
+    suspected = policy.uses(Mechanism.SUSPICION);
     probeRequested = true;
   }
 
   private void failed(long nowMicros, Collection<BackendHealth> peers) {
     health.requestEnded(nowMicros, true);
-    health.ejectIfFailing(nowMicros, peers);
+    if (policy.uses(Mechanism.EJECTION)) {
+      health.ejectIfFailing(nowMicros, peers);
+    }
   }
 }
--- a/src/main/java/slateslip/routing/placement/Backend.java
+++ b/src/main/java/slateslip/routing/placement/Backend.java
@@ -3,6 +3,8 @@
 import slateslip.distribution.BackendSession;
 import slateslip.loadbalancer.policy.RendezvousHash;
 import slateslip.routing.health.BackendHealthMonitor;
+import slateslip.routing.policy.Mechanism;
+import slateslip.routing.policy.RoutingPolicy;
 
 /** What this data plane knows of one incarnation of a backend. */
 public final class Backend {
@@ -11,7 +13,8 @@
 
   private final long hash;
   private final BackendHealthMonitor healthMonitor;
-  private final EngineModel engine = new EngineModel();
+  private final EngineModel engine;
+  private final RoutingPolicy policy;
   private BackendSession session;
   private boolean listed = true;
   private boolean replaced;
@@ -21,9 +24,12 @@
   private long reportedMicros;
 
   /** A backend that was registered at this time. */
-  public Backend(BackendSession session, long nowMicros) {
+  public Backend(
+      BackendSession session, long nowMicros, PrefillEstimator estimator, RoutingPolicy policy) {
     this.session = session;
-    this.healthMonitor = new BackendHealthMonitor(nowMicros);
+    this.policy = policy;
+    this.engine = new EngineModel(estimator, policy);
+    this.healthMonitor = new BackendHealthMonitor(nowMicros, policy);
     long seed = 0;
     for (int i = 0; i < session.id().length(); i++) {
       seed = seed * 31 + session.id().charAt(i);
@@ -121,6 +127,9 @@
 
   /** Requests there as far as known: own ones, and what it told while that is fresh. */
   public double load(long nowMicros) {
+    if (!policy.uses(Mechanism.LOAD_REPORTS)) {
+      return inFlight;
+    }
     double fade = Math.exp((reportedMicros - nowMicros) / LOAD_FADE_MICROS);
     return Math.max(inFlight, reportedRequests * fade);
   }
--- a/src/main/java/slateslip/routing/placement/EngineModel.java
+++ b/src/main/java/slateslip/routing/placement/EngineModel.java
@@ -2,49 +2,51 @@
 
 import java.util.List;
 import slateslip.routing.RequestAttributes.PromptPart;
+import slateslip.routing.policy.Mechanism;
+import slateslip.routing.policy.RoutingPolicy;
 
 /**
  * What this data plane believes of one model backend: the parts of prompts it keeps, and when it
  * will have read the prompts that wait. Times are in microseconds.
  */
 public final class EngineModel {
-  /** Prompt tokens that an engine reads in a millisecond; the deployments' sheets. */
-  private static final double TOKENS_PER_MILLI = 63.9;
-
-  /** Milliseconds for a million pairs of a new token and one before it; the deployments' sheets. */
-  private static final double MILLIS_PER_MILLION_PAIRS = 0.367;
-
-  /**
-   * Milliseconds until the first token of a request without a prompt: a step and the first event.
-   */
-  private static final double BASE_MILLIS = 12;
-
   /** Weight of one measured delay beyond what own requests explain. */
   private static final double DELAY_BLEND = 0.5;
 
   /** Time in which such a delay falls to 1/e: what others have sent is read by then. */
   private static final double DELAY_FADE_MICROS = 700_000;
 
+  /** A request that is expected to wait for less counts as one that does not wait. */
+  private static final long NO_WAIT_MICROS = 2_000;
+
+  private final PrefillEstimator estimator;
+  private final RoutingPolicy policy;
   private final PrefixCacheModel prefixCache = new PrefixCacheModel();
   private long prefillUntilMicros;
   private double delayMicros;
   private long delayMeasuredMicros;
 
+  /** An engine of a service whose speed is estimated by {@code estimator}. */
+  EngineModel(PrefillEstimator estimator, RoutingPolicy policy) {
+    this.estimator = estimator;
+    this.policy = policy;
+  }
+
   /** Tokens of the prompt that the engine probably keeps. */
   public long cachedTokens(List<PromptPart> prompt, long memoryTokens, int agents) {
     return prefixCache.cachedTokens(prompt, memoryTokens, agents);
   }
 
-  /** Time to read the rest of a prompt of which some tokens are kept. */
-  public static long prefillMicros(long promptTokens, long cachedTokens) {
-    double fresh = Math.max(0, promptTokens - cachedTokens);
-    double pairs = fresh * (cachedTokens + fresh / 2) / 1e6;
-    double millis = fresh / TOKENS_PER_MILLI + pairs * MILLIS_PER_MILLION_PAIRS;
-    return (long) (1_000 * (BASE_MILLIS + millis));
+  /** Time to read what is missing of a prompt. */
+  public long prefillMicros(PrefillWork work) {
+    return estimator.micros(work);
   }
 
   /** Time that a request would wait before its prompt is read. */
   public long queueMicros(long nowMicros) {
+    if (!policy.uses(Mechanism.QUEUE_ESTIMATE)) {
+      return 0;
+    }
     double fade = Math.exp((delayMeasuredMicros - nowMicros) / DELAY_FADE_MICROS);
     return Math.max(0, prefillUntilMicros - nowMicros) + (long) (delayMicros * fade);
   }
@@ -64,10 +66,15 @@
   /**
    * Takes a measured time to the first event.
    *
-   * @param expectedMicros what was reckoned for it when it was sent, its wait included
+   * @param choice what was expected when it was sent
    * @param noneWaits whether no other own request waits for its first event
    */
-  public void started(long nowMicros, long tookMicros, long expectedMicros, boolean noneWaits) {
+  public void started(long nowMicros, long tookMicros, Placement.Choice choice, boolean noneWaits) {
+    long expectedMicros = choice.firstMicros();
+    boolean alone = noneWaits && expectedMicros - choice.readMicros() < NO_WAIT_MICROS;
+    if (alone && policy.uses(Mechanism.ENGINE_LEARNING)) {
+      estimator.learn(choice.work(), tookMicros);
+    }
     double fade = Math.exp((delayMeasuredMicros - nowMicros) / DELAY_FADE_MICROS);
     double measured = Math.max(0, tookMicros - expectedMicros);
     delayMicros = delayMicros * fade + DELAY_BLEND * (measured - delayMicros * fade);
--- a/src/main/java/slateslip/routing/placement/Placement.java
+++ b/src/main/java/slateslip/routing/placement/Placement.java
@@ -8,6 +8,8 @@
 import slateslip.configuration.Service;
 import slateslip.loadbalancer.policy.PowerOfTwoChoices;
 import slateslip.routing.RequestAttributes.PromptPart;
+import slateslip.routing.policy.Mechanism;
+import slateslip.routing.policy.RoutingPolicy;
 
 /**
  * Picks the backend of a request.
@@ -39,6 +41,7 @@
 
   private final String zone;
   private final RandomGenerator random;
+  private final RoutingPolicy policy;
 
   /**
    * What is to be placed.
@@ -64,15 +67,21 @@
    * A choice.
    *
    * @param backend the backend
-   * @param newTokens tokens that it will have to read; 0 if there is no prompt
+   * @param work what it has to do before the first event
    * @param readMicros time for reading them
    * @param firstMicros expected until the first event; 0 if nothing is known of it
    */
-  public record Choice(Backend backend, long newTokens, long readMicros, long firstMicros) {}
+  public record Choice(Backend backend, PrefillWork work, long readMicros, long firstMicros) {
+    /** Tokens that the backend will have to read; 0 if there is no prompt. */
+    public long newTokens() {
+      return work.newTokens();
+    }
+  }
 
   /** Places requests for a data plane in this zone. */
-  public Placement(String zone, RandomGenerator random) {
+  public Placement(String zone, RandomGenerator random, RoutingPolicy policy) {
     this.zone = zone;
+    this.policy = policy;
     this.random = random;
   }
 
@@ -91,10 +100,11 @@
     if (candidates.isEmpty()) {
       return null;
     }
-    if (demand.service().engine() != null && !demand.prompt().isEmpty()) {
+    boolean prompted = demand.service().engine() != null && !demand.prompt().isEmpty();
+    if (prompted && policy.uses(Mechanism.PREFIX_AFFINITY)) {
       return byPrompt(nowMicros, demand, candidates);
     }
-    return new Choice(draw(nowMicros, candidates), 0, 0, 0);
+    return new Choice(draw(nowMicros, candidates), PrefillWork.NONE, 0, 0);
   }
 
   /**
@@ -134,7 +144,7 @@
   }
 
   private boolean near(Backend backend) {
-    return backend.session().zone().equals(zone);
+    return backend.session().zone().equals(zone) || !policy.uses(Mechanism.ZONE_PREFERENCE);
   }
 
   private static boolean hasCapacity(Backend backend, long nowMicros) {
@@ -145,7 +155,9 @@
   private Choice byPrompt(long nowMicros, Demand demand, List<Backend> candidates) {
     long key = key(demand.prompt());
     Choice home = reckon(nowMicros, demand, home(candidates, key), true);
-    return isSoon(home, demand) ? home : spill(nowMicros, demand, candidates, key, home);
+    return isSoon(home, demand) || !policy.uses(Mechanism.SPILL)
+        ? home
+        : spill(nowMicros, demand, candidates, key, home);
   }
 
   /** The backend that all data planes turn to first with this key. */
@@ -190,17 +202,22 @@
     EngineModel engine = backend.engine();
     long cachedTokens =
         engine.cachedTokens(demand.prompt(), demand.memoryTokens(), demand.agents());
-    if (isHome) {
+    if (isHome && policy.uses(Mechanism.SHARED_CACHE)) {
       int last = demand.prompt().size() - 1;
       long shared = demand.promptTokens() - demand.prompt().get(last).tokens();
       cachedTokens = Math.max(cachedTokens, (long) (CACHED_BY_PEERS * shared));
     }
-    long read = EngineModel.prefillMicros(demand.promptTokens(), cachedTokens);
-    long newTokens = Math.max(0, demand.promptTokens() - cachedTokens);
-    return new Choice(backend, newTokens, read, engine.queueMicros(nowMicros) + read);
+    PrefillWork work = PrefillWork.of(demand.promptTokens(), cachedTokens);
+    long read = engine.prefillMicros(work);
+    return new Choice(backend, work, read, engine.queueMicros(nowMicros) + read);
   }
 
+  /**
+   * What a choice costs, in time: until the first event, and once more for what has to be read, as
+   * that delays the other requests of the backend by about as much.
+   */
   private long cost(Choice choice) {
-    return choice.firstMicros() + (near(choice.backend()) ? 0 : OWN_ZONE_MICROS);
+    long others = policy.uses(Mechanism.READING_COST) ? choice.readMicros() : 0;
+    return choice.firstMicros() + others + (near(choice.backend()) ? 0 : OWN_ZONE_MICROS);
   }
 }
--- a/src/test/java/slateslip/routing/health/BackendHealthMonitorTest.java
+++ b/src/test/java/slateslip/routing/health/BackendHealthMonitorTest.java
@@ -6,13 +6,14 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import slateslip.loadbalancer.policy.BackendHealth;
+import slateslip.routing.policy.RoutingPolicy;
 
 class BackendHealthMonitorTest {
   private static final long MILLI = 1_000;
   private static final long SECOND = 1_000 * MILLI;
   private static final List<BackendHealth> NO_PEERS = List.of();
 
-  private final BackendHealthMonitor watch = new BackendHealthMonitor(0);
+  private final BackendHealthMonitor watch = new BackendHealthMonitor(0, RoutingPolicy.DEFAULT);
 
   @Test
   void failedConnectionSuspectsUntilProbe() {
--- a/src/test/java/slateslip/routing/placement/PlacementTest.java
+++ b/src/test/java/slateslip/routing/placement/PlacementTest.java
@@ -15,6 +15,7 @@
 import slateslip.configuration.Service;
 import slateslip.routing.Fixtures;
 import slateslip.routing.RequestAttributes.PromptPart;
+import slateslip.routing.policy.RoutingPolicy;
 
 class PlacementTest {
   private static final int AGENTS = 6;
@@ -22,13 +23,19 @@
   private static final long TARGET_MICROS = 600_000;
   private static final int SHARED_TOKENS = 13_300;
 
-  private final Placement placement = new Placement("z0", new Random(1));
+  private static final PrefillEstimator ESTIMATOR = new PrefillEstimator();
+  private final Placement placement = new Placement("z0", new Random(1), RoutingPolicy.DEFAULT);
   private final List<Backend> models = backends("model");
 
   private static List<Backend> backends(String service) {
     List<Backend> backends = new ArrayList<>();
     for (int i = 0; i < 6; i++) {
-      backends.add(new Backend(Fixtures.backend("i-" + i * 7919, service, "z" + i % 3), 0));
+      backends.add(
+          new Backend(
+              Fixtures.backend("i-" + i * 7919, service, "z" + i % 3),
+              0,
+              ESTIMATOR,
+              RoutingPolicy.DEFAULT));
     }
     return backends;
   }
@@ -62,7 +69,7 @@
 
   @Test
   void twoAgentsTurnToTheSameBackendForASharedPart() {
-    Placement other = new Placement("z2", new Random(99));
+    Placement other = new Placement("z2", new Random(99), RoutingPolicy.DEFAULT);
     List<Backend> known = backends("model");
     for (long key = 0; key < 50; key++) {
       Backend here = placement.pick(NOW, prompt(key, 1_000), models, each -> true).backend();
@@ -89,6 +96,19 @@
     assertThat(used.size(), greaterThan(1));
   }
 
+  @Test
+  void promptIsNotReadElsewhereForLittleTime() {
+    Placement.Demand demand = prompt(1, 1_000);
+    Backend home = placement.pick(NOW, demand, models, each -> true).backend();
+    home.engine()
+        .sent(demand.prompt(), 1, 300_000, Fixtures.MODEL.engine().cacheTokens(), AGENTS, NOW);
+    Placement.Demand next = prompt(1, 2_000);
+    assertThat(placement.pick(NOW, next, models, each -> true).backend(), is(home));
+    RoutingPolicy ownTimeOnly = RoutingPolicy.without("reading-cost");
+    Placement selfish = new Placement("z0", new Random(1), ownTimeOnly);
+    assertThat(selfish.pick(NOW, next, models, each -> true).backend(), not(home));
+  }
+
   @Test
   void suspectedBackendIsLastResort() {
     Backend first = placement.pick(NOW, prompt(1, 1_000), models, each -> true).backend();
