--- a/src/main/java/slateslip/experiment/Experiment.java
+++ b/src/main/java/slateslip/experiment/Experiment.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import slateslip.experiment.policy.PlacementPolicy;
+import slateslip.routing.policy.RoutingPolicy;
 import slateslip.simulation.dataplane.WorldPlan;
 
 /**
@@ -17,6 +18,7 @@
    *
    * @param name for the outputs
    * @param policy of a router that only places requests; null for the fleet's own router
+   * @param mechanisms that the fleet's own router uses
    */
-  public record Variant(String name, PlacementPolicy policy) {}
+  public record Variant(String name, PlacementPolicy policy, RoutingPolicy mechanisms) {}
 }
--- a/src/main/java/slateslip/experiment/ExperimentFile.java
+++ b/src/main/java/slateslip/experiment/ExperimentFile.java
@@ -12,6 +12,7 @@
 import slateslip.configuration.RouteKind;
 import slateslip.experiment.Experiment.Variant;
 import slateslip.experiment.policy.PlacementPolicy;
+import slateslip.routing.policy.RoutingPolicy;
 import slateslip.simulation.dataplane.Fault;
 import slateslip.simulation.dataplane.RequestClass;
 import slateslip.simulation.dataplane.RequestClass.SharedPart;
@@ -95,7 +96,7 @@
     List<Variant> variants = new ArrayList<>();
     for (ExperimentFields variant : fields.objects("variants")) {
       PlacementPolicy policy = variant.has("policy") ? policy(variant.object("policy")) : null;
-      variants.add(new Variant(variant.text("name"), policy));
+      variants.add(new Variant(variant.text("name"), policy, mechanisms(variant)));
     }
     if (variants.isEmpty()) {
       throw fields.problem("variants", "names none");
@@ -103,6 +104,16 @@
     return variants;
   }
 
+  private static RoutingPolicy mechanisms(ExperimentFields variant)
+      throws ExperimentFields.Problem {
+    String disabled = variant.text("disabled", "");
+    try {
+      return RoutingPolicy.without(disabled);
+    } catch (IllegalArgumentException unknown) {
+      throw variant.problem("disabled", "names " + unknown.getMessage());
+    }
+  }
+
   private static PlacementPolicy policy(ExperimentFields fields) throws ExperimentFields.Problem {
     return new PlacementPolicy(
         fields.flag("own_zone_only", false),
--- a/src/main/java/slateslip/experiment/ExperimentRun.java
+++ b/src/main/java/slateslip/experiment/ExperimentRun.java
@@ -21,9 +21,11 @@
   /**
    * What a variant gave over all seeds.
    *
+   * @param bySeed worth earned by worth owed with each seed
    * @param violations rules that it broke, over all seeds
    */
-  record VariantResult(String variant, Measurements measurements, int violations) {}
+  record VariantResult(
+      String variant, Measurements measurements, List<Double> bySeed, int violations) {}
 
   /**
    * Plays an experiment, a few worlds at a time; the order of the results does not depend on it.
@@ -51,19 +53,21 @@
 
   private static RouterFactory router(Variant variant) {
     return variant.policy() == null
-        ? FleetRouter::new
+        ? settings -> new FleetRouter(settings.withPolicy(variant.mechanisms()))
         : settings -> new PolicyRouter(settings.zone(), variant.policy());
   }
 
   private static VariantResult merge(String name, List<Future<DataPlaneWorld.Result>> runs) {
     Measurements all = new Measurements();
+    List<Double> bySeed = new ArrayList<>();
     int violations = 0;
     for (Future<DataPlaneWorld.Result> run : runs) {
       DataPlaneWorld.Result result = get(run);
       all.add(result.measurements());
+      bySeed.add(result.measurements().whole().valueFraction());
       violations += result.violations().size();
     }
-    return new VariantResult(name, all, violations);
+    return new VariantResult(name, all, bySeed, violations);
   }
 
   private static DataPlaneWorld.Result get(Future<DataPlaneWorld.Result> run) {
--- a/src/main/java/slateslip/experiment/ResultTable.java
+++ b/src/main/java/slateslip/experiment/ResultTable.java
@@ -24,6 +24,7 @@
     for (VariantResult result : results) {
       result.measurements().byTenant().forEach((name, g) -> line(table, result.variant(), name, g));
     }
+    table.append(PairedDifference.format(results));
     for (VariantResult result : results) {
       table.append(
           String.format(
