--- a/src/main/java/slateslip/standin/ArchiveTrainingMain.java
+++ b/src/main/java/slateslip/standin/ArchiveTrainingMain.java
@@ -63,6 +63,8 @@
       int served = traffic.rounds(ROUNDS);
       fleet.removeLastBackend();
       served += traffic.rounds(ROUNDS);
+      fleet.crashFirstBackend();
+      served += traffic.rounds(ROUNDS);
       out.println(served + " requests served");
       return served > 2 * ROUNDS;
     } finally {
--- a/src/main/java/slateslip/standin/LocalFleet.java
+++ b/src/main/java/slateslip/standin/LocalFleet.java
@@ -90,6 +90,11 @@
     backends.remove(backends.size() - 1).close();
   }
 
+  /** Ends the first backend while its registration goes on, as if it had crashed. */
+  void crashFirstBackend() {
+    backends.get(0).close();
+  }
+
   private void startBackends() {
     for (int i = 0; i < ENGINES + LEDGERS; i++) {
       boolean engine = i < ENGINES;
