--- a/src/main/java/slateslip/routing/FleetRouter.java
+++ b/src/main/java/slateslip/routing/FleetRouter.java
@@ -31,9 +31,6 @@
    */
   static final long RETRY_UNKNOWN_MICROS = 1_200_000;
 
-  /** Probes that are due and answers that are overdue are looked at so often at most. */
-  private static final long TICK_MICROS = 50_000;
-
   /** A response is overdue this long after it was expected; then its backend is probed. */
   private static final long OVERDUE_MICROS = 250_000;
 
@@ -50,11 +47,7 @@
   private Dispatcher dispatcher;
   private List<RouterOutput> outputs = new ArrayList<>();
   private RoutingTable table;
-  private long lastTick;
-  private long nextTick = Long.MIN_VALUE;
-
-  /** The earliest wake-up that was asked for and has not come yet. */
-  private long nextWake = Long.MAX_VALUE;
+  private final WakeSchedule schedule = new WakeSchedule();
 
   /** A router within these bounds that knows no configuration and no backend yet. */
   public FleetRouter(RouterSettings settings) {
@@ -80,7 +73,7 @@
     }
     take(nowMicros, input);
     expire(nowMicros);
-    if (nowMicros >= nextTick) {
+    if (schedule.checkDue(nowMicros)) {
       tick(nowMicros);
     }
     askForWake(nowMicros);
@@ -89,23 +82,14 @@
 
   /** Asks to be woken when the next request ends or something is to be looked at. */
   private void askForWake(long now) {
-    if (now >= nextWake) {
-      nextWake = Long.MAX_VALUE;
-    }
-    long due = byEnd.isEmpty() ? nextTick : Math.min(nextTick, byEnd.peek().endMicros);
-    if (due < nextWake) {
-      nextWake = due;
-      outputs.add(new RouterOutput.WakeAt(due));
+    long requestEnd = byEnd.isEmpty() ? Long.MAX_VALUE : byEnd.peek().endMicros;
+    if (schedule.needsWake(now, requestEnd)) {
+      outputs.add(new RouterOutput.WakeAt(schedule.nextWakeMicros()));
     }
   }
 
-  /** Something is to be looked at again at this time. */
-  private void lookAgainAt(long atMicros) {
-    nextTick = Math.min(nextTick, Math.max(lastTick + TICK_MICROS, atMicros));
-  }
-
   private void lookAgainAt(Backend backend) {
-    lookAgainAt(BackendTable.nextCheckMicros(backend, quotas.agents()));
+    schedule.checkAt(BackendTable.nextCheckMicros(backend, quotas.agents()));
   }
 
   @Override
@@ -125,7 +109,7 @@
       quotas.tenants(table.configuration().tenants());
     } else if (input instanceof RouterInput.BackendsChanged changed) {
       backends.registrations(now, changed.backends());
-      lookAgainAt(backends.nextCheckMicros(quotas.agents()));
+      schedule.checkAt(backends.nextCheckMicros(quotas.agents()));
     } else if (input instanceof RouterInput.QuotaAllocationChanged changed) {
       quotas.shares(changed.allocation(), now);
     } else if (input instanceof RouterInput.RequestArrived arrived) {
@@ -161,7 +145,7 @@
     if (obstacle.isPresent()) {
       giveUp(request, obstacle.get());
     } else {
-      lookAgainAt(
+      schedule.checkAt(
           now
               + OVERDUE_MICROS
               + request.attempts.get(request.attempts.size() - 1).expectedMicros());
@@ -228,7 +212,7 @@
     if (request.activeAttempts() == 1 && dispatcher.hasBetter(now, request)) {
       request.reachedBackend = true;
       dispatcher.send(now, table, request);
-      lookAgainAt(now);
+      schedule.checkAt(now);
     }
   }
 
@@ -332,15 +316,14 @@
   }
 
   private void tick(long now) {
-    lastTick = now;
-    nextTick = Long.MAX_VALUE;
+    schedule.checked(now);
     for (PendingRequest request : open.values()) {
       if (!request.responded) {
         checkOverdue(now, request);
       }
     }
     outputs.addAll(backends.probes(now, quotas.agents()));
-    lookAgainAt(backends.nextCheckMicros(quotas.agents()));
+    schedule.checkAt(backends.nextCheckMicros(quotas.agents()));
   }
 
   /**
@@ -357,7 +340,7 @@
       long unresponsive = now - Math.max(attempt.sentMicros(), healthMonitor.heardMicros());
       long patience =
           attempt.started() ? STREAM_DOUBT_MICROS : OVERDUE_MICROS + attempt.expectedMicros();
-      lookAgainAt(now - unresponsive + patience);
+      schedule.checkAt(now - unresponsive + patience);
       if (unresponsive < patience) {
         continue;
       }
--- a/src/main/java/slateslip/routing/placement/PrefillEstimator.java
+++ b/src/main/java/slateslip/routing/placement/PrefillEstimator.java
@@ -38,7 +38,7 @@
     samples++;
     double readMillis = millisPerToken * weightedTokens(work);
     double expectedMillis = baseMillis + readMillis;
-    boolean longer = tookMicros > 1_000 * expectedMillis;
+    boolean longer = (double) tookMicros > 1_000 * expectedMillis;
     double direction = longer ? QUANTILE : QUANTILE - 1;
     double step = Math.max(SMALLEST_STEP, FIRST_STEP / Math.sqrt(samples)) * direction;
     double readShare = readMillis / expectedMillis;
--- a/src/test/java/slateslip/routing/placement/PrefillEstimatorTest.java
+++ b/src/test/java/slateslip/routing/placement/PrefillEstimatorTest.java
@@ -34,7 +34,7 @@
 
   private void learn(Engine engine, int samples) {
     for (int i = 0; i < samples; i++) {
-      long prompt = 500 + random.nextInt(18_000);
+      long prompt = 500L + random.nextInt(18_000);
       PrefillWork work = PrefillWork.of(prompt, random.nextBoolean() ? prompt * 3 / 4 : 0);
       double wait = random.nextDouble() < 0.3 ? 200_000 * random.nextDouble() : 0;
       estimator.learn(work, (long) (engine.micros(work) + wait));
