Keys: in a closed fleet a data plane serves them only by a lease on the newest configuration

Cause: bounds.closed and bounds.revoke_timeout_ms had no reader. A data plane that no news reaches went on sending requests with a key that an acknowledged configuration had taken away.

Change: a data plane asks its agents with its own steady time; an agent answers only after the primary has confirmed with a majority, in a round that began later, and names the newest version first. If just that is in force, keys may be served for 0.9 of the bound from the time of the question (KeyLease). Looked at on arrival, before each attempt and right before the first byte is written (outcome WITHHELD, which is a promise). Without a lease 503 and not ready. Nothing is asked or refused where the fleet is not closed or no keys are in force. No message is new: ping, heartbeat and pong; a read of the configuration that names a known version is answered without the document.

--- a/src/main/java/slateslip/configuration/ConfigurationDocument.java
+++ b/src/main/java/slateslip/configuration/ConfigurationDocument.java
@@ -64,6 +64,11 @@
     return configuration;
   }
 
+  /** Whether routes that are not public need a key. */
+  public boolean hasTenants() {
+    return !configuration.tenants().isEmpty();
+  }
+
   /** The complete document as JSON in UTF-8; not to be modified. */
   public synchronized byte[] toJson() {
     if (json == null) {
--- a/src/main/java/slateslip/controlplane/ControlPlane.java
+++ b/src/main/java/slateslip/controlplane/ControlPlane.java
@@ -71,7 +71,8 @@
         settings.seeds().stream().map(seed -> seed.getAddress().getHostAddress()).toList(),
         settings.bootstrap(),
         settings.faultTolerance().machines(),
-        settings.heartbeatMillis());
+        settings.heartbeatMillis(),
+        settings.bounds().closed());
   }
 
   private PeerConnector.PeerConnection connect(
--- a/src/main/java/slateslip/controlplane/agent/AgentSettings.java
+++ b/src/main/java/slateslip/controlplane/agent/AgentSettings.java
@@ -11,6 +11,7 @@
  * @param bootstrap whether the whole system starts for the first time
  * @param faultTolerance machines that may be lost at once
  * @param heartbeatMillis between two calls of a backend
+ * @param leasedKeys whether data planes serve keys only by a lease, which needs a confirmed version
  */
 public record AgentSettings(
     String node,
@@ -18,4 +19,5 @@
     List<String> seeds,
     boolean bootstrap,
     int faultTolerance,
-    long heartbeatMillis) {}
+    long heartbeatMillis,
+    boolean leasedKeys) {}
--- a/src/main/java/slateslip/controlplane/agent/ControlAgent.java
+++ b/src/main/java/slateslip/controlplane/agent/ControlAgent.java
@@ -7,7 +7,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.jboss.logging.Logger;
+import slateslip.configuration.ConfigurationDocument;
 import slateslip.controlplane.state.ConfigurationState;
 import slateslip.coordination.ControlReplica;
 import slateslip.coordination.NodeAddress;
@@ -58,6 +60,7 @@
   private final PeerMessageDispatcher peerMessages;
   private final long startedMicros;
   private final QuotaService quotas;
+  private final VersionConfirmation versionConfirmation;
   private AgentSettings settings;
 
   /**
@@ -96,7 +99,9 @@
             new CommittedConfigurations(),
             sessionTable,
             this::dataPlaneHeartbeat,
-            new StreamListener());
+            new StreamListener(),
+            this::hasLeasedKeys,
+            this::confirmVersion);
     rollout = new RolloutTracker(scheduler, replica, links, subscribers, pendingAcknowledgements);
     sessions =
         new SessionService(
@@ -110,6 +115,7 @@
     operatorRequests =
         new OperatorRequestHandler(
             identity.incarnation(), scheduler, replica, state, links, rollout);
+    versionConfirmation = new VersionConfirmation(scheduler, operatorRequests, state::version);
     quotas =
         new QuotaService(
             identity.address(), scheduler, links, subscribers, new PrimaryAllocatorRole());
@@ -229,6 +235,16 @@
         && links.reachability().reachesMajority(scheduler.nowMicros(), witnessAddresses);
   }
 
+  /** Without keys there is nothing to lease. */
+  private boolean hasLeasedKeys() {
+    return settings.leasedKeys()
+        && state.document().filter(ConfigurationDocument::hasTenants).isPresent();
+  }
+
+  private void confirmVersion(LongConsumer onConfirmed) {
+    versionConfirmation.confirm(onConfirmed);
+  }
+
   private void configurationChanged() {
     LogContext.version(state.version());
     LOG.infof("configuration committed: version=%d", state.version());
--- a/src/main/java/slateslip/controlplane/agent/DataPlaneSubscriptions.java
+++ b/src/main/java/slateslip/controlplane/agent/DataPlaneSubscriptions.java
@@ -4,6 +4,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 import org.jboss.logging.Logger;
 import slateslip.distribution.ControlPlaneMessage;
@@ -24,6 +27,8 @@
   private final SessionTable sessions;
   private final Supplier<ControlPlaneMessage.Heartbeat> heartbeat;
   private final Listener listener;
+  private final BooleanSupplier leasedKeys;
+  private final Consumer<LongConsumer> confirmation;
 
   /** Is notified of what data planes report. */
   interface Listener {
@@ -39,11 +44,15 @@
       ConfigurationSource configurations,
       SessionTable sessions,
       Supplier<ControlPlaneMessage.Heartbeat> heartbeat,
-      Listener listener) {
+      Listener listener,
+      BooleanSupplier leasedKeys,
+      Consumer<LongConsumer> confirmation) {
     this.configurations = configurations;
     this.sessions = sessions;
     this.heartbeat = heartbeat;
     this.listener = listener;
+    this.leasedKeys = leasedKeys;
+    this.confirmation = confirmation;
   }
 
   void received(DataPlaneStream stream, DataPlaneMessage message) {
@@ -60,10 +69,38 @@
           .subscription()
           .ifPresent(subscriber -> listener.demandReceived(subscriber, demandReceived));
     } else if (message instanceof DataPlaneMessage.Ping ping) {
+      respond(stream, ping);
+    }
+  }
+
+  private void respond(DataPlaneStream stream, DataPlaneMessage.Ping ping) {
+    if (leasedKeys.getAsBoolean()) {
+      confirmation.accept(version -> confirmed(stream, ping, version));
+    } else {
       send(stream, new ControlPlaneMessage.Pong(ping.nonce()));
     }
   }
 
+  /**
+   * Responds to a ping where keys are leased. The heartbeat before the pong names a version that no
+   * configuration acknowledged before the ping is newer than; a data plane's lease depends on that
+   * order.
+   */
+  private void confirmed(DataPlaneStream stream, DataPlaneMessage.Ping ping, long version) {
+    if (!streams.containsKey(stream)) {
+      return;
+    }
+    ControlPlaneMessage.Heartbeat newest = heartbeat.get();
+    send(
+        stream,
+        new ControlPlaneMessage.Heartbeat(
+            newest.current(),
+            Math.max(newest.configurationVersion(), version),
+            newest.sessionRevision(),
+            newest.controlAgents()));
+    send(stream, new ControlPlaneMessage.Pong(ping.nonce()));
+  }
+
   private void subscribe(DataPlaneStream stream, DataPlaneMessage.Subscribe message) {
     if (!streams.containsKey(stream)) {
       LOG.infof("data plane subscribed: node=%s zone=%s", message.node(), message.zone());
--- a/src/main/java/slateslip/controlplane/agent/OperatorRequestHandler.java
+++ b/src/main/java/slateslip/controlplane/agent/OperatorRequestHandler.java
@@ -29,6 +29,8 @@
   /** How long an acknowledgement waits for data planes to put the version in force. */
   private static final long ROLLOUT_TIMEOUT_MILLIS = 400;
 
+  private static final byte[] NO_BODY = new byte[0];
+
   private final Scheduler scheduler;
   private final ReplicaHost replica;
   private final ConfigurationState state;
@@ -120,18 +122,22 @@
   private void handleAsPrimary(
       OperatorRequest request, Consumer<OperatorResponse> responseHandler) {
     if (request.method() == OperatorRequest.Method.GET) {
-      replica.confirm(result -> responseHandler.accept(readResponse(result)));
+      replica.confirm(
+          result -> responseHandler.accept(readResponse(result, request.baseVersion())));
     } else {
       replica.propose(
           OperatorRequestCodec.encode(request), result -> changeCompleted(result, responseHandler));
     }
   }
 
-  private OperatorResponse readResponse(ClientResult result) {
+  private OperatorResponse readResponse(ClientResult result, long knownVersion) {
     if (!(result instanceof ClientResult.Confirmed)) {
       return OperatorResponse.unavailable("the state may not be current");
     }
     Optional<ConfigurationDocument> document = state.document();
+    if (knownVersion > 0 && document.isPresent() && document.get().version() == knownVersion) {
+      return new OperatorResponse(OperatorResponse.OK, knownVersion, NO_BODY);
+    }
     LOG.infof("configuration read: version=%d", state.version());
     return document
         .map(found -> new OperatorResponse(OperatorResponse.OK, found.version(), found.toJson()))
--- a/src/main/java/slateslip/dataplane/DataPlane.java
+++ b/src/main/java/slateslip/dataplane/DataPlane.java
@@ -26,6 +26,7 @@
 import slateslip.loadbalancer.net.InspectableSocketChannel;
 import slateslip.logging.LogContext;
 import slateslip.routing.FleetRouter;
+import slateslip.routing.KeyLease;
 import slateslip.routing.RouterSettings;
 import slateslip.routing.policy.RoutingPolicy;
 import slateslip.routing.quota.QuotaBounds;
@@ -46,6 +47,9 @@
   /** System property with the mechanisms that an experiment switches off. */
   private static final String DISABLED_MECHANISMS = "slateslip.disabled";
 
+  /** Part of the time until a key that was taken away is refused for which a lease lasts. */
+  private static final double LEASE_FRACTION = 0.9;
+
   /** Where the settings name no limit. */
   private static final int DESCRIPTORS_DEFAULT = 1_024;
 
@@ -60,6 +64,8 @@
   private final Subscription subscription;
   private final SubscriptionClient client;
   private final CountDownLatch ended = new CountDownLatch(1);
+  private final KeyLease keyLease;
+  private boolean keysNeeded;
   private boolean shuttingDown;
 
   private DataPlane(NodeSettings settings) throws IOException {
@@ -68,13 +74,15 @@
     group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     loop = group.next();
     pools = new BackendPools(loop, maxConnections(), metrics, InspectableSocketChannel::new);
+    keyLease = settings.bounds().closed() ? KeyLease.required() : KeyLease.notRequired();
     FleetRouter router = new FleetRouter(routerSettings(settings, random.nextLong()));
     forwarder =
-        new Forwarder(loop, router, DataPlane::nowMicros, pools, metrics, random.nextLong());
+        new Forwarder(
+            loop, router, DataPlane::nowMicros, pools, metrics, random.nextLong(), keyLease);
     DataPlaneIdentity identity =
         new DataPlaneIdentity(
             settings.node(), random.nextLong(), settings.zone(), settings.ip().getHostAddress());
-    subscription = new Subscription(identity, seeds(settings));
+    subscription = new Subscription(identity, seeds(settings), leaseMillis(settings.bounds()));
     client =
         new SubscriptionClient(
             loop, subscription, settings.ports().first(), router::demand, this::learnt);
@@ -107,7 +115,12 @@
             bounds.quotaOvershoot(),
             bounds.quotaSlack());
     RoutingPolicy policy = RoutingPolicy.without(System.getProperty(DISABLED_MECHANISMS, ""));
-    return new RouterSettings(settings.zone(), seed, retries, quotas, policy);
+    return new RouterSettings(settings.zone(), seed, retries, quotas, policy, bounds.closed());
+  }
+
+  /** Shorter than the bound, for clocks that differ and a processor that is held up; 0 if none. */
+  private static long leaseMillis(Bounds bounds) {
+    return bounds.closed() ? (long) (LEASE_FRACTION * bounds.revokeTimeoutMillis()) : 0;
   }
 
   /** Connections on either side. */
@@ -126,7 +139,8 @@
   }
 
   private boolean isReady() {
-    return subscription.isReady() && !shuttingDown;
+    boolean mayServeKeys = !keysNeeded || keyLease.isHeld(nowMicros());
+    return subscription.isReady() && mayServeKeys && !shuttingDown;
   }
 
   private String metricsText() {
@@ -145,6 +159,8 @@
       forwarder.backendsChanged(list.backends());
     } else if (output instanceof SubscriptionOutput.Share share) {
       forwarder.sharesChanged(share.shares());
+    } else if (output instanceof SubscriptionOutput.ExtendKeyLease lease) {
+      forwarder.keyLeaseExtended(TimeUnit.MILLISECONDS.toMicros(lease.untilMillis()));
     } else if (output instanceof SubscriptionOutput.Report report) {
       LOG.info(report.line());
     }
@@ -152,7 +168,9 @@
 
   private void configure(FleetConfiguration configuration) {
     ingress.apply(configuration.limits());
-    forwarder.tableChanged(new RoutingTable(configuration));
+    RoutingTable table = new RoutingTable(configuration);
+    keysNeeded = table.needsKeys();
+    forwarder.tableChanged(table);
     LogContext.version(configuration.version());
     LOG.infof("configuration %d in force", configuration.version());
   }
--- a/src/main/java/slateslip/dataplane/backend/BackendAttempt.java
+++ b/src/main/java/slateslip/dataplane/backend/BackendAttempt.java
@@ -138,6 +138,11 @@
   }
 
   private void write(BackendConnection to) {
+    if (!request.permitted().getAsBoolean()) {
+      pool.keep(to);
+      end(AttemptOutcome.Kind.WITHHELD);
+      return;
+    }
     connection = to;
     to.attempt = this;
     to.decoder.expectNoBody(request.method().equals(HttpMethod.HEAD));
--- a/src/main/java/slateslip/dataplane/backend/BackendPools.java
+++ b/src/main/java/slateslip/dataplane/backend/BackendPools.java
@@ -145,7 +145,15 @@
     headers.set(HeaderNames.TARGET_INSTANCE, backendId);
     var request =
         new OutgoingRequest(
-            HttpMethod.GET, healthPath(pool), headers, NO_BODY, "", 0, PROBE_TIMEOUT_MICROS, 0);
+            HttpMethod.GET,
+            healthPath(pool),
+            headers,
+            NO_BODY,
+            "",
+            0,
+            PROBE_TIMEOUT_MICROS,
+            0,
+            () -> true);
     new BackendAttempt(this, pool, request, new ProbeListener(backendId, then)).start();
   }
 
--- a/src/main/java/slateslip/dataplane/backend/OutgoingRequest.java
+++ b/src/main/java/slateslip/dataplane/backend/OutgoingRequest.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import java.util.function.BooleanSupplier;
 
 /**
  * What an attempt sends.
@@ -15,6 +16,7 @@
  * @param deadlineMillis what is left when it is handed over; 0 leaves the header out
  * @param firstEventTimeoutMicros until the first event or whole answer; 0 for none
  * @param idleTimeoutMicros between events after the first; 0 for none
+ * @param permitted asked right before the first byte is written; nothing is sent if it says no
  */
 public record OutgoingRequest(
     HttpMethod method,
@@ -24,4 +26,5 @@
     String attemptId,
     long deadlineMillis,
     long firstEventTimeoutMicros,
-    long idleTimeoutMicros) {}
+    long idleTimeoutMicros,
+    BooleanSupplier permitted) {}
--- a/src/main/java/slateslip/dataplane/backend/ProbeListener.java
+++ b/src/main/java/slateslip/dataplane/backend/ProbeListener.java
@@ -46,7 +46,7 @@
       case ERROR_RESPONSE -> ProbeOutcome.UNHEALTHY;
       case NOT_EXECUTED -> ProbeOutcome.FULL;
       case OTHER_INSTANCE -> ProbeOutcome.OTHER_INSTANCE;
-      case TIMEOUT, CANCELLED -> ProbeOutcome.TIMEOUT;
+      case TIMEOUT, CANCELLED, WITHHELD -> ProbeOutcome.TIMEOUT;
       case NOT_SENT, BROKEN -> ProbeOutcome.UNREACHABLE;
     };
   }
--- a/src/main/java/slateslip/dataplane/forwarding/Forwarder.java
+++ b/src/main/java/slateslip/dataplane/forwarding/Forwarder.java
@@ -25,6 +25,7 @@
 import slateslip.distribution.BackendSession;
 import slateslip.distribution.QuotaAllocation;
 import slateslip.routing.AbortReason;
+import slateslip.routing.KeyLease;
 import slateslip.routing.RequestRouter;
 import slateslip.routing.RouterInput;
 import slateslip.routing.RouterOutput;
@@ -40,6 +41,8 @@
   private final BackendPools pools;
   private final DataPlaneMetrics metrics;
   private final RouterDriver driver;
+  private final LongSupplier microClock;
+  private final KeyLease keyLease;
   private final SplittableRandom random;
   private final Map<Long, ForwardedRequest> open = new HashMap<>();
   private final Map<ClientExchange, ForwardedRequest> byExchange = new HashMap<>();
@@ -52,7 +55,10 @@
       LongSupplier microClock,
       BackendPools pools,
       DataPlaneMetrics metrics,
-      long seed) {
+      long seed,
+      KeyLease keyLease) {
+    this.microClock = microClock;
+    this.keyLease = keyLease;
     this.pools = pools;
     this.metrics = metrics;
     this.random = new SplittableRandom(seed);
@@ -82,6 +88,12 @@
     driver.feed(new RouterInput.QuotaAllocationChanged(shares));
   }
 
+  /** Requests with keys may be sent until this time. */
+  public void keyLeaseExtended(long untilMicros) {
+    keyLease.extendTo(untilMicros);
+    driver.feed(new RouterInput.KeyLeaseExtended(untilMicros));
+  }
+
   /** The process is leaving. */
   public void startShutdown() {
     driver.feed(new RouterInput.ShutdownStarted());
@@ -184,8 +196,7 @@
     forwarded.history.began(send.backendId());
   }
 
-  private static OutgoingRequest outgoing(
-      ForwardedRequest forwarded, RouterOutput.SendAttempt send) {
+  private OutgoingRequest outgoing(ForwardedRequest forwarded, RouterOutput.SendAttempt send) {
     ClientRequest request = forwarded.request;
     HttpHeaders headers = new DefaultHttpHeaders().set(request.headers());
     headers.set(HeaderNames.ATTEMPT_ID, forwarded.attemptId);
@@ -209,7 +220,8 @@
         forwarded.attemptId,
         send.deadlineMillis(),
         send.firstEventTimeoutMicros(),
-        send.idleTimeoutMicros());
+        send.idleTimeoutMicros(),
+        () -> send.tenant() == null || keyLease.isHeld(microClock.getAsLong()));
   }
 
   private void respond(RouterOutput.Respond response) {
--- a/src/main/java/slateslip/dataplane/subscription/Subscription.java
+++ b/src/main/java/slateslip/dataplane/subscription/Subscription.java
@@ -44,7 +44,11 @@
   /** Control agents close a stream on which nothing comes for three seconds. */
   private static final long PING_INTERVAL_MILLIS = 1_000;
 
+  /** A lease is renewed so many times in its time at least, and once in a ping's interval. */
+  private static final long RENEWALS_PER_LEASE = 8;
+
   private final DataPlaneIdentity identity;
+  private final long leaseMillis;
   private final ControlStreams streams;
   private final BackendDirectory sessions = new BackendDirectory();
   private List<SubscriptionOutput> outputs = new ArrayList<>();
@@ -56,9 +60,20 @@
   private long lastDemandMillis;
   private long lastPingMillis;
 
-  /** A subscription that knows nothing yet. */
+  /** A subscription that knows nothing yet, of a data plane that needs no lease. */
   public Subscription(DataPlaneIdentity identity, List<String> seeds) {
+    this(identity, seeds, 0);
+  }
+
+  /**
+   * A subscription that knows nothing yet.
+   *
+   * @param leaseMillis how long keys may be served after the newest configuration was known for
+   *     sure; 0 if that needs no lease
+   */
+  public Subscription(DataPlaneIdentity identity, List<String> seeds, long leaseMillis) {
     this.identity = identity;
+    this.leaseMillis = leaseMillis;
     this.streams = new ControlStreams(identity, seeds);
   }
 
@@ -216,19 +231,47 @@
     }
   }
 
-  /** Shows on the streams that carry nothing else that this data plane is alive. */
+  /**
+   * Shows on the streams that carry nothing else that this data plane is alive. Where keys are
+   * leased, all agents are asked: a pong is the agent's word that it knows the newest version.
+   */
   private void pingOthers(long now) {
-    if (now - lastPingMillis < PING_INTERVAL_MILLIS) {
+    if (now - lastPingMillis < pingIntervalMillis()) {
       return;
     }
     lastPingMillis = now;
     for (ControlStream stream : streams.all()) {
-      if (stream.isOpen() && stream != active) {
+      if (stream.isOpen() && (stream != active || needsLease())) {
         send(stream, new DataPlaneMessage.Ping(now));
       }
     }
   }
 
+  private long pingIntervalMillis() {
+    return needsLease()
+        ? Math.min(PING_INTERVAL_MILLIS, leaseMillis / RENEWALS_PER_LEASE)
+        : PING_INTERVAL_MILLIS;
+  }
+
+  /** Without keys there is nothing to lease. */
+  private boolean needsLease() {
+    return leaseMillis > 0 && document != null && document.hasTenants();
+  }
+
+  /**
+   * The heartbeat before this pong names a version that is at least as new as every one that was
+   * acknowledged before the ping was sent. If it is the one in force here, whatever is newer was
+   * acknowledged after that time, from which the lease therefore counts. An agent that is behind
+   * may not know of any key yet, and has then confirmed nothing.
+   */
+  private void leaseConfirmed(ControlStream stream, ControlPlaneMessage.Pong pong) {
+    boolean newestInForce =
+        stream.heartbeat != null && stream.configurationVersion() == configurationVersion();
+    if (needsLease() && newestInForce) {
+      outputs.add(new SubscriptionOutput.ExtendKeyLease(pong.nonce() + leaseMillis));
+    }
+  }
+
   // ---- messages ----
 
   private void received(long now, SubscriptionInput.Received received) {
@@ -246,6 +289,8 @@
       applyUpdate(stream, snapshot);
     } else if (message instanceof ControlPlaneMessage.ConfigurationPatch patch) {
       applyUpdate(stream, patch);
+    } else if (message instanceof ControlPlaneMessage.Pong pong) {
+      leaseConfirmed(stream, pong);
     } else if (stream == active) {
       activeStreamMessage(now, stream, message);
     }
--- a/src/main/java/slateslip/dataplane/subscription/SubscriptionOutput.java
+++ b/src/main/java/slateslip/dataplane/subscription/SubscriptionOutput.java
@@ -26,6 +26,9 @@
   /** This data plane's share of the fleet-wide limits. */
   record Share(QuotaAllocation shares) implements SubscriptionOutput {}
 
+  /** Requests with keys may be sent until this time of the steady clock. */
+  record ExtendKeyLease(long untilMillis) implements SubscriptionOutput {}
+
   /** A line for the log. */
   record Report(String line) implements SubscriptionOutput {}
 }
--- a/src/main/java/slateslip/experiment/policy/PolicyRouter.java
+++ b/src/main/java/slateslip/experiment/policy/PolicyRouter.java
@@ -230,7 +230,7 @@
         outputs.add(new RouterOutput.RelayError(request.id, ended.attempt()));
         open.remove(request.id);
       }
-      case NOT_SENT, OTHER_INSTANCE, NOT_EXECUTED -> send(nowMicros, request);
+      case NOT_SENT, WITHHELD, OTHER_INSTANCE, NOT_EXECUTED -> send(nowMicros, request);
       case BROKEN, TIMEOUT, CANCELLED -> {
         if (request.repeatable()) {
           send(nowMicros, request);
--- a/src/main/java/slateslip/routing/Admission.java
+++ b/src/main/java/slateslip/routing/Admission.java
@@ -25,9 +25,11 @@
   }
 
   private final TenantQuotas quotas;
+  private final KeyLease keyLease;
 
-  Admission(TenantQuotas quotas) {
+  Admission(TenantQuotas quotas, KeyLease keyLease) {
     this.quotas = quotas;
+    this.keyLease = keyLease;
   }
 
   /** Judges a request by a configuration; null if there is none yet. */
@@ -40,8 +42,12 @@
     if (route.isEmpty()) {
       return refused(arrived, 404, 0);
     }
+    boolean needsKey = table.needsKeys() && !route.get().isPublic();
+    if (needsKey && !keyLease.isHeld(nowMicros)) {
+      return refused(arrived, 503, FleetRouter.RETRY_UNKNOWN_MICROS);
+    }
     Tenant tenant = tenant(table, attributes);
-    if (tenant == null && table.needsKeys() && !route.get().isPublic()) {
+    if (tenant == null && needsKey) {
       return refused(arrived, 401, 0);
     }
     long units = 0;
--- a/src/main/java/slateslip/routing/Dispatcher.java
+++ b/src/main/java/slateslip/routing/Dispatcher.java
@@ -32,6 +32,7 @@
 
   private final BackendTable backends;
   private final TenantQuotas quotas;
+  private final KeyLease keyLease;
   private final RetryBounds retryBounds;
   private final Map<String, RetryBudget> budgets = new HashMap<>();
   private final SplittableRandom random;
@@ -43,9 +44,11 @@
       RouterSettings settings,
       BackendTable backends,
       TenantQuotas quotas,
+      KeyLease keyLease,
       Consumer<RouterOutput> outputs) {
     this.backends = backends;
     this.quotas = quotas;
+    this.keyLease = keyLease;
     this.retryBounds = settings.retries();
     this.random = new SplittableRandom(settings.seed());
     this.policy = settings.policy();
@@ -69,7 +72,7 @@
     if (!request.attemptsLeft() || (retry && !policy.uses(Mechanism.RETRIES))) {
       return Optional.of(AbortReason.ATTEMPTS_EXHAUSTED);
     }
-    if (!followConfiguration(table, request)) {
+    if (!followConfiguration(nowMicros, table, request)) {
       return Optional.of(AbortReason.NOT_ALLOWED);
     }
     Service service = table.service(request.service).orElseThrow();
@@ -161,11 +164,14 @@
    * A request that is sent again goes by the configuration in force now; false if it may not any
    * more.
    */
-  private boolean followConfiguration(RoutingTable table, PendingRequest request) {
+  private boolean followConfiguration(long nowMicros, RoutingTable table, PendingRequest request) {
     Optional<Route> route = table.route(request.attributes.host(), request.attributes.path());
     if (route.isEmpty() || !Admission.stillAllowed(table, route.get(), request)) {
       return false;
     }
+    if (!route.get().isPublic() && table.needsKeys() && !keyLease.isHeld(nowMicros)) {
+      return false;
+    }
     request.route = route.get();
     boolean targeted =
         request.route.targets().stream()
--- a/src/main/java/slateslip/routing/FleetRouter.java
+++ b/src/main/java/slateslip/routing/FleetRouter.java
@@ -9,7 +9,7 @@
 import java.util.PriorityQueue;
 import slateslip.configuration.RoutingTable;
 import slateslip.distribution.TenantDemand;
-import slateslip.routing.RouterInput.AttemptOutcome;
+import slateslip.routing.RouterInput.AttemptOutcome.Kind;
 import slateslip.routing.health.BackendHealthMonitor;
 import slateslip.routing.placement.Backend;
 import slateslip.routing.policy.Mechanism;
@@ -39,6 +39,7 @@
 
   private final RouterSettings settings;
   private final BackendTable backends;
+  private final KeyLease keyLease;
   private final Map<Long, PendingRequest> open = new HashMap<>();
   private final PriorityQueue<PendingRequest> byEnd =
       new PriorityQueue<>(Comparator.comparingLong(request -> request.endMicros));
@@ -53,6 +54,7 @@
   public FleetRouter(RouterSettings settings) {
     this.settings = settings;
     this.backends = new BackendTable(settings.policy());
+    this.keyLease = settings.leasedKeys() ? KeyLease.required() : KeyLease.notRequired();
   }
 
   /**
@@ -99,8 +101,9 @@
 
   private void begin(long nowMicros) {
     quotas = new TenantQuotas(settings.quotas(), nowMicros);
-    admission = new Admission(quotas);
-    dispatcher = new Dispatcher(settings, backends, quotas, output -> outputs.add(output));
+    admission = new Admission(quotas, keyLease);
+    dispatcher =
+        new Dispatcher(settings, backends, quotas, keyLease, output -> outputs.add(output));
   }
 
   private void take(long now, RouterInput input) {
@@ -112,6 +115,8 @@
       schedule.checkAt(backends.nextCheckMicros(quotas.agents()));
     } else if (input instanceof RouterInput.QuotaAllocationChanged changed) {
       quotas.shares(changed.allocation(), now);
+    } else if (input instanceof RouterInput.KeyLeaseExtended extended) {
+      keyLease.extendTo(extended.untilMicros());
     } else if (input instanceof RouterInput.RequestArrived arrived) {
       arrived(now, arrived);
     } else if (input instanceof RouterInput.ClientGone gone) {
@@ -206,10 +211,8 @@
    * may still go on. Silence alone never ends a response.
    */
   private void takeUpElsewhere(long now, PendingRequest request) {
-    if (!settings.policy().uses(Mechanism.STREAM_TAKEOVER)) {
-      return;
-    }
-    if (request.activeAttempts() == 1 && dispatcher.hasBetter(now, request)) {
+    boolean takesOver = settings.policy().uses(Mechanism.STREAM_TAKEOVER);
+    if (takesOver && request.activeAttempts() == 1 && dispatcher.hasBetter(now, request)) {
       request.reachedBackend = true;
       dispatcher.send(now, table, request);
       schedule.checkAt(now);
@@ -224,11 +227,11 @@
     Attempt attempt = request.attempts.get(ended.attempt());
     attempt.end(now);
     learn(now, attempt, ended);
-    AttemptOutcome.Kind kind = ended.outcome().kind();
+    Kind kind = ended.outcome().kind();
     request.mayHaveRun |= ended.outcome().mayHaveRun();
-    request.reachedBackend |= kind != AttemptOutcome.Kind.NOT_SENT;
+    request.reachedBackend |= kind != Kind.NOT_SENT && kind != Kind.WITHHELD;
     request.lastEventId = Math.max(request.lastEventId, ended.lastEventId());
-    if (kind == AttemptOutcome.Kind.NOT_SENT || kind == AttemptOutcome.Kind.OTHER_INSTANCE) {
+    if (kind.isUncounted()) {
       request.countedAttempts--;
     }
     if (!request.responded) {
@@ -238,8 +241,8 @@
   }
 
   private void decide(long now, PendingRequest request, RouterInput.AttemptEnded ended) {
-    AttemptOutcome.Kind kind = ended.outcome().kind();
-    if (kind != AttemptOutcome.Kind.SUCCESS && request.hasAttemptInFlight()) {
+    Kind kind = ended.outcome().kind();
+    if (kind != Kind.SUCCESS && request.hasAttemptInFlight()) {
       return; // another attempt may still serve it
     }
     switch (kind) {
@@ -255,7 +258,7 @@
           finish(request);
         }
       }
-      case NOT_SENT, NOT_EXECUTED, OTHER_INSTANCE -> {
+      case NOT_SENT, WITHHELD, NOT_EXECUTED, OTHER_INSTANCE -> {
         // An earlier attempt may have run, but then the request is repeatable.
         send(now, request);
       }
@@ -280,6 +283,7 @@
       case SUCCESS, ERROR_RESPONSE -> healthMonitor.requestSucceeded(now);
       case NOT_EXECUTED -> healthMonitor.activity(now);
       case OTHER_INSTANCE -> backend.replaced();
+      case WITHHELD -> {} // says nothing of the backend
       case NOT_SENT -> healthMonitor.connectFailed(now, backends.peers(backend));
       case BROKEN -> healthMonitor.requestBroken(now, backends.peers(backend));
       case TIMEOUT -> healthMonitor.timedOut(now, attempt.sentMicros(), backends.peers(backend));
--- a/src/main/java/slateslip/routing/RouterInput.java
+++ b/src/main/java/slateslip/routing/RouterInput.java
@@ -16,6 +16,9 @@
   /** This data plane's share of the fleet-wide limits. */
   record QuotaAllocationChanged(QuotaAllocation allocation) implements RouterInput {}
 
+  /** Requests with keys may be sent until this time, in microseconds. */
+  record KeyLeaseExtended(long untilMicros) implements RouterInput {}
+
   /**
    * A complete request has been read from a client.
    *
@@ -97,6 +100,8 @@
       NOT_EXECUTED,
       /** Status 421: another instance has the address; it did not run. */
       OTHER_INSTANCE,
+      /** Nothing was sent: the key lease had run out by then. */
+      WITHHELD,
       /** No byte of the request can have reached the backend. */
       NOT_SENT,
       /** The connection broke, or the response was no valid answer, after bytes had been sent. */
@@ -104,13 +109,18 @@
       /** No response in the time given, after bytes had been sent. */
       TIMEOUT,
       /** Ended by {@link RouterOutput.CancelAttempt}. */
-      CANCELLED
+      CANCELLED;
+
+      /** Whether it does not count among the backends that a request may be sent to. */
+      public boolean isUncounted() {
+        return this == NOT_SENT || this == WITHHELD || this == OTHER_INSTANCE;
+      }
     }
 
     /** Whether the request may have run at the backend. */
     public boolean mayHaveRun() {
       return switch (kind) {
-        case NOT_EXECUTED, OTHER_INSTANCE, NOT_SENT -> false;
+        case NOT_EXECUTED, OTHER_INSTANCE, NOT_SENT, WITHHELD -> false;
         case SUCCESS, ERROR_RESPONSE, BROKEN, TIMEOUT, CANCELLED -> true;
       };
     }
--- a/src/main/java/slateslip/routing/placement/PrefillEstimator.java
+++ b/src/main/java/slateslip/routing/placement/PrefillEstimator.java
@@ -40,7 +40,7 @@
     double expectedMillis = baseMillis + readMillis;
     boolean longer = (double) tookMicros > 1_000 * expectedMillis;
     double direction = longer ? QUANTILE : QUANTILE - 1;
-    double step = Math.max(SMALLEST_STEP, FIRST_STEP / Math.sqrt(samples)) * direction;
+    double step = Math.max(SMALLEST_STEP, FIRST_STEP / Math.sqrt((double) samples)) * direction;
     double readShare = readMillis / expectedMillis;
     millisPerToken =
         bounded(millisPerToken * Math.exp(step * readShare), 1 / INITIAL_TOKENS_PER_MILLI);
--- a/src/main/java/slateslip/settings/Bounds.java
+++ b/src/main/java/slateslip/settings/Bounds.java
@@ -15,7 +15,7 @@
  * @param configurationApplyMillis after this time an acknowledged configuration is in force
  * @param rollbackSlackMillis tolerance of the check that a machine never goes back
  * @param maxSkewMillis added to {@code configurationApplyMillis} while the core is unstable
- * @param closed whether data planes refuse requests without contact to the core
+ * @param closed whether data planes serve keys only by a lease on the newest configuration
  * @param revokeTimeoutMillis after this time a key that was taken away is refused
  * @param retryBudgetRatio repeats allowed, as a share of requests
  * @param retryWindowMillis window of the retry budget
--- a/src/test/java/slateslip/dataplane/BackendsTest.java
+++ b/src/test/java/slateslip/dataplane/BackendsTest.java
@@ -96,6 +96,18 @@
     awaitEnds(NOT_SENT, SUCCESS);
   }
 
+  @Test
+  void nothingIsWrittenForAKeyWithoutALease() throws IOException {
+    fixture.router.repeatable = false;
+    fixture.router.tenant = "t";
+    ScriptedPeer backend = good();
+    fixture.call("a1");
+    awaitEnds(AttemptOutcome.Kind.WITHHELD);
+    assertThat(backend.requests.size(), is(0));
+    fixture.keyLease.extendTo(Long.MAX_VALUE);
+    assertThat(fixture.call("a2").body(), is("good"));
+  }
+
   @Test
   void tellsWhatABackendDidNotRun() throws IOException {
     fixture.router.repeatable = false;
--- a/src/test/java/slateslip/dataplane/DataPlaneFixture.java
+++ b/src/test/java/slateslip/dataplane/DataPlaneFixture.java
@@ -24,6 +24,7 @@
 import slateslip.distribution.BackendSession;
 import slateslip.loadbalancer.net.InspectableSocketChannel;
 import slateslip.loadbalancer.net.ScriptedPeer;
+import slateslip.routing.KeyLease;
 import slateslip.routing.RequestRouter;
 
 /** The path of requests on loopback ports, between scripted clients and scripted backends. */
@@ -38,6 +39,7 @@
   final EventLoop loop = group.next();
   final BackendPools pools =
       new BackendPools(loop, CONNECTIONS, metrics, InspectableSocketChannel::new);
+  final KeyLease keyLease = KeyLease.required();
   final Forwarder forwarder;
   final ClientIngress ingress;
   final List<ScriptedPeer> backends = new ArrayList<>();
@@ -51,7 +53,8 @@
   /** With a router of the test's own. */
   DataPlaneFixture(RequestRouter other) throws IOException {
     RequestRouter decides = other == null ? router : other;
-    forwarder = new Forwarder(loop, decides, () -> System.nanoTime() / 1_000, pools, metrics, 1);
+    forwarder =
+        new Forwarder(loop, decides, () -> System.nanoTime() / 1_000, pools, metrics, 1, keyLease);
     InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
     ingress = new ClientIngress(loop, any, CONNECTIONS, forwarder);
   }
--- a/src/test/java/slateslip/dataplane/PlainRouter.java
+++ b/src/test/java/slateslip/dataplane/PlainRouter.java
@@ -79,7 +79,8 @@
     return switch (outcome.kind()) {
       case SUCCESS, CANCELLED -> List.of();
       case ERROR_RESPONSE -> List.of(new RouterOutput.RelayError(ended.request(), ended.attempt()));
-      case NOT_EXECUTED, OTHER_INSTANCE, NOT_SENT -> next(ended.request(), RouterOutput.AS_SENT);
+      case NOT_EXECUTED, OTHER_INSTANCE, NOT_SENT, WITHHELD ->
+          next(ended.request(), RouterOutput.AS_SENT);
       case BROKEN, TIMEOUT ->
           repeatable ? next(ended.request(), ended.lastEventId()) : giveUp(ended.request());
     };
--- /dev/null
+++ b/src/test/java/slateslip/routing/KeyLeaseTest.java
@@ -0,0 +1,132 @@
+package slateslip.routing;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import slateslip.routing.RouterInput.AttemptOutcome;
+import slateslip.routing.RouterInput.AttemptOutcome.Kind;
+import slateslip.routing.policy.RoutingPolicy;
+import slateslip.routing.quota.QuotaBounds;
+import slateslip.routing.retry.RetryBounds;
+
+/** Requests with keys are sent only while a lease holds, where one is required. */
+class KeyLeaseTest {
+  private static final long SECOND = 1_000_000;
+
+  private final List<RouterOutput> outputs = new ArrayList<>();
+  private FleetRouter router;
+  private long requests;
+
+  private void start(boolean leasedKeys) {
+    router =
+        new FleetRouter(
+            new RouterSettings(
+                "z0",
+                1,
+                RetryBounds.DEFAULT,
+                QuotaBounds.DEFAULT,
+                RoutingPolicy.DEFAULT,
+                leasedKeys));
+    router.handle(0, new RouterInput.TableChanged(Fixtures.table()));
+    router.handle(
+        0,
+        new RouterInput.BackendsChanged(
+            List.of(
+                Fixtures.backend("m1", Fixtures.LOG_SERVICE, "z0"),
+                Fixtures.backend("m2", Fixtures.LOG_SERVICE, "z0"))));
+  }
+
+  private void extendTo(long micros) {
+    router.handle(0, new RouterInput.KeyLeaseExtended(micros));
+  }
+
+  private long request(long now) {
+    outputs.clear();
+    outputs.addAll(
+        router.handle(
+            now, new RouterInput.RequestArrived(++requests, Fixtures.attributes("/i/x"))));
+    return requests;
+  }
+
+  private void ended(long now, long request, Kind kind) {
+    outputs.clear();
+    outputs.addAll(
+        router.handle(
+            now, new RouterInput.AttemptEnded(request, 0, new AttemptOutcome(kind, 0), null, -1)));
+  }
+
+  private <T> List<T> all(Class<T> kind) {
+    return outputs.stream().filter(kind::isInstance).map(kind::cast).toList();
+  }
+
+  private void assertRefusedWithPromise() {
+    assertThat(all(RouterOutput.SendAttempt.class), is(empty()));
+    assertThat(all(RouterOutput.Respond.class).get(0).status(), is(503));
+  }
+
+  @Test
+  void noLeaseIsNeededWhereTheFleetIsNotClosed() {
+    start(false);
+    request(SECOND);
+    assertThat(all(RouterOutput.SendAttempt.class), hasSize(1));
+  }
+
+  @Test
+  void nothingIsSentBeforeTheFirstLease() {
+    start(true);
+    request(SECOND);
+    assertRefusedWithPromise();
+  }
+
+  @Test
+  void requestsAreSentUntilTheLeaseEnds() {
+    start(true);
+    extendTo(5 * SECOND);
+    request(5 * SECOND - 1);
+    assertThat(all(RouterOutput.SendAttempt.class), hasSize(1));
+    request(5 * SECOND);
+    assertRefusedWithPromise();
+  }
+
+  @Test
+  void nothingIsSentAgainAfterTheLease() {
+    start(true);
+    extendTo(2 * SECOND);
+    long sent = request(SECOND);
+    ended(3 * SECOND, sent, Kind.NOT_EXECUTED);
+    assertRefusedWithPromise();
+  }
+
+  @Test
+  void whatWasWithheldIsRefusedWithPromise() {
+    start(true);
+    extendTo(2 * SECOND);
+    long sent = request(SECOND);
+    ended(3 * SECOND, sent, Kind.WITHHELD);
+    assertRefusedWithPromise();
+  }
+
+  @Test
+  void whatWasWithheldIsSentOnceTheLeaseIsRenewed() {
+    start(true);
+    extendTo(2 * SECOND);
+    long sent = request(SECOND);
+    extendTo(9 * SECOND);
+    ended(3 * SECOND, sent, Kind.WITHHELD);
+    assertThat(all(RouterOutput.SendAttempt.class), hasSize(1));
+  }
+
+  @Test
+  void anEarlierTimeDoesNotShortenTheLease() {
+    start(true);
+    extendTo(5 * SECOND);
+    extendTo(3 * SECOND);
+    request(4 * SECOND);
+    assertThat(all(RouterOutput.SendAttempt.class), hasSize(1));
+  }
+}
--- a/src/test/java/slateslip/simulation/agents/AgentMutation.java
+++ b/src/test/java/slateslip/simulation/agents/AgentMutation.java
@@ -55,7 +55,13 @@
   /** Every node counts as one that has all records. */
   COUNTS_EMPTY_COPIES,
   /** A missing suffix is sent from one record too far. */
-  SKIPS_A_RECORD;
+  SKIPS_A_RECORD,
+  /** A data plane's question for the newest version is answered without asking the primary. */
+  LEASES_UNCONFIRMED,
+  /** Any heartbeat extends a data plane's lease. */
+  LEASES_BY_HEARTBEAT,
+  /** A lease does not end. */
+  LEASES_FOR_EVER;
 
   // ---- disks ----
 
@@ -120,6 +126,18 @@
     return this == KEEPS_DEAD_STREAMS;
   }
 
+  boolean leasesUnconfirmed() {
+    return this == LEASES_UNCONFIRMED;
+  }
+
+  boolean leasesByHeartbeat() {
+    return this == LEASES_BY_HEARTBEAT;
+  }
+
+  boolean leasesForEver() {
+    return this == LEASES_FOR_EVER;
+  }
+
   // ---- messages ----
 
   /** What becomes of a message to a data plane, or of a greeting. */
--- a/src/test/java/slateslip/simulation/agents/AgentMutationTest.java
+++ b/src/test/java/slateslip/simulation/agents/AgentMutationTest.java
@@ -9,12 +9,17 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import slateslip.simulation.agents.AgentFault.Kind;
 
-/** Each fault put into the control side breaks a rule in some schedule of the usual kinds. */
+/**
+ * Each fault put into the control side breaks a rule in some schedule of the usual kinds; those of
+ * the key lease are caught in {@link KeyLeaseTest}.
+ */
 final class AgentMutationTest {
   private static final long SEEDS = 300;
 
   @ParameterizedTest
-  @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "NONE")
+  @EnumSource(
+      mode = EnumSource.Mode.MATCH_NONE,
+      names = {"NONE", "LEASES_.*"})
   void isCaught(AgentMutation mutation) {
     AgentScheduleRunner runner = new AgentScheduleRunner(mutation, kinds(mutation));
     Optional<String> caught = Optional.empty();
--- a/src/test/java/slateslip/simulation/agents/ConfigurationChange.java
+++ b/src/test/java/slateslip/simulation/agents/ConfigurationChange.java
@@ -20,11 +20,14 @@
     long base, long version, String marker, boolean valid, OperatorRequest call) {
   private static final String SERVICE = "pool";
 
+  /** Where there are keys, data planes need a lease to serve them. */
+  private static final String TENANT = "{\"name\":\"t\",\"api_keys\":[\"k\"]}";
+
   /** A complete configuration. */
   static ConfigurationChange complete(long base, long version, String marker) {
     String body =
-        "{\"version\":%d,\"routes\":[%s],\"services\":[%s]}"
-            .formatted(version, route("first", "/first/"), service(marker));
+        "{\"version\":%d,\"routes\":[%s],\"services\":[%s],\"tenants\":[%s]}"
+            .formatted(version, route("first", "/first/"), service(marker), TENANT);
     return change(OperatorRequest.Method.PUT, base, version, marker, true, body);
   }
 
@@ -43,8 +46,8 @@
       routes.append(',').append(route("n" + number, "/n" + number + "/"));
     }
     String body =
-        "{\"version\":%d,\"routes\":[%s],\"services\":[%s]}"
-            .formatted(version, routes, service(marker));
+        "{\"version\":%d,\"routes\":[%s],\"services\":[%s],\"tenants\":[%s]}"
+            .formatted(version, routes, service(marker), TENANT);
     return change(OperatorRequest.Method.PUT, base, version, marker, true, body);
   }
 
--- a/src/test/java/slateslip/simulation/agents/ConnectivityRules.java
+++ b/src/test/java/slateslip/simulation/agents/ConnectivityRules.java
@@ -32,6 +32,24 @@
     troubledAt = Math.max(troubledAt, micros);
   }
 
+  /**
+   * A data plane that may send requests with keys, in touch or not, has every configuration that
+   * was acknowledged so long ago that a key which it took away must not be served any more.
+   */
+  private void checkKeyLease(DataPlaneMachine dataPlane) {
+    if (!dataPlane.isWell() || !dataPlane.hasRightClock() || !dataPlane.holdsKeyLease()) {
+      return;
+    }
+    long oldest = now() - DataPlaneMachine.REVOKE_TIMEOUT_MICROS;
+    for (Map.Entry<Long, Long> acknowledged : world.history().acknowledgements().entrySet()) {
+      if (acknowledged.getKey() > dataPlane.version() && acknowledged.getValue() <= oldest) {
+        throw new RuleViolation(
+            "%s serves keys at %d, %d was acknowledged at %d"
+                .formatted(dataPlane, now(), acknowledged.getKey(), acknowledged.getValue()));
+      }
+    }
+  }
+
   /** Longest time seen between an acknowledgement and the last data plane in touch. */
   long slowestApply() {
     return slowestApply;
@@ -83,6 +101,7 @@
     if (world.losses().lost().size() > world.shape().tolerance()) {
       troubled(now());
     }
+    world.dataPlanes().forEach(this::checkKeyLease);
     for (DataPlaneMachine dataPlane : world.dataPlanes()) {
       long calmSince = Math.max(troubledAt, dataPlane.troubledUntil());
       if (now() >= calmSince + CONTACT && dataPlane.isWell() && reachesCore(dataPlane)) {
--- a/src/test/java/slateslip/simulation/agents/ControlMachine.java
+++ b/src/test/java/slateslip/simulation/agents/ControlMachine.java
@@ -27,6 +27,8 @@
 
 /** One core machine: its disk, and a whole control agent while its process runs. */
 final class ControlMachine extends SimulatedMachine {
+  private static final boolean LEASED_KEYS = true;
+
   private static final RingOptions RING = new RingOptions(3, 0);
 
   private final EventQueue events;
@@ -69,7 +71,8 @@
     AgentIdentity identity = new AgentIdentity(address(), mutation.incarnation(random.nextLong()));
     hello = new ControlPeerCodec().encode(identity.hello());
     AgentSettings settings =
-        new AgentSettings(address(), address(), seeds, bootstrap, tolerance, heartbeatMillis);
+        new AgentSettings(
+            address(), address(), seeds, bootstrap, tolerance, heartbeatMillis, LEASED_KEYS);
     agent =
         new ControlAgent(
             process,
@@ -109,7 +112,8 @@
   void seedsChanged(List<String> seeds, int tolerance, long heartbeatMillis) {
     if (isRunning()) {
       AgentSettings settings =
-          new AgentSettings(address(), address(), seeds, false, tolerance, heartbeatMillis);
+          new AgentSettings(
+              address(), address(), seeds, false, tolerance, heartbeatMillis, LEASED_KEYS);
       process().execute(this, () -> agent.settingsChanged(settings));
     }
   }
--- a/src/test/java/slateslip/simulation/agents/DataPlaneMachine.java
+++ b/src/test/java/slateslip/simulation/agents/DataPlaneMachine.java
@@ -14,6 +14,7 @@
 import slateslip.dataplane.subscription.SubscriptionOutput;
 import slateslip.distribution.BackendSession;
 import slateslip.distribution.ControlPlaneMessage;
+import slateslip.distribution.DataPlaneMessage;
 import slateslip.protocol.Decoded;
 import slateslip.protocol.distribution.DistributionCodec;
 import slateslip.simulation.EventQueue;
@@ -24,6 +25,11 @@
   private static final long CONNECT_MICROS = 1_000_000;
   private static final long MICROS_PER_MILLI = 1_000;
 
+  /** A key that was taken away is refused this long after the acknowledgement. */
+  static final long REVOKE_TIMEOUT_MICROS = 2_000_000;
+
+  private static final long LEASE_MILLIS = 1_800;
+
   private final EventQueue events;
   private final SplittableRandom random;
   private final SimulatedNetwork network;
@@ -39,6 +45,7 @@
   private Map<String, BackendSession> backends = new TreeMap<>();
   private boolean listed;
   private long reportedAt;
+  private long leaseUntilMillis;
 
   DataPlaneMachine(
       String address,
@@ -70,7 +77,10 @@
     listed = false;
     subscription =
         new Subscription(
-            new DataPlaneIdentity(address(), random.nextLong(), "z", address()), seeds);
+            new DataPlaneIdentity(address(), random.nextLong(), "z", address()),
+            seeds,
+            LEASE_MILLIS);
+    leaseUntilMillis = 0;
     newestHeartbeats = new HashMap<>();
     process.scheduleAtFixedRate(TICK_MICROS, this::tick);
   }
@@ -95,6 +105,16 @@
     return reportedAt;
   }
 
+  /** Whether it may send requests with keys now. */
+  boolean holdsKeyLease() {
+    return process().nowMicros() < leaseUntilMillis * MICROS_PER_MILLI
+        || (leaseUntilMillis > 0 && mutation.leasesForEver());
+  }
+
+  boolean hasRightClock() {
+    return clockRate == 1;
+  }
+
   /** Whether it has been told of backends at all. */
   boolean hasList() {
     return listed;
@@ -151,9 +171,16 @@
       if (socket != null) {
         socket.send(codec.encode(send.message()));
       }
+      if (mutation.leasesUnconfirmed() && send.message() instanceof DataPlaneMessage.Ping ping) {
+        feed(
+            new SubscriptionInput.Received(
+                send.agent(), new ControlPlaneMessage.Pong(ping.nonce())));
+      }
     } else if (output instanceof SubscriptionOutput.Configure configure) {
       history.inForce(this, configuration, configure.configuration());
       configuration = configure.configuration();
+    } else if (output instanceof SubscriptionOutput.ExtendKeyLease lease) {
+      leaseUntilMillis = Math.max(leaseUntilMillis, lease.untilMillis());
     } else if (output instanceof SubscriptionOutput.Report) {
       reportedAt = events.nowMicros();
     } else if (output instanceof SubscriptionOutput.ListBackends list) {
@@ -227,6 +254,9 @@
           && decoded instanceof Decoded.Message<ControlPlaneMessage> known) {
         if (known.value() instanceof ControlPlaneMessage.Heartbeat heartbeat) {
           newestHeartbeats.put(agent, heartbeat);
+          if (mutation.leasesByHeartbeat()) {
+            leaseUntilMillis = process().nowMicros() / MICROS_PER_MILLI + LEASE_MILLIS;
+          }
         }
         feed(new SubscriptionInput.Received(agent, known.value()));
       }
--- a/src/test/java/slateslip/simulation/agents/DirectedRun.java
+++ b/src/test/java/slateslip/simulation/agents/DirectedRun.java
@@ -22,7 +22,12 @@
    * @param operators that read and change the configuration all along
    */
   DirectedRun(AgentWorld.Shape shape, long seed, int operators) {
-    world = new AgentWorld(shape, seed, AgentMutation.NONE);
+    this(shape, seed, operators, AgentMutation.NONE);
+  }
+
+  /** The same with a fault put into the control side. */
+  DirectedRun(AgentWorld.Shape shape, long seed, int operators, AgentMutation mutation) {
+    world = new AgentWorld(shape, seed, mutation);
     world.begin(operators);
     world.runUntil(START);
   }
