--- a/src/test/java/slateslip/dataplane/BackendsTest.java
+++ b/src/test/java/slateslip/dataplane/BackendsTest.java
@@ -21,6 +21,7 @@
 import slateslip.dataplane.DataPlaneFixture.ClientResponse;
 import slateslip.dataplane.backend.ProbeResult;
 import slateslip.loadbalancer.net.ScriptedPeer;
+import slateslip.routing.KeyLease;
 import slateslip.routing.RouterInput;
 import slateslip.routing.RouterInput.AttemptOutcome;
 import slateslip.routing.RouterInput.BackendLoad;
@@ -98,6 +99,8 @@
 
   @Test
   void nothingIsWrittenForAKeyWithoutALease() throws IOException {
+    fixture.close();
+    fixture = new DataPlaneFixture(null, KeyLease.required());
     fixture.router.repeatable = false;
     fixture.router.tenant = "t";
     ScriptedPeer backend = good();
--- a/src/test/java/slateslip/dataplane/DataPlaneFixture.java
+++ b/src/test/java/slateslip/dataplane/DataPlaneFixture.java
@@ -39,7 +39,7 @@
   final EventLoop loop = group.next();
   final BackendPools pools =
       new BackendPools(loop, CONNECTIONS, metrics, InspectableSocketChannel::new);
-  final KeyLease keyLease = KeyLease.required();
+  final KeyLease keyLease;
   final Forwarder forwarder;
   final ClientIngress ingress;
   final List<ScriptedPeer> backends = new ArrayList<>();
@@ -52,6 +52,12 @@
 
   /** With a router of the test's own. */
   DataPlaneFixture(RequestRouter other) throws IOException {
+    this(other, KeyLease.notRequired());
+  }
+
+  /** With a router of the test's own, and a lease for requests with keys. */
+  DataPlaneFixture(RequestRouter other, KeyLease keyLease) throws IOException {
+    this.keyLease = keyLease;
     RequestRouter decides = other == null ? router : other;
     forwarder =
         new Forwarder(loop, decides, () -> System.nanoTime() / 1_000, pools, metrics, 1, keyLease);
