Data plane: periodic work, control agents and running streams share turns of the event loop

Demand without tenants goes twice a second, an allocation without tenants once. Ruled out before: a pause of 10 ms before each select.

--- a/src/main/java/slateslip/controlplane/ControlPlane.java
+++ b/src/main/java/slateslip/controlplane/ControlPlane.java
@@ -3,7 +3,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.ThreadLocalRandom;
@@ -13,6 +12,9 @@
 import slateslip.controlplane.agent.AgentSettings;
 import slateslip.controlplane.agent.ControlAgent;
 import slateslip.controlplane.agent.PeerConnector;
+import slateslip.eventloop.CountingIoHandler;
+import slateslip.eventloop.ProcessorTime;
+import slateslip.eventloop.WakeUpCounter;
 import slateslip.protocol.peer.ControlPeerCodec;
 import slateslip.settings.NodeSettings;
 import slateslip.storage.RingOptions;
@@ -25,8 +27,9 @@
   private static final long RING_FILE_BYTES = 16L * 1024 * 1024;
   private static final long STOP_MILLIS = 500;
 
+  private final WakeUpCounter wakeUps = new WakeUpCounter();
   private final EventLoopGroup group =
-      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+      new MultiThreadIoEventLoopGroup(1, CountingIoHandler.newFactory(wakeUps));
   private final EventLoop eventLoop = group.next();
   private final DiskWriteAheadLog writeAheadLog;
   private final ControlAgent agent;
@@ -42,20 +45,24 @@
             settings.dataDirectory(), new RingOptions(RING_FILES, RING_FILE_BYTES), eventLoop);
     agent =
         new ControlAgent(
-            new EventLoopScheduler(eventLoop, new MonotonicClock()),
+            new EventLoopScheduler(eventLoop, new MonotonicClock(), wakeUps),
             (address, encodedHello, listener) -> connect(settings, address, encodedHello, listener),
             agentSettings,
             identity,
             writeAheadLog,
             ControlPlane::halt);
-    internal = new InternalServer(group, new ControlPeerCodec().encode(identity.hello()), agent);
+    internal =
+        new InternalServer(
+            group, new ControlPeerCodec().encode(identity.hello()), agent, wakeUps);
     api =
         new ControlApi(
             settings.controlListen(),
             agent,
             eventLoop,
             () -> StatusReport.json(agent.status()),
-            () -> StatusReport.metrics(agent.status()));
+            () ->
+                StatusReport.metrics(
+                    agent.status(), wakeUps, ProcessorTime.ofThisProcess()));
   }
 
   /** The platform starts the process again, on what its disk holds. */
--- a/src/main/java/slateslip/controlplane/InternalServer.java
+++ b/src/main/java/slateslip/controlplane/InternalServer.java
@@ -17,6 +17,8 @@
 import java.util.concurrent.TimeUnit;
 import org.jboss.logging.Logger;
 import slateslip.controlplane.agent.IncomingConnection;
+import slateslip.eventloop.WakeUpCause;
+import slateslip.eventloop.WakeUpCounter;
 import slateslip.protocol.Framing;
 
 /**
@@ -36,6 +38,7 @@
   private final EventLoopGroup group;
   private final byte[] encodedHello;
   private final IncomingConnection.Listener listener;
+  private final WakeUpCounter wakeUps;
   private Channel server;
 
   /**
@@ -43,10 +46,15 @@
    *
    * @param encodedHello encoded, sent back to a peer that has greeted
    */
-  InternalServer(EventLoopGroup group, byte[] encodedHello, IncomingConnection.Listener listener) {
+  InternalServer(
+      EventLoopGroup group,
+      byte[] encodedHello,
+      IncomingConnection.Listener listener,
+      WakeUpCounter wakeUps) {
     this.group = group;
     this.encodedHello = encodedHello;
     this.listener = listener;
+    this.wakeUps = wakeUps;
   }
 
   /**
@@ -104,6 +112,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, ByteBuf buffer) {
+      wakeUps.attribute(WakeUpCause.CONTROL);
       connection.received(Framing.bytes(buffer));
     }
 
--- a/src/main/java/slateslip/controlplane/StatusReport.java
+++ b/src/main/java/slateslip/controlplane/StatusReport.java
@@ -2,6 +2,9 @@
 
 import java.util.stream.Collectors;
 import slateslip.controlplane.agent.AgentStatus;
+import slateslip.eventloop.ProcessorTime;
+import slateslip.eventloop.WakeUpCause;
+import slateslip.eventloop.WakeUpCounter;
 
 /** Writes an {@link AgentStatus} for people and for Prometheus. */
 final class StatusReport {
@@ -27,7 +30,8 @@
     text.append(",\"").append(field).append("\":").append(value);
   }
 
-  static String metrics(AgentStatus status) {
+  /** Figures of an agent and of its process. */
+  static String metrics(AgentStatus status, WakeUpCounter wakeUps, ProcessorTime processorTime) {
     StringBuilder text = new StringBuilder();
     gauge(text, "epoch", "Newest decided epoch", status.epoch());
     gauge(text, "serving", "1 if this agent is the primary", status.serving() ? 1 : 0);
@@ -38,13 +42,30 @@
     gauge(text, "session_revision", "Revision of the session table", status.sessionRevision());
     gauge(text, "streams", "Streams of data planes", status.streams());
     gauge(text, "peers", "Control agents in reach", status.peers().size());
+    for (WakeUpCause cause : WakeUpCause.values()) {
+      String name = "event_loop_turns_" + cause.label() + "_total";
+      counter(text, name, "Turns of the event loop for this cause", wakeUps.count(cause));
+    }
+    for (ProcessorTime.ThreadKind kind : ProcessorTime.ThreadKind.values()) {
+      String name = "processor_milliseconds_" + kind.label() + "_total";
+      counter(text, name, "Processor time of these threads", processorTime.of(kind).toMillis());
+    }
     return text.toString();
   }
 
+  private static void counter(StringBuilder text, String name, String help, long value) {
+    append(text, name, help, "counter", value);
+  }
+
   private static void gauge(StringBuilder text, String name, String help, long value) {
+    append(text, name, help, "gauge", value);
+  }
+
+  private static void append(
+      StringBuilder text, String name, String help, String type, long value) {
     String metric = "slateslip_control_" + name;
     text.append("# HELP ").append(metric).append(' ').append(help).append('\n');
-    text.append("# TYPE ").append(metric).append(" gauge\n");
+    text.append("# TYPE ").append(metric).append(' ').append(type).append('\n');
     text.append(metric).append(' ').append(value).append('\n');
   }
 }
--- a/src/main/java/slateslip/controlplane/agent/DataPlaneSubscriptions.java
+++ b/src/main/java/slateslip/controlplane/agent/DataPlaneSubscriptions.java
@@ -145,8 +145,8 @@
 
   /** Sends a heartbeat on every stream that takes more. */
   void sendHeartbeats() {
-    ControlPlaneMessage.Heartbeat message = heartbeat.get();
-    streams.keySet().forEach(stream -> send(stream, message));
+    byte[] encoded = codec.encode(heartbeat.get());
+    streams.keySet().forEach(stream -> send(stream, encoded));
   }
 
   /** Sends a message to the active stream of a data plane. */
@@ -160,8 +160,12 @@
   }
 
   private void send(DataPlaneStream stream, ControlPlaneMessage message) {
+    send(stream, codec.encode(message));
+  }
+
+  private static void send(DataPlaneStream stream, byte[] encoded) {
     if (stream.isWritable()) {
-      stream.write(codec.encode(message));
+      stream.write(encoded);
       stream.flush();
     }
   }
--- a/src/main/java/slateslip/controlplane/agent/QuotaService.java
+++ b/src/main/java/slateslip/controlplane/agent/QuotaService.java
@@ -21,6 +21,12 @@
   /** A new allocator listens for this long first, so that it divides among all data planes. */
   private static final long WARMUP_MICROS = 800_000;
 
+  /**
+   * Without tenants an allocation says only how many data planes there are, and is made in one of
+   * so many ticks.
+   */
+  private static final long TICKS_WITHOUT_TENANTS = 4;
+
   /** A data plane that has not reported for this long has ended. */
   private static final long DATA_PLANE_TIMEOUT_MICROS = 10_000_000;
 
@@ -32,6 +38,7 @@
   private final Map<String, DataPlaneDemand> pendingDemand = new LinkedHashMap<>();
   private QuotaAllocator allocator;
   private long allocatorStartedMicros;
+  private long ticks;
 
   /** The data planes that report to this allocator: where from, and when last. */
   private final Map<String, DemandSource> demandSources = new HashMap<>();
@@ -81,11 +88,14 @@
   /** Sends demand on and, at the allocator, divides. */
   void tick() {
     updateRole();
+    ticks++;
     List<DataPlaneDemand> report = List.copyOf(pendingDemand.values());
     pendingDemand.clear();
     if (allocatorRole.isSelf()) {
       report.forEach(demand -> report(self, demand));
-      allocate();
+      if (allocator.hasTenants() || ticks % TICKS_WITHOUT_TENANTS == 0) {
+        allocate();
+      }
     } else if (!report.isEmpty()) {
       links.send(allocatorRole.address(), new ControlPeerMessage.DemandReport(report));
     }
--- a/src/main/java/slateslip/dataplane/DataPlane.java
+++ b/src/main/java/slateslip/dataplane/DataPlane.java
@@ -3,7 +3,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -23,7 +22,8 @@
 import slateslip.dataplane.subscription.Subscription;
 import slateslip.dataplane.subscription.SubscriptionClient;
 import slateslip.dataplane.subscription.SubscriptionOutput;
-import slateslip.loadbalancer.net.InspectableSocketChannel;
+import slateslip.eventloop.CountingIoHandler;
+import slateslip.dataplane.transport.PollableSocketChannel;
 import slateslip.logging.LogContext;
 import slateslip.routing.FleetRouter;
 import slateslip.routing.KeyLease;
@@ -50,6 +50,12 @@
   /** Part of the time until a key that was taken away is refused for which a lease lasts. */
   private static final double LEASE_FRACTION = 0.9;
 
+  /**
+   * A running stream is read so often within the time in which each of its events has to be passed
+   * on, so that events wait for a fraction of it at most.
+   */
+  private static final long POLLS_IN_PASS_TIME = 5;
+
   /** Where the settings name no limit. */
   private static final int DESCRIPTORS_DEFAULT = 1_024;
 
@@ -57,6 +63,7 @@
   private final DataPlaneMetrics metrics = new DataPlaneMetrics();
   private final EventLoopGroup group;
   private final EventLoop loop;
+  private final PeriodicTasks periodic;
   private final BackendPools pools;
   private final Forwarder forwarder;
   private final ClientIngress ingress;
@@ -71,9 +78,17 @@
   private DataPlane(NodeSettings settings) throws IOException {
     this.settings = settings;
     SplittableRandom random = new SplittableRandom();
-    group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    group = new MultiThreadIoEventLoopGroup(1, CountingIoHandler.newFactory(metrics.wakeUps));
     loop = group.next();
-    pools = new BackendPools(loop, maxConnections(), metrics, InspectableSocketChannel::new);
+    periodic = new PeriodicTasks(loop, metrics.wakeUps);
+    pools =
+        new BackendPools(
+            loop,
+            periodic,
+            maxConnections(),
+            settings.bounds().passMillis() / POLLS_IN_PASS_TIME,
+            metrics,
+            PollableSocketChannel::new);
     keyLease = settings.bounds().closed() ? KeyLease.required() : KeyLease.notRequired();
     FleetRouter router = new FleetRouter(routerSettings(settings, random.nextLong()));
     forwarder =
@@ -85,9 +100,11 @@
     subscription = new Subscription(identity, seeds(settings), leaseMillis(settings.bounds()));
     client =
         new SubscriptionClient(
-            loop, subscription, settings.ports().first(), router::demand, this::learnt);
+            loop, periodic, subscription, settings.ports().first(), router::demand, this::learnt);
     status = new StatusServer(loop, settings.readyListen(), this::isReady, this::metricsText);
-    ingress = new ClientIngress(loop, settings.frontListen(), maxConnections(), forwarder);
+    ingress =
+        new ClientIngress(loop, periodic, settings.frontListen(), maxConnections(), forwarder);
+    periodic.every(PeriodicTasks.TICK_MILLIS, forwarder::wakeIfDue);
   }
 
   /**
@@ -98,6 +115,7 @@
   public static DataPlane start(NodeSettings settings) throws IOException {
     DataPlane dataPlane = new DataPlane(settings);
     dataPlane.loop.execute(dataPlane.client::start);
+    dataPlane.periodic.start();
     LOG.infof("%s listens on %s", settings.node(), dataPlane.ingress.address());
     return dataPlane;
   }
--- a/src/main/java/slateslip/dataplane/DataPlaneMetrics.java
+++ b/src/main/java/slateslip/dataplane/DataPlaneMetrics.java
@@ -2,10 +2,14 @@
 
 import java.util.EnumMap;
 import java.util.Map;
+import slateslip.eventloop.WakeUpCounter;
 import slateslip.routing.AbortReason;
 
 /** Counters of one data plane since its start; written and read on the event loop. */
 public final class DataPlaneMetrics {
+  /** Turns of the event loop, by cause. */
+  public final WakeUpCounter wakeUps = new WakeUpCounter();
+
   /** Requests read whole. */
   public long requests;
 
--- a/src/main/java/slateslip/dataplane/backend/BackendAttempt.java
+++ b/src/main/java/slateslip/dataplane/backend/BackendAttempt.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import slateslip.dataplane.HeaderNames;
 import slateslip.dataplane.stream.StreamEvent;
+import slateslip.eventloop.WakeUpCause;
 import slateslip.routing.RouterInput.AttemptOutcome;
 import slateslip.routing.RouterInput.BackendLoad;
 
@@ -45,7 +46,15 @@
 
   private boolean started;
   private boolean ended;
+
+  /** The client does not read as fast as the backend writes. */
+  private boolean readingStopped;
+
   private Future<?> timer;
+
+  /** For a second connection beside the first. */
+  private Future<?> dialTimer;
+
   private long lastEventNanos;
 
   BackendAttempt(
@@ -98,7 +107,8 @@
     pool.connecting(this);
     dial(CONNECT_MILLIS);
     if (!ended) {
-      pools.loop().schedule(this::dialAgain, CONNECT_LATE_MILLIS, TimeUnit.MILLISECONDS);
+      dialTimer =
+          pools.loop().schedule(this::dialAgain, CONNECT_LATE_MILLIS, TimeUnit.MILLISECONDS);
     }
   }
 
@@ -120,6 +130,7 @@
   }
 
   private void dialled(BackendConnection fresh, ChannelFuture connecting) {
+    pools.metrics().wakeUps.attribute(WakeUpCause.BACKEND_CONNECT);
     dialling.remove(connecting.channel());
     if (!connecting.isSuccess()) {
       endIfNoneComesUp();
@@ -144,6 +155,7 @@
       return;
     }
     connection = to;
+    cancelDialTimer();
     to.attempt = this;
     to.decoder.expectNoBody(request.method().equals(HttpMethod.HEAD));
     var message =
@@ -215,7 +227,7 @@
   private void checkIdleTimeout() {
     long idleMicros = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - lastEventNanos);
     long leftMicros = request.idleTimeoutMicros() - idleMicros;
-    if (leftMicros > 0 || !connection.channel.config().isAutoRead()) {
+    if (leftMicros > 0 || readingStopped) {
       startIdleTimer(Math.max(leftMicros, 1_000));
       return;
     }
@@ -226,16 +238,23 @@
 
   /** What had come has been told. */
   void readComplete() {
-    if (!ended) {
-      listener.readComplete();
+    if (ended) {
+      return;
+    }
+    listener.readComplete();
+    if (started && !ended && !readingStopped) {
+      pools.streamPoller().add(connection);
     }
   }
 
   /** Stops or goes on reading; a backend that is not read from is held up. */
   public void setReading(boolean reading) {
-    if (!ended && connection != null) {
-      connection.channel.config().setAutoRead(reading);
+    if (ended || connection == null || readingStopped != reading) {
+      return;
     }
+    readingStopped = !reading;
+    pools.streamPoller().remove(connection);
+    connection.channel.config().setAutoRead(reading);
   }
 
   private void timeOut() {
@@ -262,6 +281,7 @@
     }
     ended = true;
     cancelTimer();
+    cancelDialTimer();
     if (idledNanos >= 0) {
       long now = System.nanoTime();
       boolean atOnce =
@@ -273,6 +293,7 @@
       pool.connected(this);
     }
     if (connection != null) {
+      pools.streamPoller().remove(connection);
       connection.attempt = null;
       if (reusable) {
         connection.channel.config().setAutoRead(true);
@@ -284,6 +305,13 @@
     pools.loop().execute(() -> listener.ended(result));
   }
 
+  private void cancelDialTimer() {
+    if (dialTimer != null) {
+      dialTimer.cancel(false);
+      dialTimer = null;
+    }
+  }
+
   private void cancelTimer() {
     if (timer != null) {
       timer.cancel(false);
--- a/src/main/java/slateslip/dataplane/backend/BackendConnection.java
+++ b/src/main/java/slateslip/dataplane/backend/BackendConnection.java
@@ -6,11 +6,12 @@
 import java.util.concurrent.TimeUnit;
 import slateslip.dataplane.DataPlaneMetrics;
 import slateslip.dataplane.HeaderNames;
-import slateslip.loadbalancer.net.InspectableSocketChannel;
+import slateslip.eventloop.WakeUpCounter;
+import slateslip.dataplane.transport.PollableSocketChannel;
 import slateslip.loadbalancer.net.StrictHttpDecoders;
 
 /** One connection to a backend; it serves one attempt at a time. */
-final class BackendConnection extends ChannelInitializer<InspectableSocketChannel> {
+final class BackendConnection extends ChannelInitializer<PollableSocketChannel> {
   /** Bytes of a status line, and of a response's headers. */
   private static final int MAX_HEAD_BYTES = 16 * 1024;
 
@@ -23,12 +24,15 @@
   private static final String TIMEOUT_PARAMETER = "timeout=";
 
   final BackendPool pool;
-  InspectableSocketChannel channel;
+  PollableSocketChannel channel;
   StrictHttpDecoders.Responses decoder;
 
   /** The attempt that uses it; null if none. */
   BackendAttempt attempt;
 
+  /** Reads in a row by which {@link StreamPoller} found nothing. */
+  int emptyReads;
+
   private long idleSince = System.nanoTime();
   private long keepNanos = UNSTATED_KEEP_NANOS;
 
@@ -40,7 +44,7 @@
   }
 
   @Override
-  protected void initChannel(InspectableSocketChannel opened) {
+  protected void initChannel(PollableSocketChannel opened) {
     channel = opened;
     decoder = new StrictHttpDecoders.Responses(MAX_HEAD_BYTES, MAX_HEAD_BYTES);
     opened
@@ -48,6 +52,10 @@
         .addLast(decoder, new HttpRequestEncoder(), new ResponseHandler(this, decoder));
   }
 
+  WakeUpCounter wakeUps() {
+    return metrics.wakeUps;
+  }
+
   void malformedResponse() {
     metrics.malformedResponses++;
   }
--- a/src/main/java/slateslip/dataplane/backend/BackendPools.java
+++ b/src/main/java/slateslip/dataplane/backend/BackendPools.java
@@ -21,9 +21,11 @@
 import slateslip.configuration.Service;
 import slateslip.dataplane.DataPlaneMetrics;
 import slateslip.dataplane.HeaderNames;
+import slateslip.dataplane.PeriodicTasks;
 import slateslip.distribution.BackendSession;
 import slateslip.loadbalancer.net.IdleConnectionTimeout;
 import slateslip.loadbalancer.net.InspectableSocketChannel;
+import slateslip.dataplane.transport.PollableSocketChannel;
 
 /**
  * The connections to all backends, within the limits of the process and of each backend. On the
@@ -31,7 +33,7 @@
  */
 public final class BackendPools {
   private static final byte[] NO_BODY = new byte[0];
-  private static final long SWEEP_SECONDS = 1;
+  private static final long SWEEP_MILLIS = 1_000;
 
   /** However long backends keep idle connections, none is kept for longer. */
   private static final long MAX_IDLE_NANOS = TimeUnit.SECONDS.toNanos(60);
@@ -52,6 +54,7 @@
   private final Bootstrap bootstrap;
   private final int maxConnections;
   private final DataPlaneMetrics metrics;
+  private final StreamPoller streamPoller;
   private final IdleConnectionTimeout idleTimeout =
       new IdleConnectionTimeout(MAX_IDLE_NANOS, System.nanoTime());
   private final Map<String, BackendPool> pools = new HashMap<>();
@@ -59,18 +62,26 @@
   private int agents = 1;
   private int connections;
 
-  /** With sockets as {@code sockets} makes them. */
+  /**
+   * No backend is known yet.
+   *
+   * @param streamPollMillis between two reads of a running stream
+   * @param sockets makes them
+   */
   public BackendPools(
       EventLoop loop,
+      PeriodicTasks periodic,
       int maxConnections,
+      long streamPollMillis,
       DataPlaneMetrics metrics,
-      ChannelFactory<InspectableSocketChannel> sockets) {
+      ChannelFactory<PollableSocketChannel> sockets) {
     this.loop = loop;
+    this.streamPoller = new StreamPoller(loop, metrics.wakeUps, streamPollMillis);
     this.maxConnections = maxConnections;
     this.metrics = metrics;
     this.bootstrap =
         new Bootstrap().group(loop).channelFactory(sockets).option(ChannelOption.TCP_NODELAY, true);
-    loop.scheduleWithFixedDelay(this::closeOld, SWEEP_SECONDS, SWEEP_SECONDS, TimeUnit.SECONDS);
+    periodic.every(SWEEP_MILLIS, this::closeOld);
   }
 
   /** The configuration that names services' limits and health paths. */
@@ -167,6 +178,10 @@
     return loop;
   }
 
+  StreamPoller streamPoller() {
+    return streamPoller;
+  }
+
   IdleConnectionTimeout idleTimeout() {
     return idleTimeout;
   }
--- a/src/main/java/slateslip/dataplane/backend/ResponseHandler.java
+++ b/src/main/java/slateslip/dataplane/backend/ResponseHandler.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import slateslip.dataplane.HeaderNames;
 import slateslip.dataplane.stream.EventSplitter;
+import slateslip.eventloop.WakeUpCause;
 import slateslip.loadbalancer.net.StrictHttpDecoders;
 import slateslip.routing.RouterInput.AttemptOutcome;
 import slateslip.routing.RouterInput.BackendLoad;
@@ -52,6 +53,7 @@
 
   @Override
   protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
+    connection.wakeUps().attribute(WakeUpCause.BACKEND);
     BackendAttempt attempt = connection.attempt;
     if (attempt == null) {
       connection.pool.forget(connection);
@@ -236,6 +238,7 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext context) {
+    connection.wakeUps().attribute(WakeUpCause.BACKEND);
     connection.pool.forget(connection);
     if (connection.attempt != null) {
       connection.attempt.broken();
--- a/src/main/java/slateslip/dataplane/forwarding/Forwarder.java
+++ b/src/main/java/slateslip/dataplane/forwarding/Forwarder.java
@@ -24,6 +24,7 @@
 import slateslip.dataplane.ingress.IngressListener;
 import slateslip.distribution.BackendSession;
 import slateslip.distribution.QuotaAllocation;
+import slateslip.eventloop.WakeUpCause;
 import slateslip.routing.AbortReason;
 import slateslip.routing.KeyLease;
 import slateslip.routing.RequestRouter;
@@ -62,7 +63,12 @@
     this.pools = pools;
     this.metrics = metrics;
     this.random = new SplittableRandom(seed);
-    this.driver = new RouterDriver(router, loop, microClock, this::carryOut);
+    this.driver = new RouterDriver(router, loop, microClock, this::carryOut, metrics.wakeUps);
+  }
+
+  /** Wakes the router if it is due to be. */
+  public void wakeIfDue() {
+    driver.wakeIfDue();
   }
 
   /** How many requests are under way. */
@@ -117,6 +123,7 @@
 
   @Override
   public void requestArrived(ClientRequest request, ClientExchange exchange) {
+    metrics.wakeUps.attribute(WakeUpCause.CLIENT);
     metrics.requests++;
     String sent = request.attributes().attemptId();
     String attemptId = sent.isEmpty() ? drawAttemptId() : sent;
@@ -138,6 +145,7 @@
     if (forwarded == null) {
       return;
     }
+    metrics.wakeUps.attribute(WakeUpCause.CLIENT);
     metrics.clientsGone++;
     driver.feed(new RouterInput.ClientGone(forwarded.id));
     forgetIfDone(forwarded);
--- a/src/main/java/slateslip/dataplane/forwarding/RouterDriver.java
+++ b/src/main/java/slateslip/dataplane/forwarding/RouterDriver.java
@@ -1,12 +1,15 @@
 package slateslip.dataplane.forwarding;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import slateslip.eventloop.WakeUpCause;
+import slateslip.eventloop.WakeUpCounter;
 import slateslip.routing.RequestRouter;
 import slateslip.routing.RouterInput;
 import slateslip.routing.RouterOutput;
@@ -22,7 +25,9 @@
   private final Consumer<RouterOutput> actions;
   private final Deque<RouterInput> waiting = new ArrayDeque<>();
   private final TreeSet<Long> wakes = new TreeSet<>();
+  private final WakeUpCounter wakeUps;
   private long scheduledWake = Long.MAX_VALUE;
+  private Future<?> timer;
   private boolean feeding;
 
   /**
@@ -30,16 +35,19 @@
    *
    * @param microClock steady clock, in microseconds
    * @param actions carries out an output; inputs that arise meanwhile are taken after it
+   * @param wakeUps counts the turns in which the router was woken
    */
   public RouterDriver(
       RequestRouter router,
       EventLoop loop,
       LongSupplier microClock,
-      Consumer<RouterOutput> actions) {
+      Consumer<RouterOutput> actions,
+      WakeUpCounter wakeUps) {
     this.router = router;
     this.loop = loop;
     this.microClock = microClock;
     this.actions = actions;
+    this.wakeUps = wakeUps;
   }
 
   /** Lets the router take an input; one that arises while another is taken waits its turn. */
@@ -69,23 +77,41 @@
     }
   }
 
+  /** Wakes the router if it is due to be; saves the turn that its timer would take. */
+  public void wakeIfDue() {
+    if (microClock.getAsLong() >= scheduledWake) {
+      wake();
+    }
+  }
+
   private void scheduleWake() {
     if (wakes.isEmpty() || wakes.first() >= scheduledWake) {
       return;
     }
+    cancelTimer();
     scheduledWake = wakes.first();
     long delay = Math.max(0, scheduledWake - microClock.getAsLong());
-    long due = scheduledWake;
-    loop.schedule(() -> wake(due), delay, TimeUnit.MICROSECONDS);
+    timer = loop.schedule(this::timerFired, delay, TimeUnit.MICROSECONDS);
   }
 
-  private void wake(long due) {
-    if (due != scheduledWake) {
-      return; // an earlier wish came after this one was scheduled, and has rescheduled it
-    }
-    scheduledWake = Long.MAX_VALUE;
+  private void timerFired() {
+    wakeUps.attribute(WakeUpCause.ROUTER);
+    wake();
+  }
+
+  private void wake() {
+    long due = scheduledWake;
+    cancelTimer();
     wakes.headSet(Math.max(due, microClock.getAsLong()), true).clear();
     feed(new RouterInput.Wake());
     scheduleWake();
   }
+
+  private void cancelTimer() {
+    scheduledWake = Long.MAX_VALUE;
+    if (timer != null) {
+      timer.cancel(false);
+      timer = null;
+    }
+  }
 }
--- a/src/main/java/slateslip/dataplane/ingress/ClientIngress.java
+++ b/src/main/java/slateslip/dataplane/ingress/ClientIngress.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import slateslip.configuration.IngressLimits;
+import slateslip.dataplane.PeriodicTasks;
 import slateslip.loadbalancer.net.StrictHttpDecoders;
 
 /**
@@ -43,7 +44,11 @@
 
   /** Listens; called from outside the loop. */
   public ClientIngress(
-      EventLoop loop, InetSocketAddress address, int maxConnections, IngressListener listener)
+      EventLoop loop,
+      PeriodicTasks periodic,
+      InetSocketAddress address,
+      int maxConnections,
+      IngressListener listener)
       throws IOException {
     this.listener = listener;
     this.maxConnections = maxConnections;
@@ -67,7 +72,7 @@
       throw new IOException("cannot listen on " + address + ": " + bindFuture.cause().getMessage());
     }
     this.server = (ClientServerSocketChannel) bindFuture.channel();
-    loop.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+    periodic.every(SWEEP_MILLIS, this::sweep);
   }
 
   private void open(ClientSocketChannel channel) {
--- a/src/main/java/slateslip/dataplane/status/MetricsText.java
+++ b/src/main/java/slateslip/dataplane/status/MetricsText.java
@@ -2,6 +2,8 @@
 
 import java.util.Locale;
 import slateslip.dataplane.DataPlaneMetrics;
+import slateslip.eventloop.ProcessorTime;
+import slateslip.eventloop.WakeUpCause;
 import slateslip.routing.AbortReason;
 
 /** Writes metrics in the Prometheus text format. */
@@ -39,6 +41,15 @@
     text.add("client_connections", "gauge", clientConnections);
     text.add("backend_connections", "gauge", backendConnections);
     text.add("configuration_version", "gauge", configurationVersion);
+    for (WakeUpCause cause : WakeUpCause.values()) {
+      String name = "event_loop_turns_" + cause.label() + "_total";
+      text.add(name, "counter", metrics.wakeUps.count(cause));
+    }
+    ProcessorTime processorTime = ProcessorTime.ofThisProcess();
+    for (ProcessorTime.ThreadKind kind : ProcessorTime.ThreadKind.values()) {
+      String name = "processor_milliseconds_" + kind.label() + "_total";
+      text.add(name, "counter", processorTime.of(kind).toMillis());
+    }
     return text.text.toString();
   }
 
--- a/src/main/java/slateslip/dataplane/subscription/Subscription.java
+++ b/src/main/java/slateslip/dataplane/subscription/Subscription.java
@@ -41,6 +41,12 @@
 
   private static final long DEMAND_INTERVAL_MILLIS = 250;
 
+  /**
+   * The same without tenants: the report then says only that this data plane is there, and has to
+   * come well within the time after which it counts as silent (1.5 s).
+   */
+  private static final long EMPTY_DEMAND_INTERVAL_MILLIS = 500;
+
   /** Control agents close a stream on which nothing comes for three seconds. */
   private static final long PING_INTERVAL_MILLIS = 1_000;
 
@@ -225,7 +231,8 @@
   }
 
   private void reportDemand(long now, List<TenantDemand> demand) {
-    if (active != null && now - lastDemandMillis >= DEMAND_INTERVAL_MILLIS) {
+    long interval = demand.isEmpty() ? EMPTY_DEMAND_INTERVAL_MILLIS : DEMAND_INTERVAL_MILLIS;
+    if (active != null && now - lastDemandMillis >= interval) {
       lastDemandMillis = now;
       send(active, new DataPlaneMessage.Demand(demand));
     }
--- a/src/main/java/slateslip/dataplane/subscription/SubscriptionClient.java
+++ b/src/main/java/slateslip/dataplane/subscription/SubscriptionClient.java
@@ -10,7 +10,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
@@ -18,8 +17,12 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
+import slateslip.dataplane.PeriodicTasks;
 import slateslip.distribution.ControlPlaneMessage;
 import slateslip.distribution.TenantDemand;
+import slateslip.eventloop.WakeUpCause;
+import slateslip.eventloop.WakeUpCounter;
+import slateslip.dataplane.transport.PollableSocketChannel;
 import slateslip.protocol.Decoded;
 import slateslip.protocol.Framing;
 import slateslip.protocol.distribution.DistributionCodec;
@@ -35,26 +38,28 @@
     void learnt(SubscriptionOutput output);
   }
 
-  private static final long TICK_MILLIS = 100;
   private static final int CONNECT_MILLIS = 1_000;
 
   private final EventLoop loop;
+  private final WakeUpCounter wakeUps;
   private final Subscription subscription;
   private final int port;
   private final Supplier<List<TenantDemand>> demand;
   private final Listener listener;
   private final DistributionCodec codec = new DistributionCodec();
-  private final Map<String, Channel> channels = new HashMap<>();
+  private final Map<String, ControlConnection> connections = new HashMap<>();
   private final AtomicLong receivedBytes = new AtomicLong();
 
   /**
    * A client that does nothing before {@link #start}.
    *
+   * @param periodic gives it a turn at each tick
    * @param port at which control agents listen for data planes
    * @param demand of tenants since the start of the process
    */
   public SubscriptionClient(
       EventLoop loop,
+      PeriodicTasks periodic,
       Subscription subscription,
       int port,
       Supplier<List<TenantDemand>> demand,
@@ -64,15 +69,21 @@
     this.port = port;
     this.demand = demand;
     this.listener = listener;
+    this.wakeUps = periodic.wakeUps();
+    periodic.every(PeriodicTasks.TICK_MILLIS, this::tick);
   }
 
-  /** Begins to connect. */
+  /** Begins to connect, without waiting for the first tick. */
   public void start() {
-    loop.scheduleWithFixedDelay(
-        () -> feed(new SubscriptionInput.Tick(demand.get())),
-        0,
-        TICK_MILLIS,
-        TimeUnit.MILLISECONDS);
+    tick();
+  }
+
+  private void tick() {
+    boolean mayWait = subscription.isReady();
+    for (ControlConnection connection : List.copyOf(connections.values())) {
+      connection.tick(mayWait);
+    }
+    feed(new SubscriptionInput.Tick(demand.get()));
   }
 
   /** Bytes of messages received so far, their length fields included; from any thread. */
@@ -96,13 +107,14 @@
     if (output instanceof SubscriptionOutput.Dial dial) {
       dial(dial.agent());
     } else if (output instanceof SubscriptionOutput.Close close) {
-      Channel channel = channels.remove(close.agent());
-      if (channel != null) {
-        channel.close();
+      ControlConnection connection = connections.remove(close.agent());
+      if (connection != null) {
+        connection.channel.close();
       }
     } else if (output instanceof SubscriptionOutput.Send send) {
-      Channel channel = channels.get(send.agent());
-      if (channel != null) {
+      ControlConnection connection = connections.get(send.agent());
+      if (connection != null) {
+        Channel channel = connection.channel;
         channel.writeAndFlush(Framing.frame(channel.alloc(), codec.encode(send.message())));
       }
     } else {
@@ -114,7 +126,7 @@
     ChannelFuture connecting =
         new Bootstrap()
             .group(loop)
-            .channel(NioSocketChannel.class)
+            .channelFactory(PollableSocketChannel::new)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
             .handler(
@@ -126,21 +138,25 @@
                   }
                 })
             .connect(new InetSocketAddress(agent, port));
-    Channel channel = connecting.channel();
-    channels.put(agent, channel);
+    ControlConnection connection =
+        new ControlConnection((PollableSocketChannel) connecting.channel());
+    connections.put(agent, connection);
     connecting.addListener(
         done -> {
-          if (done.isSuccess() && channels.get(agent) == channel) {
+          wakeUps.attribute(WakeUpCause.CONTROL);
+          if (done.isSuccess() && connections.get(agent) == connection) {
             feed(new SubscriptionInput.Connected(agent));
           } else if (!done.isSuccess()) {
-            ended(agent, channel);
+            ended(agent, connection.channel);
           }
         });
   }
 
   /** A channel has ended; told once, and not of one that the subscription has closed. */
   private void ended(String agent, Channel channel) {
-    if (channels.remove(agent, channel)) {
+    ControlConnection connection = connections.get(agent);
+    if (connection != null && connection.channel == channel) {
+      connections.remove(agent);
       feed(new SubscriptionInput.Disconnected(agent));
     }
   }
@@ -154,10 +170,14 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
-      receivedBytes.addAndGet(Framing.LENGTH_BYTES + frame.readableBytes());
-      if (channels.get(agent) != context.channel()) {
+      wakeUps.attribute(WakeUpCause.CONTROL);
+      int bytes = Framing.LENGTH_BYTES + frame.readableBytes();
+      receivedBytes.addAndGet(bytes);
+      ControlConnection connection = connections.get(agent);
+      if (connection == null || connection.channel != context.channel()) {
         return;
       }
+      connection.received(bytes);
       Decoded<ControlPlaneMessage> decoded = codec.decodeToDataPlane(frame);
       if (decoded instanceof Decoded.Message<ControlPlaneMessage> message) {
         feed(new SubscriptionInput.Received(agent, message.value()));
--- a/src/main/java/slateslip/distribution/quota/QuotaAllocator.java
+++ b/src/main/java/slateslip/distribution/quota/QuotaAllocator.java
@@ -129,6 +129,11 @@
     }
   }
 
+  /** Whether any data plane has reported the demand of a tenant. */
+  public boolean hasTenants() {
+    return dataPlanes.values().stream().anyMatch(dataPlane -> !dataPlane.tenants.isEmpty());
+  }
+
   /**
    * The data plane's stream has ended for good; what it was assigned stays reserved for a while.
    */
--- a/src/main/java/slateslip/routing/WakeSchedule.java
+++ b/src/main/java/slateslip/routing/WakeSchedule.java
@@ -5,10 +5,13 @@
  * asked its host for. Times are in microseconds.
  */
 final class WakeSchedule {
-  /** Backends and overdue responses are looked at so often at most. */
-  private static final long MIN_CHECK_INTERVAL_MICROS = 50_000;
+  /**
+   * Backends and overdue responses are looked at only at multiples of this time: what is due at
+   * about the same time is looked at in one turn, and in that of the host's other periodic work.
+   */
+  static final long CHECK_GRID_MICROS = 100_000;
 
-  private long lastCheckMicros;
+  private long lastCheckMicros = Long.MIN_VALUE;
   private long nextCheckMicros = Long.MIN_VALUE;
 
   /** The earliest wake-up that was asked for and has not come yet. */
@@ -25,10 +28,19 @@
     nextCheckMicros = Long.MAX_VALUE;
   }
 
-  /** Something is to be looked at again at this time. */
+  /**
+   * Something is to be looked at again at this time, or at the next on the grid after it and after
+   * the last look.
+   */
   void checkAt(long atMicros) {
-    nextCheckMicros =
-        Math.min(nextCheckMicros, Math.max(lastCheckMicros + MIN_CHECK_INTERVAL_MICROS, atMicros));
+    nextCheckMicros = Math.min(nextCheckMicros, onGrid(Math.max(atMicros, lastCheckMicros + 1)));
+  }
+
+  private static long onGrid(long atMicros) {
+    if (atMicros > Long.MAX_VALUE - CHECK_GRID_MICROS) {
+      return atMicros;
+    }
+    return (Math.floorDiv(atMicros - 1, CHECK_GRID_MICROS) + 1) * CHECK_GRID_MICROS;
   }
 
   /**
--- a/src/main/java/slateslip/standin/ChildProcess.java
+++ b/src/main/java/slateslip/standin/ChildProcess.java
@@ -3,10 +3,10 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import slateslip.eventloop.ProcessorTime;
 
 /** One program of the fleet, run as in service, with its log in a file. */
 public final class ChildProcess {
@@ -64,9 +64,9 @@
     }
   }
 
-  /** Processor time that it has used so far; zero once it has ended. */
-  Duration processorTime() {
-    return process.info().totalCpuDuration().orElse(Duration.ZERO);
+  /** Processor time that its threads have used so far; none once it has ended. */
+  ProcessorTime processorTime() {
+    return ProcessorTime.of(process.pid());
   }
 
   /** Sends SIGTERM. */
--- a/src/main/java/slateslip/standin/FleetTraffic.java
+++ b/src/main/java/slateslip/standin/FleetTraffic.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
@@ -21,6 +22,8 @@
   private static final String UNKNOWN_PATH = "/nowhere/";
   private static final int DEADLINE_MILLIS = 5_000;
   private static final int PROMPTS = 8;
+  private static final int STREAMS_IN_MIX = 4;
+  private static final String TURNS_METRIC = "slateslip_dataplane_event_loop_turns_";
   private static final int OK = 200;
   private static final int NOT_FOUND = 404;
   private static final int UNAUTHORIZED = 401;
@@ -28,7 +31,7 @@
   private final FleetAddresses addresses;
   private final OkHttpClient client =
       new OkHttpClient.Builder().callTimeout(DEADLINE_MILLIS, TimeUnit.MILLISECONDS).build();
-  private long attempts;
+  private final AtomicLong attempts = new AtomicLong();
 
   FleetTraffic(FleetAddresses addresses) {
     this.addresses = addresses;
@@ -44,6 +47,30 @@
     return answered;
   }
 
+  /** The same requests at a steady rate. */
+  PacedTraffic paced() {
+    return new PacedTraffic(client, this);
+  }
+
+  /** The request with this number of a mix in which three in four are streams. */
+  Request ordinary(int number) {
+    return number % STREAMS_IN_MIX == 0 ? ledger() : chat(number);
+  }
+
+  /** Turns of the first data plane's event loop since its start; 0 if it does not count them. */
+  long eventLoopTurns() throws IOException {
+    String url = addresses.readyUrl(0).replace("/ready", "/metrics");
+    long turns = 0;
+    try (Response response = client.newCall(new Request.Builder().url(url).build()).execute()) {
+      for (String line : response.body().string().split("\n", -1)) {
+        if (line.startsWith(TURNS_METRIC)) {
+          turns += Long.parseLong(line.substring(line.lastIndexOf(' ') + 1));
+        }
+      }
+    }
+    return turns;
+  }
+
   /** Requests that are no ordinary ones: each ends early or is rejected. */
   void exceptions() throws IOException {
     isAnswered(request(UNKNOWN_PATH).get().build(), NOT_FOUND);
@@ -122,7 +149,7 @@
         .url(addresses.frontUrl(0) + path)
         .header("Host", SampleRequest.HOST)
         .header("X-Credential", SampleRequest.KEY)
-        .header("X-Attempt-Id", "traffic-" + ++attempts)
+        .header("X-Attempt-Id", "traffic-" + attempts.incrementAndGet())
         .header("X-Deadline-Ms", String.valueOf(DEADLINE_MILLIS));
   }
 
--- /dev/null
+++ b/src/main/java/slateslip/standin/PacedTraffic.java
@@ -0,0 +1,78 @@
+package slateslip.standin;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.Response;
+
+/** Sends requests at a steady rate, whether or not those before have been answered. */
+final class PacedTraffic {
+  private static final int OK = 200;
+
+  private final OkHttpClient client;
+  private final FleetTraffic traffic;
+
+  /**
+   * What came of the requests of one run.
+   *
+   * @param sent how many were sent
+   * @param answered how many got the response that is due to them
+   */
+  record Result(int sent, int answered) {}
+
+  PacedTraffic(OkHttpClient client, FleetTraffic traffic) {
+    this.client = client;
+    this.traffic = traffic;
+  }
+
+  /** Sends for this time, and waits until the last request has ended. */
+  Result run(double perSecond, Duration length) throws InterruptedException {
+    int count = (int) Math.round(perSecond * length.toMillis() / 1_000);
+    long intervalNanos = (long) (TimeUnit.SECONDS.toNanos(1) / perSecond);
+    AtomicInteger answered = new AtomicInteger();
+    CountDownLatch ended = new CountDownLatch(count);
+    ScheduledExecutorService pace = Executors.newSingleThreadScheduledExecutor();
+    for (int i = 0; i < count; i++) {
+      int number = i;
+      pace.schedule(
+          () -> send(traffic.ordinary(number), answered, ended),
+          i * intervalNanos,
+          TimeUnit.NANOSECONDS);
+    }
+    ended.await();
+    pace.shutdown();
+    return new Result(count, answered.get());
+  }
+
+  private void send(Request request, AtomicInteger answered, CountDownLatch ended) {
+    client
+        .newCall(request)
+        .enqueue(
+            new Callback() {
+              @Override
+              public void onFailure(Call call, IOException failure) {
+                ended.countDown();
+              }
+
+              @Override
+              public void onResponse(Call call, Response response) throws IOException {
+                try (response) {
+                  response.body().bytes();
+                  if (response.code() == OK) {
+                    answered.incrementAndGet();
+                  }
+                } finally {
+                  ended.countDown();
+                }
+              }
+            });
+  }
+}
--- a/src/scale/java/slateslip/scale/HollowDataPlane.java
+++ b/src/scale/java/slateslip/scale/HollowDataPlane.java
@@ -4,10 +4,12 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import slateslip.dataplane.PeriodicTasks;
 import slateslip.dataplane.subscription.DataPlaneIdentity;
 import slateslip.dataplane.subscription.Subscription;
 import slateslip.dataplane.subscription.SubscriptionClient;
 import slateslip.dataplane.subscription.SubscriptionOutput;
+import slateslip.eventloop.WakeUpCounter;
 
 /**
  * A data plane without clients: the product's own subscription on an event loop that it shares with
@@ -15,6 +17,7 @@
  */
 final class HollowDataPlane {
   private final EventLoop loop;
+  private final PeriodicTasks periodic;
   private final SubscriptionClient client;
   private final AtomicLong version = new AtomicLong();
   private final AtomicLong versionNanos = new AtomicLong();
@@ -26,11 +29,13 @@
     DataPlaneIdentity identity =
         new DataPlaneIdentity("edge-" + number, 1 + number, "z" + number % 3, address);
     Subscription subscription = new Subscription(identity, agents);
-    client = new SubscriptionClient(loop, subscription, port, List::of, this::learnt);
+    periodic = new PeriodicTasks(loop, new WakeUpCounter());
+    client = new SubscriptionClient(loop, periodic, subscription, port, List::of, this::learnt);
   }
 
   void start() {
     loop.execute(client::start);
+    periodic.start();
   }
 
   private void learnt(SubscriptionOutput output) {
--- a/src/test/java/slateslip/dataplane/ArrivedRequestTest.java
+++ b/src/test/java/slateslip/dataplane/ArrivedRequestTest.java
@@ -27,6 +27,7 @@
 import slateslip.dataplane.ingress.ClientRequest;
 import slateslip.dataplane.ingress.DropReason;
 import slateslip.dataplane.ingress.IngressListener;
+import slateslip.eventloop.WakeUpCounter;
 import slateslip.loadbalancer.net.ScriptedPeer;
 
 /**
@@ -51,7 +52,9 @@
   @BeforeEach
   void open() throws IOException {
     InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-    ingress = new ClientIngress(loop, any, CONNECTIONS, new Listener());
+    PeriodicTasks periodic = new PeriodicTasks(loop, new WakeUpCounter());
+    ingress = new ClientIngress(loop, periodic, any, CONNECTIONS, new Listener());
+    periodic.start();
   }
 
   @AfterEach
--- a/src/test/java/slateslip/dataplane/DataPlaneFixture.java
+++ b/src/test/java/slateslip/dataplane/DataPlaneFixture.java
@@ -22,7 +22,7 @@
 import slateslip.dataplane.forwarding.Forwarder;
 import slateslip.dataplane.ingress.ClientIngress;
 import slateslip.distribution.BackendSession;
-import slateslip.loadbalancer.net.InspectableSocketChannel;
+import slateslip.dataplane.transport.PollableSocketChannel;
 import slateslip.loadbalancer.net.ScriptedPeer;
 import slateslip.routing.KeyLease;
 import slateslip.routing.RequestRouter;
@@ -31,14 +31,22 @@
 final class DataPlaneFixture implements Closeable {
   static final int GENEROUS_MILLIS = 20_000;
   private static final int CONNECTIONS = 200;
+  private static final int STREAM_POLL_MILLIS = 24;
   private static final String STAMP = "X-Response-Stamp: s1\r\n";
 
   final PlainRouter router = new PlainRouter();
   final DataPlaneMetrics metrics = new DataPlaneMetrics();
   final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   final EventLoop loop = group.next();
+  final PeriodicTasks periodic = new PeriodicTasks(loop, metrics.wakeUps);
   final BackendPools pools =
-      new BackendPools(loop, CONNECTIONS, metrics, InspectableSocketChannel::new);
+      new BackendPools(
+          loop,
+          periodic,
+          CONNECTIONS,
+          STREAM_POLL_MILLIS,
+          metrics,
+          PollableSocketChannel::new);
   final KeyLease keyLease;
   final Forwarder forwarder;
   final ClientIngress ingress;
@@ -62,7 +70,9 @@
     forwarder =
         new Forwarder(loop, decides, () -> System.nanoTime() / 1_000, pools, metrics, 1, keyLease);
     InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-    ingress = new ClientIngress(loop, any, CONNECTIONS, forwarder);
+    ingress = new ClientIngress(loop, periodic, any, CONNECTIONS, forwarder);
+    periodic.every(PeriodicTasks.TICK_MILLIS, forwarder::wakeIfDue);
+    periodic.start();
   }
 
   /** Adds a backend, {@code b-1} and so on. */
--- a/src/test/java/slateslip/dataplane/forwarding/RouterDriverTest.java
+++ b/src/test/java/slateslip/dataplane/forwarding/RouterDriverTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import slateslip.distribution.TenantDemand;
+import slateslip.eventloop.WakeUpCounter;
 import slateslip.routing.AbortReason;
 import slateslip.routing.RequestRouter;
 import slateslip.routing.RouterInput;
@@ -40,7 +41,8 @@
           },
           channel.eventLoop(),
           () -> micros,
-          this::carryOut);
+          this::carryOut,
+          new WakeUpCounter());
 
   RouterDriverTest() {
     channel.freezeTime();
@@ -130,4 +132,39 @@
     pass(1);
     assertThat(wakes(), is(1L));
   }
+
+  @Test
+  void aTimerThatIsNotNeededAnyMoreTakesNoTurn() {
+    decisions =
+        input -> {
+          if (input instanceof RouterInput.ShutdownStarted) {
+            return List.of(new RouterOutput.WakeAt(500));
+          }
+          return input instanceof RouterInput.ClientGone
+              ? List.of(new RouterOutput.WakeAt(100))
+              : List.of();
+        };
+    driver.feed(new RouterInput.ShutdownStarted());
+    driver.feed(new RouterInput.ClientGone(1));
+    channel.advanceTimeBy(99, TimeUnit.MICROSECONDS);
+    assertThat(channel.runScheduledPendingTasks(), is(1_000L)); // the earlier one alone
+  }
+
+  @Test
+  void aPeriodicTurnTakesTheWakeUpAlong() {
+    decisions =
+        input ->
+            input instanceof RouterInput.ShutdownStarted
+                ? List.of(new RouterOutput.WakeAt(500))
+                : List.of();
+    driver.feed(new RouterInput.ShutdownStarted());
+    micros = 499;
+    driver.wakeIfDue();
+    assertThat(wakes(), is(0L));
+    micros = 500;
+    driver.wakeIfDue();
+    assertThat(wakes(), is(1L));
+    pass(10_000);
+    assertThat(wakes(), is(1L));
+  }
 }
--- /dev/null
+++ b/src/test/java/slateslip/eventloop/ProcessorTimeTest.java
@@ -0,0 +1,60 @@
+package slateslip.eventloop;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.anEmptyMap;
+import static org.hamcrest.Matchers.is;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import slateslip.eventloop.ProcessorTime.ThreadKind;
+
+/** Processor time by thread, read from folders as the kernel shows them. */
+class ProcessorTimeTest {
+  @TempDir private Path tasks;
+
+  @Test
+  void threadsOfAKindAreAddedUp() throws IOException {
+    thread(1, "java", 5_000);
+    thread(2, "multiThreadIoEv", 700);
+    thread(3, "multiThreadIoEv", 300);
+    thread(4, "C1 CompilerThre", 40);
+    thread(5, "VM Thread", 2);
+    thread(6, "settings-file", 1);
+    ProcessorTime time = ProcessorTime.read(tasks);
+    assertThat(time.of(ThreadKind.MAIN), is(Duration.ofNanos(5_000)));
+    assertThat(time.of(ThreadKind.EVENT_LOOP), is(Duration.ofNanos(1_000)));
+    assertThat(time.of(ThreadKind.COMPILER), is(Duration.ofNanos(40)));
+    assertThat(time.of(ThreadKind.VIRTUAL_MACHINE), is(Duration.ofNanos(2)));
+    assertThat(time.of(ThreadKind.OTHER), is(Duration.ofNanos(1)));
+    assertThat(time.total(), is(Duration.ofNanos(6_043)));
+  }
+
+  @Test
+  void aThreadThatHasEndedAndAMissingFolderAreNoErrors() throws IOException {
+    thread(1, "java", 5_000);
+    Files.createDirectory(tasks.resolve("2"));
+    assertThat(ProcessorTime.read(tasks).total(), is(Duration.ofNanos(5_000)));
+    assertThat(ProcessorTime.read(tasks.resolve("none")).byKind(), is(anEmptyMap()));
+  }
+
+  @Test
+  void theDifferenceOfTwoReadingsIsByKind() throws IOException {
+    thread(1, "java", 5_000);
+    ProcessorTime before = ProcessorTime.read(tasks);
+    thread(1, "java", 5_500);
+    thread(2, "C1 CompilerThre", 40);
+    ProcessorTime used = ProcessorTime.read(tasks).since(before);
+    assertThat(used.of(ThreadKind.MAIN), is(Duration.ofNanos(500)));
+    assertThat(used.of(ThreadKind.COMPILER), is(Duration.ofNanos(40)));
+  }
+
+  private void thread(int id, String name, long nanos) throws IOException {
+    Path folder = Files.createDirectories(tasks.resolve(String.valueOf(id)));
+    Files.writeString(folder.resolve("comm"), name + "\n");
+    Files.writeString(folder.resolve("schedstat"), nanos + " 123 7\n");
+  }
+}
