--- a/src/main/java/slateslip/cli/Commands.java
+++ b/src/main/java/slateslip/cli/Commands.java
@@ -88,6 +88,9 @@
     if (words.size() == 3 && words.subList(0, 2).equals(List.of("config", "check"))) {
       return checkConfiguration(Path.of(words.get(2)));
     }
+    if (words.size() >= 2 && words.get(0).equals("losses")) {
+      return new LossReport(output, errors).print(words.subList(1, words.size()));
+    }
     if (program == Program.CONTROL_PLANE) {
       OperatorCommands operator = new OperatorCommands(output, errors);
       String addresses = parsed.getOptionValue(CONTROL);
@@ -162,7 +165,8 @@
   private String usage() {
     String common =
         "Commands: run (or none): start with the settings file of $SLATESLIP_CONFIG;"
-            + " check-settings FILE; config check FILE";
+            + " check-settings FILE; config check FILE; losses FILE|ADDRESS... (how requests ended,"
+            + " by reason, added up over the metrics of data planes)";
     if (program == Program.DATA_PLANE) {
       return common + ".";
     }
--- a/src/main/java/slateslip/dataplane/DataPlane.java
+++ b/src/main/java/slateslip/dataplane/DataPlane.java
@@ -47,6 +47,9 @@
   /** System property with the mechanisms that an experiment switches off. */
   private static final String DISABLED_MECHANISMS = "slateslip.disabled";
 
+  /** System property with parameters that an experiment sets, {@code name=value}. */
+  private static final String PARAMETERS = "slateslip.parameters";
+
   /** Part of the time until a key that was taken away is refused for which a lease lasts. */
   private static final double LEASE_FRACTION = 0.9;
 
@@ -132,8 +135,17 @@
             TimeUnit.MILLISECONDS.toMicros(bounds.quotaWindowMillis()),
             bounds.quotaOvershoot(),
             bounds.quotaSlack());
-    RoutingPolicy policy = RoutingPolicy.without(System.getProperty(DISABLED_MECHANISMS, ""));
-    return new RouterSettings(settings.zone(), seed, retries, quotas, policy, bounds.closed());
+    RoutingPolicy policy =
+        RoutingPolicy.of(
+            System.getProperty(DISABLED_MECHANISMS, ""), System.getProperty(PARAMETERS, ""));
+    return new RouterSettings(
+        settings.zone(),
+        seed,
+        retries,
+        quotas,
+        policy,
+        bounds.closed(),
+        TimeUnit.MILLISECONDS.toMicros(settings.heartbeatMillis()));
   }
 
   /** Shorter than the bound, for clocks that differ and a processor that is held up; 0 if none. */
--- a/src/main/java/slateslip/dataplane/DataPlaneMetrics.java
+++ b/src/main/java/slateslip/dataplane/DataPlaneMetrics.java
@@ -40,8 +40,20 @@
   /** Answers of backends that could not be read or were incomplete. */
   public long malformedResponses;
 
+  private final long[] byOutcome = new long[RequestOutcome.values().length];
+
   private final Map<AbortReason, Long> brokenOff = new EnumMap<>(AbortReason.class);
 
+  /** A request has ended so. */
+  public void ended(RequestOutcome outcome) {
+    byOutcome[outcome.ordinal()]++;
+  }
+
+  /** How many requests have ended so. */
+  public long endedWith(RequestOutcome outcome) {
+    return byOutcome[outcome.ordinal()];
+  }
+
   /** A response was broken off. */
   public void brokenOff(AbortReason reason) {
     brokenOff.merge(reason, 1L, Long::sum);
--- a/src/main/java/slateslip/dataplane/backend/BackendAttempt.java
+++ b/src/main/java/slateslip/dataplane/backend/BackendAttempt.java
@@ -22,12 +22,6 @@
   /** How long a connection may take to come up. */
   private static final int CONNECT_MILLIS = 600;
 
-  /**
-   * After this a second one is dialled beside it: a lost opening packet is sent again only after
-   * seconds.
-   */
-  private static final int CONNECT_LATE_MILLIS = 60;
-
   /** An idle connection that breaks so soon after a write was dead before it. */
   private static final long AT_ONCE_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
 
@@ -52,6 +46,8 @@
 
   private Future<?> timer;
 
+  private long dialledNanos;
+
   /** For a second connection beside the first. */
   private Future<?> dialTimer;
 
@@ -105,16 +101,19 @@
 
   private void connect() {
     pool.connecting(this);
+    dialledNanos = System.nanoTime();
     dial(CONNECT_MILLIS);
     if (!ended) {
-      dialTimer =
-          pools.loop().schedule(this::dialAgain, CONNECT_LATE_MILLIS, TimeUnit.MILLISECONDS);
+      long lateNanos = pools.connectTimes().lateNanos();
+      dialTimer = pools.loop().schedule(this::dialAgain, lateNanos, TimeUnit.NANOSECONDS);
     }
   }
 
+  /** Dials a second time beside the first: a lost opening packet is sent again only after seconds. */
   private void dialAgain() {
     if (!ended && connection == null) {
-      dial(CONNECT_MILLIS - CONNECT_LATE_MILLIS);
+      long passedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - dialledNanos);
+      dial((int) Math.max(1, CONNECT_MILLIS - passedMillis));
     }
   }
 
@@ -138,6 +137,7 @@
       pool.keep(fresh);
     } else {
       pool.connected(this);
+      pools.connectTimes().connected(System.nanoTime() - dialledNanos);
       write(fresh);
     }
   }
--- a/src/main/java/slateslip/dataplane/backend/BackendPools.java
+++ b/src/main/java/slateslip/dataplane/backend/BackendPools.java
@@ -55,6 +55,7 @@
   private final int maxConnections;
   private final DataPlaneMetrics metrics;
   private final StreamPoller streamPoller;
+  private final ConnectTimeEstimator connectTimes = new ConnectTimeEstimator();
   private final IdleConnectionTimeout idleTimeout =
       new IdleConnectionTimeout(MAX_IDLE_NANOS, System.nanoTime());
   private final Map<String, BackendPool> pools = new HashMap<>();
@@ -178,6 +179,10 @@
     return loop;
   }
 
+  ConnectTimeEstimator connectTimes() {
+    return connectTimes;
+  }
+
   StreamPoller streamPoller() {
     return streamPoller;
   }
--- a/src/main/java/slateslip/dataplane/forwarding/AttemptRelay.java
+++ b/src/main/java/slateslip/dataplane/forwarding/AttemptRelay.java
@@ -85,6 +85,7 @@
     forwarded.streamingAttempt = number;
     if (!forwarded.exchange.isStarted()) {
       removeOwnId(forwarded, streamHead);
+      forwarded.account.answered(System.nanoTime());
       forwarded.exchange.beginStream(streamHead.status(), streamHead.headers());
     } else {
       metrics.resumed++;
@@ -135,10 +136,12 @@
     }
     if (streamHead != null && takesStream()) {
       beginStream();
+      forwarded.account.served(System.nanoTime());
       exchange.endStream();
       return true;
     }
     if (streamHead == null && !exchange.isStarted()) {
+      forwarded.account.served(System.nanoTime());
       relay(forwarded, result.response());
       return true;
     }
--- a/src/main/java/slateslip/dataplane/forwarding/ForwardedRequest.java
+++ b/src/main/java/slateslip/dataplane/forwarding/ForwardedRequest.java
@@ -31,7 +31,8 @@
   /** What became of its attempts. */
   final AttemptHistory history = new AttemptHistory();
 
-  final long arrivedNanos = System.nanoTime();
+  /** Its times, and how it ended. */
+  final RequestAccount account = new RequestAccount(System.nanoTime());
 
   /** How many events were passed on. */
   long eventsPassed;
--- a/src/main/java/slateslip/dataplane/forwarding/Forwarder.java
+++ b/src/main/java/slateslip/dataplane/forwarding/Forwarder.java
@@ -14,6 +14,7 @@
 import slateslip.configuration.RoutingTable;
 import slateslip.dataplane.DataPlaneMetrics;
 import slateslip.dataplane.HeaderNames;
+import slateslip.dataplane.RequestOutcome;
 import slateslip.dataplane.backend.BackendAttempt;
 import slateslip.dataplane.backend.BackendPools;
 import slateslip.dataplane.backend.OutgoingRequest;
@@ -47,6 +48,7 @@
   private final SplittableRandom random;
   private final Map<Long, ForwardedRequest> open = new HashMap<>();
   private final Map<ClientExchange, ForwardedRequest> byExchange = new HashMap<>();
+  private final RequestLog requestLog;
   private long nextId = 1;
 
   /** For this router, whose clock is {@code microClock}. */
@@ -62,6 +64,7 @@
     this.keyLease = keyLease;
     this.pools = pools;
     this.metrics = metrics;
+    this.requestLog = new RequestLog(metrics);
     this.random = new SplittableRandom(seed);
     this.driver = new RouterDriver(router, loop, microClock, this::carryOut, metrics.wakeUps);
   }
@@ -114,6 +117,7 @@
       if (forwarded.exchange.isStarted()) {
         breakOff(forwarded, AbortReason.SHUTDOWN);
       } else {
+        forwarded.account.ended(RequestOutcome.TIMED_OUT);
         forwarded.exchange.respond(HttpResponseStatus.GATEWAY_TIMEOUT, 0);
       }
       driver.feed(new RouterInput.ClientGone(forwarded.id)); // cancels its attempts
@@ -147,6 +151,7 @@
     }
     metrics.wakeUps.attribute(WakeUpCause.CLIENT);
     metrics.clientsGone++;
+    forwarded.account.ended(RequestOutcome.CLIENT_GONE);
     driver.feed(new RouterInput.ClientGone(forwarded.id));
     forgetIfDone(forwarded);
   }
@@ -166,9 +171,9 @@
   }
 
   private void forgetIfDone(ForwardedRequest forwarded) {
-    if (forwarded.isDone()) {
-      open.remove(forwarded.id);
+    if (forwarded.isDone() && open.remove(forwarded.id) != null) {
       byExchange.remove(forwarded.exchange);
+      requestLog.ended(forwarded);
     }
   }
 
@@ -202,6 +207,7 @@
     BackendAttempt attempt = pools.send(send.backendId(), outgoing(forwarded, send), relay);
     forwarded.attempts.put(send.attempt(), attempt);
     forwarded.history.began(send.backendId());
+    forwarded.account.sent(System.nanoTime(), send.estimate());
   }
 
   private OutgoingRequest outgoing(ForwardedRequest forwarded, RouterOutput.SendAttempt send) {
@@ -242,6 +248,7 @@
       return;
     }
     metrics.localResponses++;
+    forwarded.account.ended(RequestOutcome.ofOwnStatus(response.status()));
     HttpResponseStatus status = HttpResponseStatus.valueOf(response.status());
     forwarded.exchange.respond(status, response.retryAfterMicros());
     forgetIfDone(forwarded);
@@ -256,6 +263,7 @@
       breakOff(relay.request(), AbortReason.ATTEMPTS_EXHAUSTED);
       return;
     }
+    forwarded.account.ended(RequestOutcome.FAILED);
     AttemptRelay.relay(forwarded, forwarded.failures.get(relay.attempt()));
     forgetIfDone(forwarded);
   }
@@ -275,11 +283,12 @@
       return;
     }
     metrics.brokenOff(reason);
+    forwarded.account.ended(RequestOutcome.BROKEN_OFF);
     LOG.infof(
         "response broken off: reason=%s attempt_id=%s held_ms=%d last_event=%d attempts=%s",
         reason,
         forwarded.attemptId,
-        TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - forwarded.arrivedNanos),
+        TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - forwarded.account.arrivedNanos()),
         forwarded.lastEventId,
         forwarded.history);
     forwarded.exchange.breakOff();
--- a/src/main/java/slateslip/dataplane/status/MetricsText.java
+++ b/src/main/java/slateslip/dataplane/status/MetricsText.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import slateslip.dataplane.DataPlaneMetrics;
+import slateslip.dataplane.RequestOutcome;
 import slateslip.eventloop.ProcessorTime;
 import slateslip.eventloop.WakeUpCause;
 import slateslip.routing.AbortReason;
@@ -41,6 +42,10 @@
     text.add("client_connections", "gauge", clientConnections);
     text.add("backend_connections", "gauge", backendConnections);
     text.add("configuration_version", "gauge", configurationVersion);
+    for (RequestOutcome outcome : RequestOutcome.values()) {
+      String name = "requests_ended_" + outcome.label() + "_total";
+      text.add(name, "counter", metrics.endedWith(outcome));
+    }
     for (WakeUpCause cause : WakeUpCause.values()) {
       String name = "event_loop_turns_" + cause.label() + "_total";
       text.add(name, "counter", metrics.wakeUps.count(cause));
--- a/src/main/java/slateslip/dataplane/subscription/Subscription.java
+++ b/src/main/java/slateslip/dataplane/subscription/Subscription.java
@@ -16,6 +16,9 @@
  * be reached.
  */
 public final class Subscription {
+  /** Between two ticks. */
+  public static final long TICK_MILLIS = 100;
+
   /**
    * A stream on which nothing came for so long is dead; agents send heartbeats several times a
    * second.
@@ -37,7 +40,7 @@
    * Two ticks that are further apart mean that this process was held up, not that its peers were
    * unresponsive.
    */
-  private static final long STALL_THRESHOLD_MILLIS = 300;
+  private static final long STALL_THRESHOLD_MILLIS = 3 * TICK_MILLIS;
 
   private static final long DEMAND_INTERVAL_MILLIS = 250;
 
--- a/src/main/java/slateslip/dataplane/subscription/SubscriptionClient.java
+++ b/src/main/java/slateslip/dataplane/subscription/SubscriptionClient.java
@@ -70,7 +70,7 @@
     this.demand = demand;
     this.listener = listener;
     this.wakeUps = periodic.wakeUps();
-    periodic.every(PeriodicTasks.TICK_MILLIS, this::tick);
+    periodic.every(Subscription.TICK_MILLIS, this::tick);
   }
 
   /** Begins to connect, without waiting for the first tick. */
--- a/src/main/java/slateslip/experiment/ExperimentFile.java
+++ b/src/main/java/slateslip/experiment/ExperimentFile.java
@@ -107,10 +107,11 @@
   private static RoutingPolicy mechanisms(ExperimentFields variant)
       throws ExperimentFields.Problem {
     String disabled = variant.text("disabled", "");
+    String parameters = variant.text("parameters", "");
     try {
-      return RoutingPolicy.without(disabled);
+      return RoutingPolicy.of(disabled, parameters);
     } catch (IllegalArgumentException unknown) {
-      throw variant.problem("disabled", "names " + unknown.getMessage());
+      throw variant.problem("disabled or parameters", "names " + unknown.getMessage());
     }
   }
 
--- a/src/main/java/slateslip/routing/Admission.java
+++ b/src/main/java/slateslip/routing/Admission.java
@@ -26,16 +26,23 @@
 
   private final TenantQuotas quotas;
   private final KeyLease keyLease;
+  private final long retryMicros;
 
-  Admission(TenantQuotas quotas, KeyLease keyLease) {
+  /**
+   * Judges requests.
+   *
+   * @param retryMicros when a client is asked to come back while nothing is known yet
+   */
+  Admission(TenantQuotas quotas, KeyLease keyLease, long retryMicros) {
     this.quotas = quotas;
+    this.retryMicros = retryMicros;
     this.keyLease = keyLease;
   }
 
   /** Judges a request by a configuration; null if there is none yet. */
   Verdict judge(long nowMicros, RoutingTable table, RouterInput.RequestArrived arrived) {
     if (table == null) {
-      return refused(arrived, 503, FleetRouter.RETRY_UNKNOWN_MICROS);
+      return refused(arrived, 503, retryMicros);
     }
     RequestAttributes attributes = arrived.attributes();
     Optional<Route> route = table.route(attributes.host(), attributes.path());
@@ -44,7 +51,7 @@
     }
     boolean needsKey = table.needsKeys() && !route.get().isPublic();
     if (needsKey && !keyLease.isHeld(nowMicros)) {
-      return refused(arrived, 503, FleetRouter.RETRY_UNKNOWN_MICROS);
+      return refused(arrived, 503, retryMicros);
     }
     Tenant tenant = tenant(table, attributes);
     if (tenant == null && needsKey) {
--- a/src/main/java/slateslip/routing/BackendTable.java
+++ b/src/main/java/slateslip/routing/BackendTable.java
@@ -15,6 +15,7 @@
 import slateslip.routing.health.BackendHealthMonitor;
 import slateslip.routing.placement.Backend;
 import slateslip.routing.placement.PrefillEstimator;
+import slateslip.routing.policy.RoutingParameter;
 import slateslip.routing.policy.RoutingPolicy;
 
 /** The backends that are known, what is learned of them, and the probes that are due. */
@@ -54,7 +55,7 @@
   /** All engines of a service share an estimate: each alone is met too seldom to learn from. */
   private Backend newBackend(long nowMicros, BackendSession session) {
     PrefillEstimator estimator =
-        estimators.computeIfAbsent(session.service(), service -> new PrefillEstimator());
+        estimators.computeIfAbsent(session.service(), service -> new PrefillEstimator(policy));
     return new Backend(session, nowMicros, estimator, policy);
   }
 
@@ -106,8 +107,9 @@
     return probes;
   }
 
-  private static long idleProbeMicros(int dataPlanes) {
-    return BackendHealthMonitor.IDLE_PROBE_MICROS * Math.max(1, dataPlanes);
+  /** All data planes together probe an idle backend as often as one alone would. */
+  private long idleProbeMicros(int dataPlanes) {
+    return policy.micros(RoutingParameter.IDLE_PROBE_MILLIS) * Math.max(1, dataPlanes);
   }
 
   /** When some backend is to be looked at again. */
@@ -120,7 +122,7 @@
   }
 
   /** When one backend is to be looked at again. */
-  static long nextCheckMicros(Backend backend, int dataPlanes) {
+  long nextCheckMicros(Backend backend, int dataPlanes) {
     return backend.registered()
         ? backend.healthMonitor().nextCheckMicros(idleProbeMicros(dataPlanes))
         : Long.MAX_VALUE;
--- a/src/main/java/slateslip/routing/Dispatcher.java
+++ b/src/main/java/slateslip/routing/Dispatcher.java
@@ -108,7 +108,9 @@
             idleTimeoutMicros(request),
             service.engine() == null ? RouterOutput.NO_PRIORITY : request.priority(),
             request.tenant == null ? null : request.tenant.name(),
-            resumeAfter(request)));
+            resumeAfter(request),
+            new RouterOutput.Estimate(
+                targetMicros(request), choice.firstMicros(), choice.candidates())));
     return Optional.empty();
   }
 
@@ -148,6 +150,10 @@
     return Math.max(MIN_IDLE_TIMEOUT_MICROS, millis * MICROS_PER_MILLI);
   }
 
+  private static long targetMicros(PendingRequest request) {
+    return request.route.targetLatencyMillis() * MICROS_PER_MILLI;
+  }
+
   private Placement.Choice choose(long nowMicros, Service service, PendingRequest request) {
     List<Backend> ofService = backends.ofService(service.name());
     Placement.Demand demand =
@@ -155,7 +161,7 @@
             service,
             request.attributes.prompt(),
             request.promptTokens(),
-            request.route.targetLatencyMillis() * MICROS_PER_MILLI,
+            targetMicros(request),
             quotas.agents());
     return placement.pick(nowMicros, demand, ofService, backend -> !request.wasSentTo(backend));
   }
@@ -199,6 +205,6 @@
   }
 
   private RetryBudget budget(String service) {
-    return budgets.computeIfAbsent(service, name -> new RetryBudget(retryBounds));
+    return budgets.computeIfAbsent(service, name -> new RetryBudget(retryBounds, policy));
   }
 }
--- a/src/main/java/slateslip/routing/FleetRouter.java
+++ b/src/main/java/slateslip/routing/FleetRouter.java
@@ -13,31 +13,18 @@
 import slateslip.routing.health.BackendHealthMonitor;
 import slateslip.routing.placement.Backend;
 import slateslip.routing.policy.Mechanism;
+import slateslip.routing.policy.RoutingParameter;
+import slateslip.routing.policy.RoutingPolicy;
 import slateslip.routing.quota.QuotaBounds;
 import slateslip.routing.quota.TenantQuotas;
 import slateslip.routing.retry.RetryBounds;
 
 /** The router of one data plane: life of each request, from its arrival to its one final answer. */
 public final class FleetRouter implements RequestRouter {
-  /**
-   * When a client is asked to come back whose request a backend rejected, or none could be reached.
-   */
-  private static final long RETRY_AFTER_MICROS = 100_000;
-
-  /**
-   * The same while no backend of the service is known: about the time that backends need to report
-   * anew after a fault of everything (their heartbeats are 1.2 s apart). Clients come back only
-   * once.
-   */
-  static final long RETRY_UNKNOWN_MICROS = 1_200_000;
-
-  /** A response is overdue this long after it was expected; then its backend is probed. */
-  private static final long OVERDUE_MICROS = 250_000;
-
-  /** A stream that runs for so long with nothing else heard from its backend makes it be probed. */
-  private static final long STREAM_DOUBT_MICROS = 1_000_000;
-
   private final RouterSettings settings;
+  private final long retryAfterMicros;
+  private final long overdueMicros;
+  private final long streamSilenceMicros;
   private final BackendTable backends;
   private final KeyLease keyLease;
   private final Map<Long, PendingRequest> open = new HashMap<>();
@@ -53,6 +40,10 @@
   /** A router within these bounds that knows no configuration and no backend yet. */
   public FleetRouter(RouterSettings settings) {
     this.settings = settings;
+    RoutingPolicy policy = settings.policy();
+    retryAfterMicros = policy.micros(RoutingParameter.RETRY_AFTER_MILLIS);
+    overdueMicros = policy.micros(RoutingParameter.OVERDUE_MILLIS);
+    streamSilenceMicros = policy.micros(RoutingParameter.STREAM_SILENCE_MILLIS);
     this.backends = new BackendTable(settings.policy());
     this.keyLease = settings.leasedKeys() ? KeyLease.required() : KeyLease.notRequired();
   }
@@ -91,7 +82,7 @@
   }
 
   private void lookAgainAt(Backend backend) {
-    schedule.checkAt(BackendTable.nextCheckMicros(backend, quotas.agents()));
+    schedule.checkAt(backends.nextCheckMicros(backend, quotas.agents()));
   }
 
   @Override
@@ -100,8 +91,9 @@
   }
 
   private void begin(long nowMicros) {
-    quotas = new TenantQuotas(settings.quotas(), nowMicros);
-    admission = new Admission(quotas, keyLease);
+    int dataPlanes = (int) settings.policy().value(RoutingParameter.INITIAL_DATA_PLANES);
+    quotas = new TenantQuotas(settings.quotas(), nowMicros, dataPlanes);
+    admission = new Admission(quotas, keyLease, settings.heartbeatMicros());
     dispatcher =
         new Dispatcher(settings, backends, quotas, keyLease, output -> outputs.add(output));
   }
@@ -152,7 +144,7 @@
     } else {
       schedule.checkAt(
           now
-              + OVERDUE_MICROS
+              + overdueMicros
               + request.attempts.get(request.attempts.size() - 1).expectedMicros());
     }
   }
@@ -165,7 +157,8 @@
       outputs.add(new RouterOutput.Respond(request.id, 502, 0));
     } else {
       boolean known = backends.serves(request.service);
-      long wait = known ? RETRY_AFTER_MICROS : RETRY_UNKNOWN_MICROS;
+      // Backends that are not known yet report with their next heartbeat.
+      long wait = known ? retryAfterMicros : settings.heartbeatMicros();
       outputs.add(new RouterOutput.Respond(request.id, 503, wait));
     }
     finish(request);
@@ -343,7 +336,7 @@
       BackendHealthMonitor healthMonitor = attempt.backend().healthMonitor();
       long unresponsive = now - Math.max(attempt.sentMicros(), healthMonitor.heardMicros());
       long patience =
-          attempt.started() ? STREAM_DOUBT_MICROS : OVERDUE_MICROS + attempt.expectedMicros();
+          attempt.started() ? streamSilenceMicros : overdueMicros + attempt.expectedMicros();
       schedule.checkAt(now - unresponsive + patience);
       if (unresponsive < patience) {
         continue;
--- a/src/main/java/slateslip/routing/RouterOutput.java
+++ b/src/main/java/slateslip/routing/RouterOutput.java
@@ -29,6 +29,7 @@
    * @param tenant what is sent as {@code X-Tenant}; null on routes without keys
    * @param resumeAfter event id to go on after ({@code Last-Event-Id}), {@link #AS_SENT} or {@link
    *     #AFTER_LAST_EVENT}
+   * @param estimate what was expected when the backend was chosen; for reports
    */
   record SendAttempt(
       long request,
@@ -39,8 +40,45 @@
       long idleTimeoutMicros,
       int priority,
       String tenant,
-      long resumeAfter)
-      implements RouterOutput {}
+      long resumeAfter,
+      Estimate estimate)
+      implements RouterOutput {
+    /** An attempt of which nothing is expected. */
+    public SendAttempt(
+        long request,
+        int attempt,
+        String backendId,
+        long deadlineMillis,
+        long firstEventTimeoutMicros,
+        long idleTimeoutMicros,
+        int priority,
+        String tenant,
+        long resumeAfter) {
+      this(
+          request,
+          attempt,
+          backendId,
+          deadlineMillis,
+          firstEventTimeoutMicros,
+          idleTimeoutMicros,
+          priority,
+          tenant,
+          resumeAfter,
+          Estimate.NONE);
+    }
+  }
+
+  /**
+   * What was expected when a backend was chosen.
+   *
+   * @param targetMicros latency objective of the route, from the request's arrival; 0 if not known
+   * @param firstEventMicros until the first event, from then on; 0 if not known
+   * @param candidates backends that it was chosen from
+   */
+  record Estimate(long targetMicros, long firstEventMicros, int candidates) {
+    /** Nothing is known. */
+    public static final Estimate NONE = new Estimate(0, 0, 0);
+  }
 
   /**
    * Give the final answer of this data plane's own.
--- a/src/main/java/slateslip/routing/health/BackendHealthMonitor.java
+++ b/src/main/java/slateslip/routing/health/BackendHealthMonitor.java
@@ -4,6 +4,7 @@
 import slateslip.loadbalancer.policy.BackendHealth;
 import slateslip.loadbalancer.policy.HealthParameters;
 import slateslip.routing.policy.Mechanism;
+import slateslip.routing.policy.RoutingParameter;
 import slateslip.routing.policy.RoutingPolicy;
 
 /**
@@ -15,35 +16,21 @@
  * choice, and is probed often, until anything is heard from it. All times are in microseconds.
  */
 public final class BackendHealthMonitor {
-  /**
-   * Without traffic a backend is probed this often by all data planes together: however many there
-   * are, what idle backends spend on probes stays the same.
-   */
-  public static final long IDLE_PROBE_MICROS = 8_000_000;
-
-  /** A suspected or unhealthy one is probed this often: crashes last about 4 s. */
-  static final long SUSPECT_PROBE_MICROS = 400_000;
-
-  /**
-   * A probe of a backend with a free slot is answered in some ms; after this its silence is a sign.
-   */
-  static final long PROBE_SUSPECT_MICROS = 250_000;
+  /** YARP's defaults for failed probes, the window, its least requests and its share of failures. */
+  private static final int MAX_FAILED_PROBES = 2;
 
-  /**
-   * Broken answers in a row that raise suspicion: in troubled networks one in thirty breaks by
-   * itself.
-   */
-  private static final int MAX_CONSECUTIVE_BROKEN = 2;
+  private static final long WINDOW_MICROS = 60_000_000;
+  private static final int MIN_REQUESTS = 10;
+  private static final double MAX_FAILED_FRACTION = 0.3;
 
-  /**
-   * YARP's defaults but for two. Reactivation: crashes here last about 4 s, and probes find what
-   * stays down. Deviations: what fails at all backends alike is no fault of one.
-   */
-  static final HealthParameters PARAMETERS =
-      new HealthParameters(2, 60_000_000, 10, 0.3, 1, 5_000_000);
+  /** What fails at all backends alike is no fault of one. */
+  private static final double MAX_DEVIATIONS = 1;
 
-  private final BackendHealth health = new BackendHealth(PARAMETERS);
+  private final BackendHealth health;
   private final RoutingPolicy policy;
+  private final long suspectProbeMicros;
+  private final long probeReplyMicros;
+  private final int maxBrokenInARow;
   private long heardMicros;
   private long probeSentMicros;
   private boolean probePending;
@@ -54,10 +41,24 @@
   /** Of a backend that was registered at this time. */
   public BackendHealthMonitor(long nowMicros, RoutingPolicy policy) {
     this.policy = policy;
+    health = new BackendHealth(parameters(policy));
+    suspectProbeMicros = policy.micros(RoutingParameter.SUSPECT_PROBE_MILLIS);
+    probeReplyMicros = policy.micros(RoutingParameter.PROBE_REPLY_MILLIS);
+    maxBrokenInARow = (int) policy.value(RoutingParameter.BROKEN_IN_A_ROW);
     heardMicros = nowMicros;
     probeSentMicros = nowMicros;
   }
 
+  private static HealthParameters parameters(RoutingPolicy policy) {
+    return new HealthParameters(
+        MAX_FAILED_PROBES,
+        WINDOW_MICROS,
+        MIN_REQUESTS,
+        MAX_FAILED_FRACTION,
+        MAX_DEVIATIONS,
+        policy.micros(RoutingParameter.REACTIVATION_MILLIS));
+  }
+
   /** Available unless the active or the passive state is Unhealthy. */
   public boolean available(long nowMicros) {
     health.reactivateIfDue(nowMicros);
@@ -101,7 +102,7 @@
   /** A connection broke, or what came was no response. */
   public void requestBroken(long nowMicros, Collection<BackendHealth> peers) {
     consecutiveBroken++;
-    if (consecutiveBroken >= MAX_CONSECUTIVE_BROKEN) {
+    if (consecutiveBroken >= maxBrokenInARow) {
       suspect();
     }
     probeRequested = true;
@@ -131,7 +132,7 @@
 
   private long probeDueMicros(long idleProbeMicros) {
     if (suspected || probeRequested || !health.available()) {
-      return probeSentMicros + SUSPECT_PROBE_MICROS;
+      return probeSentMicros + suspectProbeMicros;
     }
     return policy.uses(Mechanism.IDLE_PROBES)
         ? Math.max(probeSentMicros, heardMicros) + idleProbeMicros
@@ -144,7 +145,7 @@
       return probeDueMicros(idleProbeMicros);
     }
     boolean answered = heardMicros > probeSentMicros;
-    return suspected || answered ? Long.MAX_VALUE : probeSentMicros + PROBE_SUSPECT_MICROS;
+    return suspected || answered ? Long.MAX_VALUE : probeSentMicros + probeReplyMicros;
   }
 
   /** A probe goes out. */
@@ -158,7 +159,7 @@
   public boolean checkProbeTimeout(long nowMicros) {
     boolean unanswered =
         probePending
-            && nowMicros - probeSentMicros >= PROBE_SUSPECT_MICROS
+            && nowMicros - probeSentMicros >= probeReplyMicros
             && heardMicros <= probeSentMicros;
     if (!unanswered || suspected) {
       return false;
--- a/src/main/java/slateslip/routing/placement/Backend.java
+++ b/src/main/java/slateslip/routing/placement/Backend.java
@@ -4,17 +4,16 @@
 import slateslip.loadbalancer.policy.RendezvousHash;
 import slateslip.routing.health.BackendHealthMonitor;
 import slateslip.routing.policy.Mechanism;
+import slateslip.routing.policy.RoutingParameter;
 import slateslip.routing.policy.RoutingPolicy;
 
 /** What this data plane knows of one incarnation of a backend. */
 public final class Backend {
-  /** Time in which what a backend told of its load falls to 1/e: about a response's time. */
-  private static final double LOAD_FADE_MICROS = 300_000;
-
   private final long hash;
   private final BackendHealthMonitor healthMonitor;
   private final EngineModel engine;
   private final RoutingPolicy policy;
+  private final double loadDecayMicros;
   private BackendSession session;
   private boolean listed = true;
   private boolean replaced;
@@ -28,6 +27,7 @@
       BackendSession session, long nowMicros, PrefillEstimator estimator, RoutingPolicy policy) {
     this.session = session;
     this.policy = policy;
+    this.loadDecayMicros = (double) policy.micros(RoutingParameter.LOAD_DECAY_MILLIS);
     this.engine = new EngineModel(estimator, policy);
     this.healthMonitor = new BackendHealthMonitor(nowMicros, policy);
     long seed = 0;
@@ -130,7 +130,7 @@
     if (!policy.uses(Mechanism.LOAD_REPORTS)) {
       return inFlight;
     }
-    double fade = Math.exp((reportedMicros - nowMicros) / LOAD_FADE_MICROS);
+    double fade = Math.exp((reportedMicros - nowMicros) / loadDecayMicros);
     return Math.max(inFlight, reportedRequests * fade);
   }
 }
--- a/src/main/java/slateslip/routing/placement/EngineModel.java
+++ b/src/main/java/slateslip/routing/placement/EngineModel.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import slateslip.routing.RequestAttributes.PromptPart;
 import slateslip.routing.policy.Mechanism;
+import slateslip.routing.policy.RoutingParameter;
 import slateslip.routing.policy.RoutingPolicy;
 
 /**
@@ -10,17 +11,13 @@
  * will have read the prompts that wait. Times are in microseconds.
  */
 public final class EngineModel {
-  /** Weight of one measured delay beyond what own requests explain. */
-  private static final double DELAY_BLEND = 0.5;
-
-  /** Time in which such a delay falls to 1/e: what others have sent is read by then. */
-  private static final double DELAY_FADE_MICROS = 700_000;
-
   /** A request that is expected to wait for less counts as one that does not wait. */
   private static final long NO_WAIT_MICROS = 2_000;
 
   private final PrefillEstimator estimator;
   private final RoutingPolicy policy;
+  private final double delayWeight;
+  private final double delayDecayMicros;
   private final PrefixCacheModel prefixCache = new PrefixCacheModel();
   private long prefillUntilMicros;
   private double delayMicros;
@@ -30,6 +27,8 @@
   EngineModel(PrefillEstimator estimator, RoutingPolicy policy) {
     this.estimator = estimator;
     this.policy = policy;
+    delayWeight = policy.value(RoutingParameter.DELAY_WEIGHT);
+    delayDecayMicros = (double) policy.micros(RoutingParameter.DELAY_DECAY_MILLIS);
   }
 
   /** Tokens of the prompt that the engine probably keeps. */
@@ -47,7 +46,7 @@
     if (!policy.uses(Mechanism.QUEUE_ESTIMATE)) {
       return 0;
     }
-    double fade = Math.exp((delayMeasuredMicros - nowMicros) / DELAY_FADE_MICROS);
+    double fade = Math.exp((delayMeasuredMicros - nowMicros) / delayDecayMicros);
     return Math.max(0, prefillUntilMicros - nowMicros) + (long) (delayMicros * fade);
   }
 
@@ -75,9 +74,9 @@
     if (alone && policy.uses(Mechanism.ENGINE_LEARNING)) {
       estimator.learn(choice.work(), tookMicros);
     }
-    double fade = Math.exp((delayMeasuredMicros - nowMicros) / DELAY_FADE_MICROS);
+    double fade = Math.exp((delayMeasuredMicros - nowMicros) / delayDecayMicros);
     double measured = Math.max(0, tookMicros - expectedMicros);
-    delayMicros = delayMicros * fade + DELAY_BLEND * (measured - delayMicros * fade);
+    delayMicros = delayMicros * fade + delayWeight * (measured - delayMicros * fade);
     delayMeasuredMicros = nowMicros;
     if (noneWaits) {
       prefillUntilMicros = nowMicros;
--- a/src/main/java/slateslip/routing/placement/Placement.java
+++ b/src/main/java/slateslip/routing/placement/Placement.java
@@ -9,6 +9,7 @@
 import slateslip.loadbalancer.policy.PowerOfTwoChoices;
 import slateslip.routing.RequestAttributes.PromptPart;
 import slateslip.routing.policy.Mechanism;
+import slateslip.routing.policy.RoutingParameter;
 import slateslip.routing.policy.RoutingPolicy;
 
 /**
@@ -20,28 +21,13 @@
  * few the one is taken that will have read the prompt soonest.
  */
 public final class Placement {
-  /**
-   * Part of the objective over which, at the first choice, the other backends are looked at too.
-   */
-  private static final double SPILL_PART = 0.4;
-
-  /**
-   * Part of the shared tokens that a key's first backend is taken to keep though this data plane
-   * has not sent them there: the others have.
-   */
-  private static final double CACHED_BY_PEERS = 0.95;
-
-  /**
-   * Time that staying in the zone is worth: 17 KB at 1,400 per GB cost 0.024, of a worth of 1 to 3.
-   */
-  private static final long OWN_ZONE_MICROS = 8_000;
-
-  /** Part of its slots in use above which a backend of the own zone is full. */
-  private static final double SPARE_SLOT_FRACTION = 0.8;
-
   private final String zone;
   private final RandomGenerator random;
   private final RoutingPolicy policy;
+  private final double spillFraction;
+  private final double sharedCacheFraction;
+  private final long otherZoneMicros;
+  private final double fullSlotsFraction;
 
   /**
    * What is to be placed.
@@ -70,8 +56,10 @@
    * @param work what it has to do before the first event
    * @param readMicros time for reading them
    * @param firstMicros expected until the first event; 0 if nothing is known of it
+   * @param candidates backends that it was chosen from
    */
-  public record Choice(Backend backend, PrefillWork work, long readMicros, long firstMicros) {
+  public record Choice(
+      Backend backend, PrefillWork work, long readMicros, long firstMicros, int candidates) {
     /** Tokens that the backend will have to read; 0 if there is no prompt. */
     public long newTokens() {
       return work.newTokens();
@@ -83,6 +71,10 @@
     this.zone = zone;
     this.policy = policy;
     this.random = random;
+    spillFraction = policy.value(RoutingParameter.SPILL_FRACTION);
+    sharedCacheFraction = policy.value(RoutingParameter.SHARED_CACHE_FRACTION);
+    otherZoneMicros = policy.micros(RoutingParameter.OTHER_ZONE_MILLIS);
+    fullSlotsFraction = policy.value(RoutingParameter.FULL_SLOTS_FRACTION);
   }
 
   /**
@@ -104,7 +96,7 @@
     if (prompted && policy.uses(Mechanism.PREFIX_AFFINITY)) {
       return byPrompt(nowMicros, demand, candidates);
     }
-    return new Choice(draw(nowMicros, candidates), PrefillWork.NONE, 0, 0);
+    return new Choice(draw(nowMicros, candidates), PrefillWork.NONE, 0, 0, candidates.size());
   }
 
   /**
@@ -147,14 +139,15 @@
     return backend.session().zone().equals(zone) || !policy.uses(Mechanism.ZONE_PREFERENCE);
   }
 
-  private static boolean hasCapacity(Backend backend, long nowMicros) {
+  private boolean hasCapacity(Backend backend, long nowMicros) {
     int slots = backend.session().slots();
-    return slots <= 0 || backend.load(nowMicros) < SPARE_SLOT_FRACTION * slots;
+    return slots <= 0 || backend.load(nowMicros) < fullSlotsFraction * slots;
   }
 
   private Choice byPrompt(long nowMicros, Demand demand, List<Backend> candidates) {
     long key = key(demand.prompt());
-    Choice home = reckon(nowMicros, demand, home(candidates, key), true);
+    int count = candidates.size();
+    Choice home = reckon(nowMicros, demand, home(candidates, key), true, count);
     return isSoon(home, demand) || !policy.uses(Mechanism.SPILL)
         ? home
         : spill(nowMicros, demand, candidates, key, home);
@@ -174,8 +167,8 @@
     return home;
   }
 
-  private static boolean isSoon(Choice choice, Demand demand) {
-    return choice.firstMicros() <= SPILL_PART * demand.objectiveMicros();
+  private boolean isSoon(Choice choice, Demand demand) {
+    return choice.firstMicros() <= spillFraction * demand.objectiveMicros();
   }
 
   /** Looks at the other backends, in the order of the key, until one is soon enough. */
@@ -185,7 +178,7 @@
     ordered.sort(Comparator.comparingLong((Backend backend) -> backend.weight(key)).reversed());
     Choice best = home;
     for (int rank = 1; rank < ordered.size() && !isSoon(best, demand); rank++) {
-      Choice choice = reckon(nowMicros, demand, ordered.get(rank), false);
+      Choice choice = reckon(nowMicros, demand, ordered.get(rank), false, ordered.size());
       if (cost(choice) < cost(best)) {
         best = choice;
       }
@@ -198,18 +191,19 @@
     return prompt.get(Math.max(0, prompt.size() - 2)).id();
   }
 
-  private Choice reckon(long nowMicros, Demand demand, Backend backend, boolean isHome) {
+  private Choice reckon(
+      long nowMicros, Demand demand, Backend backend, boolean isHome, int candidates) {
     EngineModel engine = backend.engine();
     long cachedTokens =
         engine.cachedTokens(demand.prompt(), demand.memoryTokens(), demand.agents());
     if (isHome && policy.uses(Mechanism.SHARED_CACHE)) {
       int last = demand.prompt().size() - 1;
       long shared = demand.promptTokens() - demand.prompt().get(last).tokens();
-      cachedTokens = Math.max(cachedTokens, (long) (CACHED_BY_PEERS * shared));
+      cachedTokens = Math.max(cachedTokens, (long) (sharedCacheFraction * shared));
     }
     PrefillWork work = PrefillWork.of(demand.promptTokens(), cachedTokens);
     long read = engine.prefillMicros(work);
-    return new Choice(backend, work, read, engine.queueMicros(nowMicros) + read);
+    return new Choice(backend, work, read, engine.queueMicros(nowMicros) + read, candidates);
   }
 
   /**
@@ -218,6 +212,6 @@
    */
   private long cost(Choice choice) {
     long others = policy.uses(Mechanism.READING_COST) ? choice.readMicros() : 0;
-    return choice.firstMicros() + others + (near(choice.backend()) ? 0 : OWN_ZONE_MICROS);
+    return choice.firstMicros() + others + (near(choice.backend()) ? 0 : otherZoneMicros);
   }
 }
--- a/src/main/java/slateslip/routing/placement/PrefillEstimator.java
+++ b/src/main/java/slateslip/routing/placement/PrefillEstimator.java
@@ -1,9 +1,12 @@
 package slateslip.routing.placement;
 
+import slateslip.routing.policy.RoutingParameter;
+import slateslip.routing.policy.RoutingPolicy;
+
 /**
  * Estimates the time to the first event at the engines of one service: a base time, and a time for
  * each token that has to be read. Both are learnt from measured times, beginning with the figures
- * of a known engine.
+ * that the policy gives.
  *
  * <p>Measured times contain waits that this data plane does not know of, and these only add to
  * them. So the estimate follows a quantile below the median, by steps that depend on the sign of an
@@ -11,9 +14,6 @@
  * fixed factor of its first figures, so that wrong measurements cannot take it further.
  */
 public final class PrefillEstimator {
-  private static final double INITIAL_BASE_MILLIS = 12;
-  private static final double INITIAL_TOKENS_PER_MILLI = 63.9;
-
   /** Cost of a million pairs of tokens, in tokens; about the same for engines of any speed. */
   private static final double TOKENS_PER_MILLION_PAIRS = 23.5;
 
@@ -24,10 +24,20 @@
   private static final double SMALLEST_STEP = 0.02;
   private static final double MAX_FACTOR = 8;
 
-  private double baseMillis = INITIAL_BASE_MILLIS;
-  private double millisPerToken = 1 / INITIAL_TOKENS_PER_MILLI;
+  private final double priorBaseMillis;
+  private final double priorMillisPerToken;
+  private double baseMillis;
+  private double millisPerToken;
   private long samples;
 
+  /** An estimate without any measurement. */
+  public PrefillEstimator(RoutingPolicy policy) {
+    priorBaseMillis = policy.value(RoutingParameter.PRIOR_BASE_MILLIS);
+    priorMillisPerToken = 1 / policy.value(RoutingParameter.PRIOR_TOKENS_PER_MILLI);
+    baseMillis = priorBaseMillis;
+    millisPerToken = priorMillisPerToken;
+  }
+
   /** Expected time to the first event of a request that does not wait. */
   public long micros(PrefillWork work) {
     return (long) (1_000 * (baseMillis + millisPerToken * weightedTokens(work)));
@@ -43,8 +53,8 @@
     double step = Math.max(SMALLEST_STEP, FIRST_STEP / Math.sqrt((double) samples)) * direction;
     double readShare = readMillis / expectedMillis;
     millisPerToken =
-        bounded(millisPerToken * Math.exp(step * readShare), 1 / INITIAL_TOKENS_PER_MILLI);
-    baseMillis = bounded(baseMillis * Math.exp(step * (1 - readShare)), INITIAL_BASE_MILLIS);
+        bounded(millisPerToken * Math.exp(step * readShare), priorMillisPerToken);
+    baseMillis = bounded(baseMillis * Math.exp(step * (1 - readShare)), priorBaseMillis);
   }
 
   private static double weightedTokens(PrefillWork work) {
--- a/src/main/java/slateslip/routing/policy/package-info.java
+++ b/src/main/java/slateslip/routing/policy/package-info.java
@@ -1,2 +1,2 @@
-/** Which mechanisms the router's decisions use; all of them, but in experiments. */
+/** Which mechanisms the router uses, and the parameters of its decisions. */
 package slateslip.routing.policy;
--- a/src/main/java/slateslip/routing/quota/TenantQuotas.java
+++ b/src/main/java/slateslip/routing/quota/TenantQuotas.java
@@ -12,9 +12,6 @@
 
 /** Quotas of all tenants at one data plane. */
 public final class TenantQuotas {
-  /** Data planes that share the quotas as long as no control agent has told how many there are. */
-  public static final int AGENTS_UNKNOWN = 16;
-
   private static final class State {
     Tenant tenant;
     QuotaWindow window;
@@ -26,7 +23,7 @@
   private final long startMicros;
   private final Map<String, State> states = new HashMap<>();
   private final Map<String, Double> fractions = new HashMap<>();
-  private int agents = AGENTS_UNKNOWN;
+  private int agents;
   private long sharesMicros;
   private boolean stale;
 
@@ -34,9 +31,11 @@
    * Quotas of no tenant yet.
    *
    * @param startMicros start of the process
+   * @param dataPlanes that share the quotas as long as no control agent has told how many there are
    */
-  public TenantQuotas(QuotaBounds bounds, long startMicros) {
+  public TenantQuotas(QuotaBounds bounds, long startMicros, int dataPlanes) {
     this.bounds = bounds;
+    this.agents = dataPlanes;
     this.startMicros = startMicros;
   }
 
--- a/src/main/java/slateslip/routing/retry/RetryBudget.java
+++ b/src/main/java/slateslip/routing/retry/RetryBudget.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import slateslip.routing.policy.RoutingParameter;
+import slateslip.routing.policy.RoutingPolicy;
 
 /**
  * One data plane's part of the retry budget of one service.
@@ -11,21 +13,18 @@
  * at a backend are counted a little later than they are sent.
  */
 public final class RetryBudget {
-  /**
-   * Part of the bound that is used; the rest covers what is counted in another window than here.
-   */
-  private static final double MARGIN = 0.8;
+  private final RetryBounds bounds;
 
-  /** Data planes that share the slack as long as no control agent has told how many there are. */
-  public static final int AGENTS_UNKNOWN = 16;
+  /** Part of the bound that is used; the rest covers what is counted in another window than here. */
+  private final double usedFraction;
 
-  private final RetryBounds bounds;
   private final Deque<Long> requests = new ArrayDeque<>();
   private final Deque<Long> retries = new ArrayDeque<>();
 
   /** A budget from which nothing has been spent. */
-  public RetryBudget(RetryBounds bounds) {
+  public RetryBudget(RetryBounds bounds, RoutingPolicy policy) {
     this.bounds = bounds;
+    this.usedFraction = policy.value(RoutingParameter.RETRY_BUDGET_FRACTION);
   }
 
   /** Counts a request of a client. */
@@ -37,7 +36,7 @@
   /** Spends one retry if the budget has it, and says whether it had. */
   public boolean spend(long nowMicros, int agents) {
     slide(nowMicros);
-    double allowed = MARGIN * (bounds.ratio() * requests.size() + bounds.slack() / agents);
+    double allowed = usedFraction * (bounds.ratio() * requests.size() + bounds.slack() / agents);
     if (retries.size() + 1 > allowed) {
       return false;
     }
--- a/src/main/java/slateslip/standin/FleetTraffic.java
+++ b/src/main/java/slateslip/standin/FleetTraffic.java
@@ -1,7 +1,9 @@
 package slateslip.standin;
 
 import java.io.IOException;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import okhttp3.MediaType;
@@ -11,6 +13,7 @@
 import okhttp3.Response;
 import okio.BufferedSink;
 import okio.BufferedSource;
+import slateslip.eventloop.WakeUpCause;
 
 /**
  * Requests of every kind that a data plane serves in a normal life: streams, plain requests,
@@ -57,20 +60,28 @@
     return number % STREAMS_IN_MIX == 0 ? ledger() : chat(number);
   }
 
-  /** Turns of the first data plane's event loop since its start; 0 if it does not count them. */
-  long eventLoopTurns() throws IOException {
+  /** Turns of the first data plane's event loop since its start; 0 where it does not tell them. */
+  Map<WakeUpCause, Long> eventLoopTurns() throws IOException {
     String url = addresses.readyUrl(0).replace("/ready", "/metrics");
-    long turns = 0;
+    Map<WakeUpCause, Long> turns = new EnumMap<>(WakeUpCause.class);
     try (Response response = client.newCall(new Request.Builder().url(url).build()).execute()) {
-      for (String line : response.body().string().split("\n", -1)) {
-        if (line.startsWith(TURNS_METRIC)) {
-          turns += Long.parseLong(line.substring(line.lastIndexOf(' ') + 1));
-        }
+      String metrics = response.body().string();
+      for (WakeUpCause cause : WakeUpCause.values()) {
+        turns.put(cause, value(metrics, TURNS_METRIC + cause.label() + "_total "));
       }
     }
     return turns;
   }
 
+  private static long value(String metrics, String name) {
+    for (String line : metrics.split("\n", -1)) {
+      if (line.startsWith(name)) {
+        return Long.parseLong(line.substring(name.length()));
+      }
+    }
+    return 0;
+  }
+
   /** Requests that are no ordinary ones: each ends early or is rejected. */
   void exceptions() throws IOException {
     isAnswered(request(UNKNOWN_PATH).get().build(), NOT_FOUND);
--- a/src/main/java/slateslip/standin/ProcessorTimeMain.java
+++ b/src/main/java/slateslip/standin/ProcessorTimeMain.java
@@ -12,6 +12,7 @@
 import java.util.logging.Logger;
 import slateslip.eventloop.ProcessorTime;
 import slateslip.eventloop.ProcessorTime.ThreadKind;
+import slateslip.eventloop.WakeUpCause;
 
 /**
  * Measures the processor time of a data plane by thread: of a start until its first answer, of its
@@ -106,13 +107,13 @@
       return false;
     }
     ProcessorTime started = dataPlane.processorTime();
-    long startTurns = traffic.eventLoopTurns();
+    long startTurns = total(traffic.eventLoopTurns());
     PacedTraffic.Result result = traffic.paced().run(rate, length);
     ProcessorTime served = dataPlane.processorTime();
-    long servedTurns = traffic.eventLoopTurns();
+    long servedTurns = total(traffic.eventLoopTurns());
     Thread.sleep(Duration.ofSeconds(IDLE_SECONDS).toMillis());
     ProcessorTime idle = dataPlane.processorTime();
-    long idleTurns = traffic.eventLoopTurns();
+    long idleTurns = total(traffic.eventLoopTurns());
     if (result.answered() != result.sent()) {
       System.out.printf(
           "%s: only %d of %d requests were answered%n", build, result.answered(), result.sent());
@@ -127,6 +128,10 @@
     return true;
   }
 
+  private static long total(Map<WakeUpCause, Long> turns) {
+    return turns.values().stream().mapToLong(Long::longValue).sum();
+  }
+
   private static double perSecond(long count, long seconds) {
     return (double) count / seconds;
   }
--- /dev/null
+++ b/src/main/java/slateslip/standin/WakeUpCheckMain.java
@@ -0,0 +1,98 @@
+package slateslip.standin;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import slateslip.eventloop.WakeUpCause;
+
+/**
+ * Checks that a data plane's event loop turns no more often than stated: in seconds without
+ * requests, and for each request. Counts, not times: a machine that is busy makes it turn less
+ * often.
+ */
+public final class WakeUpCheckMain {
+  private static final int USAGE_ERROR = 2;
+  private static final int FAILURE = 1;
+  private static final int IDLE_SECONDS = 5;
+  private static final int REQUESTS = 120;
+  private static final double REQUESTS_PER_SECOND = 12;
+
+  /** Ten ticks a second, and some turns for control agents and probes. */
+  private static final double MAX_IDLE_TURNS = 14;
+
+  /**
+   * The request, its connection, the head of the response and its first event, each with a second
+   * turn; all later events come in the common turns.
+   */
+  private static final double MAX_REQUEST_TURNS = 8;
+
+  private static final List<WakeUpCause> OF_REQUESTS =
+      List.of(WakeUpCause.CLIENT, WakeUpCause.BACKEND, WakeUpCause.BACKEND_CONNECT);
+  private static final Logger ROOT_LOG = Logger.getLogger("");
+
+  private WakeUpCheckMain() {}
+
+  /** Argument: the folder with the jars. */
+  public static void main(String[] arguments) throws IOException, InterruptedException {
+    if (arguments.length != 1) {
+      System.err.println("usage: WakeUpCheckMain JARS");
+      System.exit(USAGE_ERROR);
+    }
+    ROOT_LOG.setLevel(Level.WARNING);
+    FleetPrograms programs = new FleetPrograms(Path.of(arguments[0]), List.of(), List.of());
+    FleetAddresses addresses = FleetAddresses.withFront(0);
+    LocalFleet fleet = new LocalFleet(addresses, programs);
+    FleetTraffic traffic = new FleetTraffic(addresses);
+    boolean held;
+    try {
+      if (fleet.start() instanceof LocalFleet.Outcome.Failed failed) {
+        System.out.println(failed.reason());
+        System.exit(FAILURE);
+      }
+      held = SampleRequest.send(addresses.frontUrl(0), System.err) && check(traffic);
+    } finally {
+      traffic.close();
+      fleet.close();
+    }
+    System.exit(held ? 0 : FAILURE);
+  }
+
+  private static boolean check(FleetTraffic traffic) throws IOException, InterruptedException {
+    Map<WakeUpCause, Long> before = traffic.eventLoopTurns();
+    Thread.sleep(Duration.ofSeconds(IDLE_SECONDS).toMillis());
+    Map<WakeUpCause, Long> idle = traffic.eventLoopTurns();
+    PacedTraffic.Result result =
+        traffic
+            .paced()
+            .run(
+                REQUESTS_PER_SECOND,
+                Duration.ofMillis((long) (1_000 * REQUESTS / REQUESTS_PER_SECOND)));
+    Map<WakeUpCause, Long> served = traffic.eventLoopTurns();
+    double idleTurns = (double) (total(idle) - total(before)) / IDLE_SECONDS;
+    long requestTurns = 0;
+    for (WakeUpCause cause : OF_REQUESTS) {
+      requestTurns += served.get(cause) - idle.get(cause);
+    }
+    double turnsPerRequest = (double) requestTurns / result.sent();
+    System.out.printf(
+        "turns of a data plane's event loop: %.1f in an idle second (%.0f at most), %.1f for a"
+            + " request (%.0f at most); %d of %d requests answered%n",
+        idleTurns,
+        MAX_IDLE_TURNS,
+        turnsPerRequest,
+        MAX_REQUEST_TURNS,
+        result.answered(),
+        result.sent());
+    return idleTurns <= MAX_IDLE_TURNS
+        && turnsPerRequest <= MAX_REQUEST_TURNS
+        && result.answered() == result.sent();
+  }
+
+  private static long total(Map<WakeUpCause, Long> turns) {
+    return turns.values().stream().mapToLong(Long::longValue).sum();
+  }
+}
--- a/src/test/java/slateslip/routing/KeyLeaseTest.java
+++ b/src/test/java/slateslip/routing/KeyLeaseTest.java
@@ -31,7 +31,8 @@
                 RetryBounds.DEFAULT,
                 QuotaBounds.DEFAULT,
                 RoutingPolicy.DEFAULT,
-                leasedKeys));
+                leasedKeys,
+                RouterSettings.DEFAULT_HEARTBEAT_MICROS));
     router.handle(0, new RouterInput.TableChanged(Fixtures.table()));
     router.handle(
         0,
--- a/src/test/java/slateslip/routing/WakeTest.java
+++ b/src/test/java/slateslip/routing/WakeTest.java
@@ -14,11 +14,14 @@
 import slateslip.distribution.QuotaAllocation;
 import slateslip.routing.RouterInput.AttemptOutcome;
 import slateslip.routing.RouterInput.AttemptOutcome.Kind;
-import slateslip.routing.health.BackendHealthMonitor;
+import slateslip.routing.policy.RoutingParameter;
+import slateslip.routing.policy.RoutingPolicy;
 
 /** The router asks to be woken only when something is due. */
 class WakeTest {
   private static final long SECOND = 1_000_000;
+  private static final long IDLE_PROBE_MICROS =
+      RoutingPolicy.DEFAULT.micros(RoutingParameter.IDLE_PROBE_MILLIS);
   private static final long REQUEST = 1;
   private static final int DATA_PLANES = 70;
 
@@ -68,14 +71,14 @@
   @Test
   void idleBackendIsProbedWithinTheInterval() {
     List<RouterOutput> outputs = startWith(1, 1);
-    long probes = probesUntil(2 * BackendHealthMonitor.IDLE_PROBE_MICROS, outputs);
+    long probes = probesUntil(2 * IDLE_PROBE_MICROS, outputs);
     assertThat(probes, is(greaterThan(0L)));
   }
 
   @Test
   void dataPlanesShareTheProbesOfIdleBackends() {
     List<RouterOutput> outputs = startWith(10, DATA_PLANES);
-    assertThat(probesUntil(4 * BackendHealthMonitor.IDLE_PROBE_MICROS, outputs), is(0L));
+    assertThat(probesUntil(4 * IDLE_PROBE_MICROS, outputs), is(0L));
   }
 
   @Test
--- a/src/test/java/slateslip/routing/health/BackendHealthMonitorTest.java
+++ b/src/test/java/slateslip/routing/health/BackendHealthMonitorTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import slateslip.loadbalancer.policy.BackendHealth;
+import slateslip.routing.policy.RoutingParameter;
 import slateslip.routing.policy.RoutingPolicy;
 
 class BackendHealthMonitorTest {
@@ -13,6 +14,11 @@
   private static final long SECOND = 1_000 * MILLI;
   private static final List<BackendHealth> NO_PEERS = List.of();
 
+  private static final long IDLE_PROBE_MICROS = micros(RoutingParameter.IDLE_PROBE_MILLIS);
+  private static final long PROBE_REPLY_MICROS = micros(RoutingParameter.PROBE_REPLY_MILLIS);
+  private static final long SUSPECT_PROBE_MICROS = micros(RoutingParameter.SUSPECT_PROBE_MILLIS);
+  private static final long REACTIVATION_MICROS = micros(RoutingParameter.REACTIVATION_MILLIS);
+
   private final BackendHealthMonitor watch = new BackendHealthMonitor(0, RoutingPolicy.DEFAULT);
 
   @Test
@@ -21,7 +27,7 @@
     assertThat(watch.trusted(SECOND), is(false));
     assertThat("still available", watch.available(SECOND), is(true));
     assertThat(
-        "probed at once", watch.probeDue(SECOND, BackendHealthMonitor.IDLE_PROBE_MICROS), is(true));
+        "probed at once", watch.probeDue(SECOND, IDLE_PROBE_MICROS), is(true));
     watch.probeSent(SECOND);
     watch.probeSucceeded(SECOND + 2 * MILLI);
     assertThat(watch.trusted(SECOND + 2 * MILLI), is(true));
@@ -33,7 +39,7 @@
     assertThat(watch.trusted(SECOND), is(true));
     assertThat(
         "but it is probed",
-        watch.probeDue(SECOND, BackendHealthMonitor.IDLE_PROBE_MICROS),
+        watch.probeDue(SECOND, IDLE_PROBE_MICROS),
         is(true));
     watch.requestSucceeded(SECOND + MILLI);
     watch.requestBroken(SECOND + 2 * MILLI, NO_PEERS);
@@ -85,24 +91,24 @@
   @Test
   void aProbeWithoutReplyRaisesSuspicionBeforeItTimesOut() {
     watch.requestProbe();
-    assertThat(watch.probeDue(SECOND, BackendHealthMonitor.IDLE_PROBE_MICROS), is(true));
+    assertThat(watch.probeDue(SECOND, IDLE_PROBE_MICROS), is(true));
     watch.probeSent(SECOND);
     assertThat(
-        watch.checkProbeTimeout(SECOND + BackendHealthMonitor.PROBE_SUSPECT_MICROS - 1), is(false));
+        watch.checkProbeTimeout(SECOND + PROBE_REPLY_MICROS - 1), is(false));
     assertThat(
-        watch.checkProbeTimeout(SECOND + BackendHealthMonitor.PROBE_SUSPECT_MICROS), is(true));
+        watch.checkProbeTimeout(SECOND + PROBE_REPLY_MICROS), is(true));
     assertThat(watch.trusted(2 * SECOND), is(false));
   }
 
   @Test
   void checkIsDueWhenTheProbeIsOrItsReplyIsLate() {
-    long idle = BackendHealthMonitor.IDLE_PROBE_MICROS;
+    long idle = IDLE_PROBE_MICROS;
     watch.requestSucceeded(SECOND);
     assertThat(watch.nextCheckMicros(idle), is(SECOND + idle));
     watch.requestProbe();
     watch.probeSent(2 * SECOND);
     assertThat(
-        watch.nextCheckMicros(idle), is(2 * SECOND + BackendHealthMonitor.PROBE_SUSPECT_MICROS));
+        watch.nextCheckMicros(idle), is(2 * SECOND + PROBE_REPLY_MICROS));
     watch.activity(2 * SECOND + MILLI);
     assertThat("it lives", watch.nextCheckMicros(idle), is(Long.MAX_VALUE));
   }
@@ -110,11 +116,11 @@
   @Test
   void trafficSparesProbes() {
     watch.requestSucceeded(7 * SECOND);
-    assertThat(watch.probeDue(8 * SECOND, BackendHealthMonitor.IDLE_PROBE_MICROS), is(false));
+    assertThat(watch.probeDue(8 * SECOND, IDLE_PROBE_MICROS), is(false));
     assertThat(
         watch.probeDue(
-            7 * SECOND + BackendHealthMonitor.IDLE_PROBE_MICROS,
-            BackendHealthMonitor.IDLE_PROBE_MICROS),
+            7 * SECOND + IDLE_PROBE_MICROS,
+            IDLE_PROBE_MICROS),
         is(true));
   }
 
@@ -125,13 +131,13 @@
     watch.probeFailed();
     assertThat(
         watch.probeDue(
-            SECOND + BackendHealthMonitor.SUSPECT_PROBE_MICROS - 1,
-            BackendHealthMonitor.IDLE_PROBE_MICROS),
+            SECOND + SUSPECT_PROBE_MICROS - 1,
+            IDLE_PROBE_MICROS),
         is(false));
     assertThat(
         watch.probeDue(
-            SECOND + BackendHealthMonitor.SUSPECT_PROBE_MICROS,
-            BackendHealthMonitor.IDLE_PROBE_MICROS),
+            SECOND + SUSPECT_PROBE_MICROS,
+            IDLE_PROBE_MICROS),
         is(true));
   }
 
@@ -146,8 +152,12 @@
     assertThat("nine requests are too few", watch.available(2 * SECOND), is(true));
     watch.timedOut(SECOND + 20, SECOND + 5, NO_PEERS);
     assertThat(watch.available(2 * SECOND), is(false));
-    long reactivated = SECOND + 20 + BackendHealthMonitor.PARAMETERS.reactivation();
+    long reactivated = SECOND + 20 + REACTIVATION_MICROS;
     assertThat(watch.available(reactivated - 1), is(false));
     assertThat(watch.available(reactivated), is(true));
   }
+
+  private static long micros(RoutingParameter parameter) {
+    return RoutingPolicy.DEFAULT.micros(parameter);
+  }
 }
--- a/src/test/java/slateslip/routing/placement/PrefillEstimatorTest.java
+++ b/src/test/java/slateslip/routing/placement/PrefillEstimatorTest.java
@@ -8,6 +8,7 @@
 
 import java.util.Random;
 import org.junit.jupiter.api.Test;
+import slateslip.routing.policy.RoutingPolicy;
 
 class PrefillEstimatorTest {
   private static final int SAMPLES = 400;
@@ -15,7 +16,7 @@
   private static final PrefillWork SMALL = PrefillWork.of(1_400, 350);
   private static final PrefillWork LARGE = PrefillWork.of(17_000, 0);
 
-  private final PrefillEstimator estimator = new PrefillEstimator();
+  private final PrefillEstimator estimator = new PrefillEstimator(RoutingPolicy.DEFAULT);
   private final Random random = new Random(7);
 
   /** An engine that reads prompts at a given speed; other requests delay some of its responses. */
--- a/src/test/java/slateslip/routing/policy/RoutingPolicyTest.java
+++ b/src/test/java/slateslip/routing/policy/RoutingPolicyTest.java
@@ -6,6 +6,8 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class RoutingPolicyTest {
   @Test
@@ -37,4 +39,34 @@
         assertThrows(IllegalArgumentException.class, () -> RoutingPolicy.without("guessing"));
     assertThat(wrong.getMessage(), containsString("guessing"));
   }
+
+  @Test
+  void everyParameterHasADefaultWithinItsRangeAndIsRead() {
+    for (RoutingParameter parameter : RoutingParameter.values()) {
+      assertThat(parameter.label(), parameter.permits(parameter.defaultValue()), is(true));
+      String assignment = parameter.label() + "=" + parameter.defaultValue();
+      RoutingPolicy policy = RoutingPolicy.of("", assignment);
+      assertThat(policy.value(parameter), is(RoutingPolicy.DEFAULT.value(parameter)));
+    }
+  }
+
+  @Test
+  void parametersThatAreNotNamedKeepTheirDefaults() {
+    RoutingPolicy policy = RoutingPolicy.of("spill", "overdue-millis=400, spill-fraction=0.6");
+    assertThat(policy.micros(RoutingParameter.OVERDUE_MILLIS), is(400_000L));
+    assertThat(policy.value(RoutingParameter.SPILL_FRACTION), is(0.6));
+    assertThat(policy.uses(Mechanism.SPILL), is(false));
+    assertThat(
+        policy.value(RoutingParameter.FULL_SLOTS_FRACTION),
+        is(RoutingParameter.FULL_SLOTS_FRACTION.defaultValue()));
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {"guessing=1", "overdue-millis", "overdue-millis=soon", "spill-fraction=-1"})
+  void assignmentsThatSayNothingAreRejected(String assignment) {
+    var wrong =
+        assertThrows(IllegalArgumentException.class, () -> RoutingPolicy.of("", assignment));
+    assertThat(wrong.getMessage(), containsString(assignment.split("=", -1)[0]));
+  }
 }
--- a/src/test/java/slateslip/routing/quota/QuotaFleetTest.java
+++ b/src/test/java/slateslip/routing/quota/QuotaFleetTest.java
@@ -21,6 +21,7 @@
  * limit.
  */
 class QuotaFleetTest {
+  private static final int INITIAL_DATA_PLANES = 16;
   private static final QuotaBounds BOUNDS = QuotaBounds.DEFAULT;
   private static final long SECOND = 1_000_000;
   private static final long STEP = 5_000;
@@ -36,7 +37,7 @@
 
   /** One agent's traffic and its link to the allocator. */
   private static final class Agent {
-    TenantQuotas quotas = new TenantQuotas(BOUNDS, -BOUNDS.windowMicros());
+    TenantQuotas quotas = new TenantQuotas(BOUNDS, -BOUNDS.windowMicros(), INITIAL_DATA_PLANES);
     final double part;
     boolean truncated;
 
@@ -82,7 +83,7 @@
     }
 
     void restart(int agent, long now) {
-      agents.get(agent).quotas = new TenantQuotas(BOUNDS, now);
+      agents.get(agent).quotas = new TenantQuotas(BOUNDS, now, INITIAL_DATA_PLANES);
       agents.get(agent).quotas.tenants(List.of(TENANT));
       incarnations[agent]++;
     }
--- a/src/test/java/slateslip/routing/retry/RetryBudgetTest.java
+++ b/src/test/java/slateslip/routing/retry/RetryBudgetTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
+import slateslip.routing.policy.RoutingPolicy;
 
 class RetryBudgetTest {
   private static final long SECOND = 1_000_000;
@@ -19,7 +20,7 @@
     List<Long> spent = new ArrayList<>();
     List<RetryBudget> budgets = new ArrayList<>();
     for (int i = 0; i < agents; i++) {
-      budgets.add(new RetryBudget(BOUNDS));
+      budgets.add(new RetryBudget(BOUNDS, RoutingPolicy.DEFAULT));
     }
     Random random = new Random(7);
     for (long now = 0; now < 60 * SECOND; now += SECOND / 100) {
@@ -36,7 +37,7 @@
 
   @Test
   void whatIsSpentComesBackAfterTheWindow() {
-    RetryBudget budget = new RetryBudget(new RetryBounds(0, 10 * SECOND, 5));
+    RetryBudget budget = new RetryBudget(new RetryBounds(0, 10 * SECOND, 5), RoutingPolicy.DEFAULT);
     int spent = 0;
     while (budget.spend(0, 1)) {
       spent++;
@@ -48,7 +49,7 @@
 
   @Test
   void requestsEarnTheirRatio() {
-    RetryBudget budget = new RetryBudget(new RetryBounds(0.2, 10 * SECOND, 0));
+    RetryBudget budget = new RetryBudget(new RetryBounds(0.2, 10 * SECOND, 0), RoutingPolicy.DEFAULT);
     assertThat(budget.spend(0, 1), is(false));
     for (int i = 0; i < 7; i++) {
       budget.request(0);
