Routing: a backend is given more time while its whole service answers late

Change: ServiceDelay follows how much later than expected a service answers; twice of it is added to the time that a probe's reply and an overdue response are given. Mechanism PATIENCE_UNDER_LOAD switches it off.

--- a/src/main/java/slateslip/routing/BackendTable.java
+++ b/src/main/java/slateslip/routing/BackendTable.java
@@ -14,7 +14,7 @@
 import slateslip.routing.RouterInput.ProbeEnded;
 import slateslip.routing.health.BackendHealthMonitor;
 import slateslip.routing.placement.Backend;
-import slateslip.routing.placement.PrefillEstimator;
+import slateslip.routing.placement.ServiceModel;
 import slateslip.routing.policy.RoutingParameter;
 import slateslip.routing.policy.RoutingPolicy;
 
@@ -22,7 +22,7 @@
 final class BackendTable {
   private final Map<String, Backend> backends = new LinkedHashMap<>();
   private final Map<String, List<Backend>> byService = new HashMap<>();
-  private final Map<String, PrefillEstimator> estimators = new HashMap<>();
+  private final Map<String, ServiceModel> services = new HashMap<>();
   private final RoutingPolicy policy;
 
   BackendTable(RoutingPolicy policy) {
@@ -52,11 +52,10 @@
     }
   }
 
-  /** All engines of a service share an estimate: each alone is met too seldom to learn from. */
   private Backend newBackend(long nowMicros, BackendSession session) {
-    PrefillEstimator estimator =
-        estimators.computeIfAbsent(session.service(), service -> new PrefillEstimator(policy));
-    return new Backend(session, nowMicros, estimator, policy);
+    ServiceModel service =
+        services.computeIfAbsent(session.service(), name -> ServiceModel.initial(policy));
+    return new Backend(session, nowMicros, service, policy);
   }
 
   /** Backends of a service, those that may not be sent to included. */
--- a/src/main/java/slateslip/routing/FleetRouter.java
+++ b/src/main/java/slateslip/routing/FleetRouter.java
@@ -336,7 +336,9 @@
       BackendHealthMonitor healthMonitor = attempt.backend().healthMonitor();
       long unresponsive = now - Math.max(attempt.sentMicros(), healthMonitor.heardMicros());
       long patience =
-          attempt.started() ? streamSilenceMicros : overdueMicros + attempt.expectedMicros();
+          attempt.started()
+              ? streamSilenceMicros
+              : overdueMicros + attempt.expectedMicros() + healthMonitor.allowanceMicros(now);
       schedule.checkAt(now - unresponsive + patience);
       if (unresponsive < patience) {
         continue;
--- a/src/main/java/slateslip/routing/health/BackendHealthMonitor.java
+++ b/src/main/java/slateslip/routing/health/BackendHealthMonitor.java
@@ -30,6 +30,8 @@
   private final RoutingPolicy policy;
   private final long suspectProbeMicros;
   private final long probeReplyMicros;
+  private final ServiceDelay serviceDelay;
+  private final double serviceDelayFactor;
   private final int maxBrokenInARow;
   private long heardMicros;
   private long probeSentMicros;
@@ -38,9 +40,14 @@
   private boolean suspected;
   private int consecutiveBroken;
 
-  /** Of a backend that was registered at this time. */
-  public BackendHealthMonitor(long nowMicros, RoutingPolicy policy) {
+  /** Of a backend that was registered at this time, and whose service answers that late. */
+  public BackendHealthMonitor(long nowMicros, ServiceDelay serviceDelay, RoutingPolicy policy) {
     this.policy = policy;
+    this.serviceDelay = serviceDelay;
+    serviceDelayFactor =
+        policy.uses(Mechanism.PATIENCE_UNDER_LOAD)
+            ? policy.value(RoutingParameter.SERVICE_DELAY_FACTOR)
+            : 0;
     health = new BackendHealth(parameters(policy));
     suspectProbeMicros = policy.micros(RoutingParameter.SUSPECT_PROBE_MILLIS);
     probeReplyMicros = policy.micros(RoutingParameter.PROBE_REPLY_MILLIS);
@@ -145,7 +152,14 @@
       return probeDueMicros(idleProbeMicros);
     }
     boolean answered = heardMicros > probeSentMicros;
-    return suspected || answered ? Long.MAX_VALUE : probeSentMicros + probeReplyMicros;
+    return suspected || answered
+        ? Long.MAX_VALUE
+        : probeSentMicros + probeReplyMicros + allowanceMicros(probeSentMicros);
+  }
+
+  /** Time that a backend is given beyond the usual, as its whole service answers late. */
+  public long allowanceMicros(long nowMicros) {
+    return (long) (serviceDelayFactor * serviceDelay.micros(nowMicros));
   }
 
   /** A probe goes out. */
@@ -159,7 +173,7 @@
   public boolean checkProbeTimeout(long nowMicros) {
     boolean unanswered =
         probePending
-            && nowMicros - probeSentMicros >= probeReplyMicros
+            && nowMicros - probeSentMicros >= probeReplyMicros + allowanceMicros(nowMicros)
             && heardMicros <= probeSentMicros;
     if (!unanswered || suspected) {
       return false;
--- a/src/main/java/slateslip/routing/placement/Backend.java
+++ b/src/main/java/slateslip/routing/placement/Backend.java
@@ -24,12 +24,12 @@
 
   /** A backend that was registered at this time. */
   public Backend(
-      BackendSession session, long nowMicros, PrefillEstimator estimator, RoutingPolicy policy) {
+      BackendSession session, long nowMicros, ServiceModel service, RoutingPolicy policy) {
     this.session = session;
     this.policy = policy;
     this.loadDecayMicros = (double) policy.micros(RoutingParameter.LOAD_DECAY_MILLIS);
-    this.engine = new EngineModel(estimator, policy);
-    this.healthMonitor = new BackendHealthMonitor(nowMicros, policy);
+    this.engine = new EngineModel(service, policy);
+    this.healthMonitor = new BackendHealthMonitor(nowMicros, service.delay(), policy);
     long seed = 0;
     for (int i = 0; i < session.id().length(); i++) {
       seed = seed * 31 + session.id().charAt(i);
--- a/src/main/java/slateslip/routing/placement/EngineModel.java
+++ b/src/main/java/slateslip/routing/placement/EngineModel.java
@@ -14,7 +14,7 @@
   /** A request that is expected to wait for less counts as one that does not wait. */
   private static final long NO_WAIT_MICROS = 2_000;
 
-  private final PrefillEstimator estimator;
+  private final ServiceModel service;
   private final RoutingPolicy policy;
   private final double delayWeight;
   private final double delayDecayMicros;
@@ -23,9 +23,9 @@
   private double delayMicros;
   private long delayMeasuredMicros;
 
-  /** An engine of a service whose speed is estimated by {@code estimator}. */
-  EngineModel(PrefillEstimator estimator, RoutingPolicy policy) {
-    this.estimator = estimator;
+  /** An engine of this service. */
+  EngineModel(ServiceModel service, RoutingPolicy policy) {
+    this.service = service;
     this.policy = policy;
     delayWeight = policy.value(RoutingParameter.DELAY_WEIGHT);
     delayDecayMicros = (double) policy.micros(RoutingParameter.DELAY_DECAY_MILLIS);
@@ -38,7 +38,7 @@
 
   /** Time to read what is missing of a prompt. */
   public long prefillMicros(PrefillWork work) {
-    return estimator.micros(work);
+    return service.prefill().micros(work);
   }
 
   /** Time that a request would wait before its prompt is read. */
@@ -72,10 +72,11 @@
     long expectedMicros = choice.firstMicros();
     boolean alone = noneWaits && expectedMicros - choice.readMicros() < NO_WAIT_MICROS;
     if (alone && policy.uses(Mechanism.ENGINE_LEARNING)) {
-      estimator.learn(choice.work(), tookMicros);
+      service.prefill().learn(choice.work(), tookMicros);
     }
     double fade = Math.exp((delayMeasuredMicros - nowMicros) / delayDecayMicros);
     double measured = Math.max(0, tookMicros - expectedMicros);
+    service.delay().measured(nowMicros, (long) measured);
     delayMicros = delayMicros * fade + delayWeight * (measured - delayMicros * fade);
     delayMeasuredMicros = nowMicros;
     if (noneWaits) {
--- a/src/main/java/slateslip/routing/policy/Mechanism.java
+++ b/src/main/java/slateslip/routing/policy/Mechanism.java
@@ -29,6 +29,8 @@
   IDLE_PROBES,
   /** Backends whose responses are overdue are probed. */
   OVERDUE_PROBES,
+  /** A backend is given more time to answer while its whole service answers late. */
+  PATIENCE_UNDER_LOAD,
   /** Streams that make no progress are sent to another backend as well. */
   STREAM_TAKEOVER,
   /** Requests that have not run, or may be repeated, are sent to another backend. */
--- a/src/main/java/slateslip/routing/policy/RoutingParameter.java
+++ b/src/main/java/slateslip/routing/policy/RoutingParameter.java
@@ -54,6 +54,15 @@
   /** After this time without a reply a probe raises suspicion, in milliseconds. */
   PROBE_REPLY_MILLIS(250, 1, 60_000),
 
+  /** Weight of one measured delay of a service's responses. */
+  SERVICE_DELAY_WEIGHT(0.25, 0, 1),
+
+  /** Time in which the measured delay of a service falls to 1/e, in milliseconds. */
+  SERVICE_DELAY_DECAY_MILLIS(2_000, 1, 60_000),
+
+  /** How often a service's delay is added to the time that one backend is given. */
+  SERVICE_DELAY_FACTOR(2, 0, 100),
+
   /** Between two probes of an idle backend by all data planes together, in milliseconds. */
   IDLE_PROBE_MILLIS(8_000, 1, 3_600_000),
 
--- a/src/test/java/slateslip/routing/health/BackendHealthMonitorTest.java
+++ b/src/test/java/slateslip/routing/health/BackendHealthMonitorTest.java
@@ -19,7 +19,9 @@
   private static final long SUSPECT_PROBE_MICROS = micros(RoutingParameter.SUSPECT_PROBE_MILLIS);
   private static final long REACTIVATION_MICROS = micros(RoutingParameter.REACTIVATION_MILLIS);
 
-  private final BackendHealthMonitor watch = new BackendHealthMonitor(0, RoutingPolicy.DEFAULT);
+  private final ServiceDelay serviceDelay = new ServiceDelay(RoutingPolicy.DEFAULT);
+  private final BackendHealthMonitor watch =
+      new BackendHealthMonitor(0, serviceDelay, RoutingPolicy.DEFAULT);
 
   @Test
   void failedConnectionSuspectsUntilProbe() {
@@ -157,6 +159,16 @@
     assertThat(watch.available(reactivated), is(true));
   }
 
+  @Test
+  void whereAllBackendsAreLateAProbeIsWaitedForLonger() {
+    watch.probeSent(SECOND);
+    for (int response = 0; response < 50; response++) {
+      serviceDelay.measured(SECOND, SECOND / 2);
+    }
+    assertThat(watch.checkProbeTimeout(SECOND + PROBE_REPLY_MICROS), is(false));
+    assertThat(watch.checkProbeTimeout(SECOND + PROBE_REPLY_MICROS + SECOND), is(true));
+  }
+
   private static long micros(RoutingParameter parameter) {
     return RoutingPolicy.DEFAULT.micros(parameter);
   }
--- a/src/test/java/slateslip/routing/placement/PlacementTest.java
+++ b/src/test/java/slateslip/routing/placement/PlacementTest.java
@@ -23,7 +23,7 @@
   private static final long TARGET_MICROS = 600_000;
   private static final int SHARED_TOKENS = 13_300;
 
-  private static final PrefillEstimator ESTIMATOR = new PrefillEstimator(RoutingPolicy.DEFAULT);
+  private static final ServiceModel SERVICE_MODEL = ServiceModel.initial(RoutingPolicy.DEFAULT);
   private final Placement placement = new Placement("z0", new Random(1), RoutingPolicy.DEFAULT);
   private final List<Backend> models = backends("model");
 
@@ -34,7 +34,7 @@
           new Backend(
               Fixtures.backend("i-" + i * 7919, service, "z" + i % 3),
               0,
-              ESTIMATOR,
+              SERVICE_MODEL,
               RoutingPolicy.DEFAULT));
     }
     return backends;
