Data plane: Retry-After is written by hand

Cause: a process that has just started spends 40 of 275 samples of its own responses in String.format. Change: ClientExchange.seconds. Not measured by itself.

--- a/src/main/java/slateslip/dataplane/ingress/ClientExchange.java
+++ b/src/main/java/slateslip/dataplane/ingress/ClientExchange.java
@@ -12,7 +12,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import java.util.Locale;
 import slateslip.dataplane.HeaderNames;
 
 /**
@@ -20,7 +19,8 @@
  * is dropped.
  */
 public final class ClientExchange {
-  private static final double MICROS_PER_SECOND = 1e6;
+  private static final long MICROS_PER_MILLI = 1_000;
+  private static final long MILLIS_PER_SECOND = 1_000;
 
   private final ClientConnection connection;
   private final String attemptId;
@@ -72,10 +72,7 @@
       HttpResponseStatus status, String attemptId, long retryAfterMicros) {
     var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
     if (retryAfterMicros > 0) {
-      double seconds = retryAfterMicros / MICROS_PER_SECOND;
-      response
-          .headers()
-          .set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", seconds));
+      response.headers().set(HttpHeaderNames.RETRY_AFTER, seconds(retryAfterMicros));
     }
     if (!attemptId.isEmpty()) {
       response.headers().set(HeaderNames.ATTEMPT_ID, attemptId);
@@ -84,6 +81,16 @@
     return response;
   }
 
+  /**
+   * A time in seconds with three decimals. By hand: a formatter costs a process that has just
+   * started, and refuses, more than the rest of its response.
+   */
+  static String seconds(long micros) {
+    long millis = (micros + MICROS_PER_MILLI / 2) / MICROS_PER_MILLI;
+    String fraction = Long.toString(MILLIS_PER_SECOND + millis % MILLIS_PER_SECOND).substring(1);
+    return millis / MILLIS_PER_SECOND + "." + fraction;
+  }
+
   /** Passes on a backend's whole answer; {@code headers} hold no hop-by-hop ones. */
   public void relay(HttpResponseStatus status, HttpHeaders headers, byte[] body, long length) {
     if (isEnded() || started) {
--- /dev/null
+++ b/src/test/java/slateslip/dataplane/ingress/ClientExchangeTest.java
@@ -0,0 +1,23 @@
+package slateslip.dataplane.ingress;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** How {@code Retry-After} tells a time. */
+class ClientExchangeTest {
+  @ParameterizedTest
+  @CsvSource({
+    "100000, 0.100",
+    "1200000, 1.200",
+    "250000, 0.250",
+    "1, 0.000",
+    "500, 0.001",
+    "61005499, 61.005"
+  })
+  void secondsHaveThreeDecimals(long micros, String expected) {
+    assertThat(ClientExchange.seconds(micros), is(expected));
+  }
+}
