Placement: engines are taken to be slow before their speed is learnt

Cause: prompts are read at another backend for nothing while an engine is taken to be faster than it is. Change: the prior is 16 tokens a ms in place of 63.9, and the first steps of the estimate are larger, so that it is learnt in the same number of responses.

--- a/src/main/java/slateslip/dataplane/DataPlaneMetrics.java
+++ b/src/main/java/slateslip/dataplane/DataPlaneMetrics.java
@@ -40,18 +40,18 @@
   /** Answers of backends that could not be read or were incomplete. */
   public long malformedResponses;
 
-  private final long[] byOutcome = new long[RequestOutcome.values().length];
+  private final Map<RequestOutcome, Long> byOutcome = new EnumMap<>(RequestOutcome.class);
 
   private final Map<AbortReason, Long> brokenOff = new EnumMap<>(AbortReason.class);
 
   /** A request has ended so. */
   public void ended(RequestOutcome outcome) {
-    byOutcome[outcome.ordinal()]++;
+    byOutcome.merge(outcome, 1L, Long::sum);
   }
 
   /** How many requests have ended so. */
   public long endedWith(RequestOutcome outcome) {
-    return byOutcome[outcome.ordinal()];
+    return byOutcome.getOrDefault(outcome, 0L);
   }
 
   /** A response was broken off. */
--- a/src/main/java/slateslip/routing/placement/PrefillEstimator.java
+++ b/src/main/java/slateslip/routing/placement/PrefillEstimator.java
@@ -20,7 +20,7 @@
   /** Quantile of the measured times that is estimated. */
   private static final double QUANTILE = 0.35;
 
-  private static final double FIRST_STEP = 0.3;
+  private static final double FIRST_STEP = 0.5;
   private static final double SMALLEST_STEP = 0.02;
   private static final double MAX_FACTOR = 8;
 
--- a/src/main/java/slateslip/routing/policy/RoutingParameter.java
+++ b/src/main/java/slateslip/routing/policy/RoutingParameter.java
@@ -39,8 +39,11 @@
   /** Time to the first event without any reading, before it has been learnt, in milliseconds. */
   PRIOR_BASE_MILLIS(12, 0.1, 10_000),
 
-  /** Tokens that an engine reads in a millisecond, before that has been learnt. */
-  PRIOR_TOKENS_PER_MILLI(63.9, 0.1, 100_000),
+  /**
+   * Tokens that an engine reads in a millisecond, before that has been learnt. Rather too few than
+   * too many: a prompt that is read at another backend for nothing costs more than one that waits.
+   */
+  PRIOR_TOKENS_PER_MILLI(16, 0.1, 100_000),
 
   /** How long after it was expected a response is overdue, in milliseconds. */
   OVERDUE_MILLIS(250, 1, 60_000),
