--- a/src/main/java/slateslip/simulation/dataplane/DataPlaneHost.java
+++ b/src/main/java/slateslip/simulation/dataplane/DataPlaneHost.java
@@ -5,10 +5,8 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
 import slateslip.distribution.TenantDemand;
-import slateslip.routing.AbortReason;
 import slateslip.routing.RequestRouter;
 import slateslip.routing.RouterInput;
 import slateslip.routing.RouterInput.AttemptOutcome;
@@ -27,9 +25,6 @@
   /** How long a request may be held beyond its route's time-out. */
   private static final long HELD_SLACK_MICROS = 250_000;
 
-  private static final long PROBE_TIMEOUT_MICROS = 1_000_000;
-  private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
-
   /** Whether the process runs. */
   enum Condition {
     UP,
@@ -45,6 +40,9 @@
   private final Map<Long, Exchange> exchanges = new TreeMap<>();
   private final Deque<Runnable> pausedInbound = new ArrayDeque<>();
   private final Deque<RouterInput> pendingInputs = new ArrayDeque<>();
+  private final SimulatedProbes probes;
+  private final IdleTimers idleTimers;
+  private final ResponseChecks responseChecks;
   private RequestRouter router;
   private Condition condition = Condition.DOWN;
   private int incarnation;
@@ -57,6 +55,9 @@
     this.loop = world.loop();
     this.index = index;
     this.zone = zone;
+    this.probes = new SimulatedProbes(world, this);
+    this.idleTimers = new IdleTimers(loop, this);
+    this.responseChecks = new ResponseChecks(world);
   }
 
   int index() {
@@ -164,7 +165,8 @@
     inbound(() -> feed(input));
   }
 
-  private void inbound(Runnable action) {
+  /** Does something that has come from outside, when the process runs. */
+  void inbound(Runnable action) {
     switch (condition) {
       case UP -> action.run();
       case FROZEN -> pausedInbound.add(action);
@@ -220,7 +222,7 @@
     exchange.streaming = call.attempt();
     begin(exchange, call);
     exchange.lastEventId = event.id();
-    startIdleTimer(exchange, call);
+    idleTimers.heard(exchange, call);
     exchange.over = event.last();
     toClient(() -> exchange.content.client().event(exchange.content, event.id(), event.last()));
     if (event.last()) {
@@ -279,29 +281,19 @@
     } else if (output instanceof RouterOutput.AbortConnection breakOff) {
       Exchange exchange = finalResponse(breakOff.request());
       if (exchange != null) {
-        checkBrokenOff(exchange, breakOff.reason());
+        responseChecks.brokenOff(exchange, breakOff.reason());
         toClient(() -> exchange.content.client().broken(exchange.content));
       }
     } else if (output instanceof RouterOutput.CancelAttempt cancel) {
       cancel(cancel);
     } else if (output instanceof RouterOutput.Probe probe) {
-      probe(probe.backendId());
+      probes.probe(probe.backendId());
     } else if (output instanceof RouterOutput.WakeAt wake) {
       int current = incarnation;
       loop.at(wake.atMicros(), () -> wake(current));
     }
   }
 
-  /** A backend's silence is no reason to end a response before its time is up. */
-  private void checkBrokenOff(Exchange exchange, AbortReason reason) {
-    BackendCall left = exchange.lastLeft;
-    boolean backendRuns =
-        left != null && world.control().backend(left.backendId()).runs(left.backendId());
-    if (reason != AbortReason.DEADLINE && backendRuns) {
-      world.checker().broken(Rule.BROKEN_OFF, exchange.content.attemptId() + " for " + reason);
-    }
-  }
-
   private void wake(int ofIncarnation) {
     if (ofIncarnation == incarnation) {
       tell(new RouterInput.Wake());
@@ -335,28 +327,6 @@
     }
   }
 
-  private void startIdleTimer(Exchange exchange, BackendCall call) {
-    long limit = exchange.idleMicros.get(call.attempt());
-    boolean first = exchange.heardMicros.put(call.attempt(), loop.nowMicros()) == null;
-    if (limit > 0 && first) {
-      loop.after(limit, () -> inbound(() -> checkIdleTimeout(exchange, call, limit)));
-    }
-  }
-
-  private void checkIdleTimeout(Exchange exchange, BackendCall call, long limit) {
-    if (exchange.live.get(call.attempt()) != call) {
-      return;
-    }
-    long due = exchange.heardMicros.get(call.attempt()) + limit;
-    if (loop.nowMicros() < due) {
-      loop.at(due, () -> inbound(() -> checkIdleTimeout(exchange, call, limit)));
-      return;
-    }
-    exchange.heardMicros.put(call.attempt(), loop.nowMicros());
-    loop.after(limit, () -> inbound(() -> checkIdleTimeout(exchange, call, limit)));
-    feed(new RouterInput.StreamIdle(exchange.id, call.attempt()));
-  }
-
   /** Closes the connection to a backend that may still be at work. */
   private void leave(Exchange exchange, BackendCall call, Kind kind) {
     world.network().hostClosed(call, world.control().backend(call.backendId()));
@@ -376,12 +346,7 @@
     if (exchange == null) {
       return;
     }
-    if (!exchange.started.isEmpty()) {
-      world.checker().broken(Rule.ANSWERS, exchange.content.attemptId() + " was begun");
-    }
-    if (PROMISES.contains(response.status())) {
-      world.checker().promised(exchange.content.attemptId());
-    }
+    responseChecks.responded(exchange, response.status());
     toClient(
         () ->
             exchange
@@ -424,30 +389,6 @@
     leave(exchange, call, Kind.CANCELLED);
   }
 
-  private void probe(String backendId) {
-    world.measurements().probed();
-    SimulatedBackend backend = world.control().backend(backendId);
-    long delay = world.network().delay(this, backend);
-    int current = incarnation;
-    loop.after(delay, () -> probeArrived(backend, backendId, delay, current));
-  }
-
-  private void probeArrived(SimulatedBackend backend, String id, long delay, int ofIncarnation) {
-    RouterInput.ProbeOutcome seen = backend.probe();
-    boolean silent = seen == RouterInput.ProbeOutcome.TIMEOUT;
-    boolean responses = seen != RouterInput.ProbeOutcome.UNREACHABLE && !silent;
-    RouterInput.ProbeOutcome outcome =
-        responses && !backend.id().equals(id) ? RouterInput.ProbeOutcome.OTHER_INSTANCE : seen;
-    BackendLoad load = responses ? backend.load() : null;
-    loop.after(
-        silent ? PROBE_TIMEOUT_MICROS : delay,
-        () -> {
-          if (ofIncarnation == incarnation) {
-            tell(new RouterInput.ProbeEnded(id, outcome, load));
-          }
-        });
-  }
-
   private void toClient(Runnable action) {
     loop.after(world.plan().network().client(), action);
   }
--- a/src/main/java/slateslip/simulation/dataplane/WorldPlans.java
+++ b/src/main/java/slateslip/simulation/dataplane/WorldPlans.java
@@ -10,8 +10,6 @@
 import slateslip.configuration.RouteKind;
 import slateslip.configuration.Service;
 import slateslip.configuration.Tenant;
-import slateslip.simulation.dataplane.RequestClass.SharedPart;
-import slateslip.simulation.dataplane.RequestClass.Size;
 import slateslip.simulation.dataplane.WorldPlan.BackendGroup;
 import slateslip.simulation.dataplane.WorldPlan.Bounds;
 import slateslip.simulation.dataplane.WorldPlan.NetworkPlan;
@@ -108,7 +106,7 @@
         3,
         dataPlanes,
         70,
-        smallClasses(),
+        SmallRequestClasses.of(ENGINES, LEDGER),
         List.of(
             new BackendGroup(ENGINES, 3, small, 0, 0), new BackendGroup(LEDGER, 3, null, 4, 12)),
         List.of(new TenantPlan(1, 0), new TenantPlan(1, 20_000), new TenantPlan(0.5, 8_000)),
@@ -148,88 +146,4 @@
     int bounded = kind == Fault.Kind.HOT_TENANT ? target % 3 : target;
     return new Fault(kind, atMicros, forMicros, bounded, strength);
   }
-
-  private static List<RequestClass> smallClasses() {
-    return List.of(
-        new RequestClass(
-            "diagnosis",
-            ENGINES,
-            RouteKind.STREAMING,
-            true,
-            600,
-            400,
-            4_000,
-            4_000,
-            0,
-            2,
-            1,
-            2,
-            3,
-            0.3,
-            List.of(new SharedPart(new Size(1_500, 0.7, 5_000), 12, 0.3)),
-            new Size(400, 1, 4_000),
-            new Size(8, 1, 30),
-            Size.NONE,
-            0),
-        new RequestClass(
-            "report",
-            ENGINES,
-            RouteKind.STREAMING,
-            false,
-            1_000,
-            400,
-            5_000,
-            3_000,
-            1,
-            1,
-            1,
-            1,
-            2,
-            0.2,
-            List.of(new SharedPart(new Size(300, 0.4, 600), 4, 0)),
-            new Size(300, 1, 3_000),
-            new Size(6, 1, 20),
-            Size.NONE,
-            0),
-        new RequestClass(
-            "entry",
-            LEDGER,
-            RouteKind.NON_IDEMPOTENT,
-            false,
-            150,
-            0,
-            1_000,
-            1_000,
-            2,
-            2,
-            1,
-            2,
-            1,
-            0.1,
-            List.of(),
-            Size.NONE,
-            Size.NONE,
-            new Size(30, 0.5, 220),
-            0.01),
-        new RequestClass(
-            "lookup",
-            LEDGER,
-            RouteKind.IDEMPOTENT,
-            false,
-            150,
-            0,
-            1_000,
-            1_000,
-            2,
-            3,
-            1,
-            1,
-            1,
-            0.1,
-            List.of(),
-            Size.NONE,
-            Size.NONE,
-            new Size(20, 0.5, 200),
-            0.01));
-  }
 }
