Stand-ins: programs run in the folder above their jars, so that each build uses its own class archive

Cause: an archive is only used where the jar is found by the path that it was made with; two builds measured by turns had none. Change: ChildProcess starts a program there with a relative path; the placeholder of ProcessorTimeMain is gone.

--- a/src/main/java/slateslip/standin/ChildProcess.java
+++ b/src/main/java/slateslip/standin/ChildProcess.java
@@ -27,18 +27,25 @@
     return start(jar, settings, List.of());
   }
 
-  /** Starts a jar with a settings file, and with further options of its JVM. */
+  /**
+   * Starts a jar with a settings file, and with further options of its JVM. It runs in the folder
+   * above the jar's, as in service: a class archive is only used where the jar is found by the path
+   * that it was made with.
+   */
   public static ChildProcess start(Path jar, Path settings, List<String> jvmOptions)
       throws IOException {
+    Path folder = jar.toAbsolutePath().getParent();
+    Path root = folder.getParent();
     String name = settings.getFileName().toString().replace(".conf", "");
-    Path log = settings.resolveSibling(name + ".log");
+    Path log = settings.resolveSibling(name + ".log").toAbsolutePath();
     String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
     List<String> command = new ArrayList<>();
     command.addAll(List.of(java, "-Xmx160m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
     command.addAll(jvmOptions);
-    command.addAll(List.of("-jar", jar.toString()));
+    command.addAll(List.of("-jar", root.relativize(jar.toAbsolutePath()).toString()));
     ProcessBuilder builder = new ProcessBuilder(command);
-    builder.environment().put("SLATESLIP_CONFIG", settings.toString());
+    builder.directory(root.toFile());
+    builder.environment().put("SLATESLIP_CONFIG", settings.toAbsolutePath().toString());
     builder
         .redirectErrorStream(true)
         .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
--- a/src/main/java/slateslip/standin/ProcessorTimeMain.java
+++ b/src/main/java/slateslip/standin/ProcessorTimeMain.java
@@ -26,7 +26,6 @@
   private static final int DEFAULT_TURNS = 5;
   private static final int DEFAULT_SECONDS = 30;
   private static final int IDLE_SECONDS = 5;
-  private static final String JARS_PLACEHOLDER = "{jars}";
   private static final double[] RATES = {3, 7, 14};
   private static final Logger ROOT_LOG = Logger.getLogger("");
 
@@ -44,7 +43,7 @@
   /**
    * Arguments: the number of turns and the seconds of each rate ({@code 5x30}) if they are not to
    * be the default, the folders with the jars of each build, separated by commas, and options of
-   * the measured data plane's JVM, in which {@code {jars}} stands for the folder.
+   * the measured data plane's JVM; paths in them are relative to the folder above the jars.
    */
   public static void main(String[] arguments) throws IOException, InterruptedException {
     ROOT_LOG.setLevel(Level.WARNING);
@@ -81,9 +80,7 @@
 
   /** One life of a fleet under one rate; whether every request was answered. */
   private boolean turn(String build, double rate) throws IOException, InterruptedException {
-    List<String> ownOptions =
-        options.stream().map(option -> option.replace(JARS_PLACEHOLDER, build)).toList();
-    FleetPrograms programs = new FleetPrograms(Path.of(build), List.of(), ownOptions);
+    FleetPrograms programs = new FleetPrograms(Path.of(build), List.of(), options);
     FleetAddresses addresses = FleetAddresses.withFront(0);
     LocalFleet fleet = new LocalFleet(addresses, programs);
     FleetTraffic traffic = new FleetTraffic(addresses);
