Processor time: threads that have ended are told as the rest of the whole process

Cause: the runtime ends compiler threads that have nothing to do; differences by thread were negative (-64 ms a second, compiler). Change: what the kernel tells of the process beyond its running threads is the kind "ended".

--- a/src/main/java/slateslip/eventloop/ProcessorTime.java
+++ b/src/main/java/slateslip/eventloop/ProcessorTime.java
@@ -11,13 +11,22 @@
 import java.util.stream.Stream;
 
 /**
- * Processor time of a process by kind of thread, as the kernel's scheduler has counted it. Threads
- * that have ended are not counted.
+ * Processor time of a process by kind of thread, as the kernel's scheduler has counted it. Of
+ * threads that have ended only the sum is known, to a hundredth of a second.
  *
  * @param byKind time of the threads of each kind that there are
  */
 public record ProcessorTime(Map<ThreadKind, Duration> byKind) {
-  private static final Path OWN_TASKS = Path.of("/proc/self/task");
+  private static final Path OWN_PROCESS = Path.of("/proc/self");
+  private static final Path PROCESSES = Path.of("/proc");
+
+  /** A tick of the kernel's clock, in which it tells the time of a whole process. */
+  private static final long TICK_NANOS = 10_000_000;
+
+  /** Fields of {@code stat} behind the name, which may hold spaces: user and system time. */
+  private static final int USER_TIME_FIELD = 12;
+
+  private static final int SYSTEM_TIME_FIELD = 13;
 
   /** Kinds of threads of a Java process. */
   public enum ThreadKind {
@@ -30,7 +39,9 @@
     /** The virtual machine's own threads: collector, signals, safe points. */
     VIRTUAL_MACHINE,
     /** All other threads of the program. */
-    OTHER;
+    OTHER,
+    /** Threads that have ended: those of the compiler come and go with its work. */
+    ENDED;
 
     /** The name of this kind in metrics. */
     public String label() {
@@ -65,24 +76,41 @@
 
   /** Of this process; empty where the kernel does not tell it. */
   public static ProcessorTime ofThisProcess() {
-    return read(OWN_TASKS);
+    return read(OWN_PROCESS);
   }
 
   /** Of another process on this machine; empty once it has ended. */
   public static ProcessorTime of(long processId) {
-    return read(Path.of("/proc", String.valueOf(processId), "task"));
+    return read(PROCESSES.resolve(String.valueOf(processId)));
   }
 
-  static ProcessorTime read(Path tasks) {
+  static ProcessorTime read(Path process) {
     Map<ThreadKind, Duration> byKind = new EnumMap<>(ThreadKind.class);
-    try (Stream<Path> threads = Files.list(tasks)) {
+    try (Stream<Path> threads = Files.list(process.resolve("task"))) {
       threads.forEach(thread -> add(byKind, thread));
+      ProcessorTime running = new ProcessorTime(byKind);
+      Duration ended = wholeProcess(process).minus(running.total());
+      if (!ended.isNegative()) {
+        byKind.put(ThreadKind.ENDED, ended);
+      }
     } catch (IOException | UncheckedIOException untold) {
       return new ProcessorTime(byKind);
     }
     return new ProcessorTime(byKind);
   }
 
+  private static Duration wholeProcess(Path process) {
+    try {
+      String stat = Files.readString(process.resolve("stat"));
+      String[] fields = stat.substring(stat.lastIndexOf(')') + 1).split(" ", -1);
+      long ticks =
+          Long.parseLong(fields[USER_TIME_FIELD]) + Long.parseLong(fields[SYSTEM_TIME_FIELD]);
+      return Duration.ofNanos(ticks * TICK_NANOS);
+    } catch (IOException | NumberFormatException | IndexOutOfBoundsException untold) {
+      return Duration.ZERO;
+    }
+  }
+
   private static void add(Map<ThreadKind, Duration> byKind, Path thread) {
     try {
       ThreadKind kind = ThreadKind.of(Files.readString(thread.resolve("comm")).strip());
--- a/src/test/java/slateslip/eventloop/ProcessorTimeTest.java
+++ b/src/test/java/slateslip/eventloop/ProcessorTimeTest.java
@@ -14,7 +14,7 @@
 
 /** Processor time by thread, read from folders as the kernel shows them. */
 class ProcessorTimeTest {
-  @TempDir private Path tasks;
+  @TempDir private Path process;
 
   @Test
   void threadsOfAKindAreAddedUp() throws IOException {
@@ -24,7 +24,7 @@
     thread(4, "C1 CompilerThre", 40);
     thread(5, "VM Thread", 2);
     thread(6, "settings-file", 1);
-    ProcessorTime time = ProcessorTime.read(tasks);
+    ProcessorTime time = ProcessorTime.read(process);
     assertThat(time.of(ThreadKind.MAIN), is(Duration.ofNanos(5_000)));
     assertThat(time.of(ThreadKind.EVENT_LOOP), is(Duration.ofNanos(1_000)));
     assertThat(time.of(ThreadKind.COMPILER), is(Duration.ofNanos(40)));
@@ -36,24 +36,46 @@
   @Test
   void aThreadThatHasEndedAndAMissingFolderAreNoErrors() throws IOException {
     thread(1, "java", 5_000);
-    Files.createDirectory(tasks.resolve("2"));
-    assertThat(ProcessorTime.read(tasks).total(), is(Duration.ofNanos(5_000)));
-    assertThat(ProcessorTime.read(tasks.resolve("none")).byKind(), is(anEmptyMap()));
+    Files.createDirectory(process.resolve("task").resolve("2"));
+    assertThat(ProcessorTime.read(process).total(), is(Duration.ofNanos(5_000)));
+    assertThat(ProcessorTime.read(process.resolve("none")).byKind(), is(anEmptyMap()));
   }
 
   @Test
   void theDifferenceOfTwoReadingsIsByKind() throws IOException {
     thread(1, "java", 5_000);
-    ProcessorTime before = ProcessorTime.read(tasks);
+    ProcessorTime before = ProcessorTime.read(process);
     thread(1, "java", 5_500);
     thread(2, "C1 CompilerThre", 40);
-    ProcessorTime used = ProcessorTime.read(tasks).since(before);
+    ProcessorTime used = ProcessorTime.read(process).since(before);
     assertThat(used.of(ThreadKind.MAIN), is(Duration.ofNanos(500)));
     assertThat(used.of(ThreadKind.COMPILER), is(Duration.ofNanos(40)));
   }
 
+  @Test
+  void whatThreadsThatHaveEndedHaveUsedIsTheRest() throws IOException {
+    thread(1, "java", 30_000_000);
+    stat(3, 4);
+    ProcessorTime time = ProcessorTime.read(process);
+    assertThat(time.of(ThreadKind.ENDED), is(Duration.ofMillis(40)));
+    assertThat(time.total(), is(Duration.ofMillis(70)));
+  }
+
+  @Test
+  void aCoarserSumThatLagsBehindTheThreadsIsLeftOut() throws IOException {
+    thread(1, "java", 35_000_000);
+    stat(2, 1);
+    assertThat(ProcessorTime.read(process).of(ThreadKind.ENDED), is(Duration.ZERO));
+  }
+
+  private void stat(long userTicks, long systemTicks) throws IOException {
+    Files.writeString(
+        process.resolve("stat"),
+        "7 (a (b) c) S 1 2 3 4 5 6 7 8 9 10 " + userTicks + " " + systemTicks + " 0 0\n");
+  }
+
   private void thread(int id, String name, long nanos) throws IOException {
-    Path folder = Files.createDirectories(tasks.resolve(String.valueOf(id)));
+    Path folder = Files.createDirectories(process.resolve("task").resolve(String.valueOf(id)));
     Files.writeString(folder.resolve("comm"), name + "\n");
     Files.writeString(folder.resolve("schedstat"), nanos + " 123 7\n");
   }
