--- a/src/main/java/slateslip/standin/PacedTraffic.java
+++ b/src/main/java/slateslip/standin/PacedTraffic.java
@@ -24,9 +24,9 @@
    * What came of the requests of one run.
    *
    * @param sent how many were sent
-   * @param answered how many got the response that is due to them
+   * @param succeeded how many got the response that is due to them
    */
-  record Result(int sent, int answered) {}
+  record Result(int sent, int succeeded) {}
 
   PacedTraffic(OkHttpClient client, FleetTraffic traffic) {
     this.client = client;
@@ -37,22 +37,22 @@
   Result run(double perSecond, Duration length) throws InterruptedException {
     int count = (int) Math.round(perSecond * length.toMillis() / 1_000);
     long intervalNanos = (long) (TimeUnit.SECONDS.toNanos(1) / perSecond);
-    AtomicInteger answered = new AtomicInteger();
+    AtomicInteger succeeded = new AtomicInteger();
     CountDownLatch ended = new CountDownLatch(count);
     ScheduledExecutorService pace = Executors.newSingleThreadScheduledExecutor();
     for (int i = 0; i < count; i++) {
       int number = i;
       pace.schedule(
-          () -> send(traffic.ordinary(number), answered, ended),
+          () -> send(traffic.ordinary(number), succeeded, ended),
           i * intervalNanos,
           TimeUnit.NANOSECONDS);
     }
     ended.await();
     pace.shutdown();
-    return new Result(count, answered.get());
+    return new Result(count, succeeded.get());
   }
 
-  private void send(Request request, AtomicInteger answered, CountDownLatch ended) {
+  private void send(Request request, AtomicInteger succeeded, CountDownLatch ended) {
     client
         .newCall(request)
         .enqueue(
@@ -67,7 +67,7 @@
                 try (response) {
                   response.body().bytes();
                   if (response.code() == OK) {
-                    answered.incrementAndGet();
+                    succeeded.incrementAndGet();
                   }
                 } finally {
                   ended.countDown();
--- a/src/main/java/slateslip/standin/ProcessorTimeMain.java
+++ b/src/main/java/slateslip/standin/ProcessorTimeMain.java
@@ -114,9 +114,9 @@
     Thread.sleep(Duration.ofSeconds(IDLE_SECONDS).toMillis());
     ProcessorTime idle = dataPlane.processorTime();
     long idleTurns = total(traffic.eventLoopTurns());
-    if (result.answered() != result.sent()) {
+    if (result.succeeded() != result.sent()) {
       System.out.printf(
-          "%s: only %d of %d requests were answered%n", build, result.answered(), result.sent());
+          "%s: only %d of %d requests were answered%n", build, result.succeeded(), result.sent());
       return false;
     }
     String phase = "%s, first %d s at %.0f/s".formatted(build, length.toSeconds(), rate);
--- a/src/main/java/slateslip/standin/WakeUpCheckMain.java
+++ b/src/main/java/slateslip/standin/WakeUpCheckMain.java
@@ -47,18 +47,18 @@
     FleetAddresses addresses = FleetAddresses.withFront(0);
     LocalFleet fleet = new LocalFleet(addresses, programs);
     FleetTraffic traffic = new FleetTraffic(addresses);
-    boolean held;
+    boolean withinBounds;
     try {
       if (fleet.start() instanceof LocalFleet.Outcome.Failed failed) {
         System.out.println(failed.reason());
         System.exit(FAILURE);
       }
-      held = SampleRequest.send(addresses.frontUrl(0), System.err) && check(traffic);
+      withinBounds = SampleRequest.send(addresses.frontUrl(0), System.err) && check(traffic);
     } finally {
       traffic.close();
       fleet.close();
     }
-    System.exit(held ? 0 : FAILURE);
+    System.exit(withinBounds ? 0 : FAILURE);
   }
 
   /** The requests come first: at first a data plane reads what control agents send as it comes. */
@@ -86,7 +86,7 @@
         MAX_IDLE_TURNS,
         turnsPerRequest,
         MAX_REQUEST_TURNS,
-        result.answered(),
+        result.succeeded(),
         result.sent());
     for (WakeUpCause cause : WakeUpCause.values()) {
       System.out.printf(
@@ -97,7 +97,7 @@
     }
     return idleTurns <= MAX_IDLE_TURNS
         && turnsPerRequest <= MAX_REQUEST_TURNS
-        && result.answered() == result.sent();
+        && result.succeeded() == result.sent();
   }
 
   private static long total(Map<WakeUpCause, Long> turns) {
--- a/src/test/java/slateslip/dataplane/forwarding/RouterDriverTest.java
+++ b/src/test/java/slateslip/dataplane/forwarding/RouterDriverTest.java
@@ -66,6 +66,12 @@
     channel.runScheduledPendingTasks();
   }
 
+  /** The router asks for a wake-up at this time when it takes this input. */
+  private void askForWakeAt(long atMicros, RouterInput when) {
+    decisions = input -> input == when ? List.of(new RouterOutput.WakeAt(atMicros)) : List.of();
+    driver.feed(when);
+  }
+
   private long wakes() {
     return inputs.stream().filter(RouterInput.Wake.class::isInstance).count();
   }
@@ -103,17 +109,8 @@
 
   @Test
   void anEarlierWishComesFirstAndTheLaterOneStillStands() {
-    decisions =
-        input -> {
-          if (input instanceof RouterInput.ShutdownStarted) {
-            return List.of(new RouterOutput.WakeAt(500));
-          }
-          return input instanceof RouterInput.ClientGone
-              ? List.of(new RouterOutput.WakeAt(100))
-              : List.of();
-        };
-    driver.feed(new RouterInput.ShutdownStarted());
-    driver.feed(new RouterInput.ClientGone(1));
+    askForWakeAt(500, new RouterInput.ShutdownStarted());
+    askForWakeAt(100, new RouterInput.ClientGone(1));
     pass(100);
     assertThat(wakes(), is(1L));
     pass(400);
@@ -123,41 +120,22 @@
   @Test
   void aTimeThatIsPastWakesAtOnce() {
     micros = 1_000;
-    decisions =
-        input ->
-            input instanceof RouterInput.ShutdownStarted
-                ? List.of(new RouterOutput.WakeAt(10))
-                : List.of();
-    driver.feed(new RouterInput.ShutdownStarted());
+    askForWakeAt(10, new RouterInput.ShutdownStarted());
     pass(1);
     assertThat(wakes(), is(1L));
   }
 
   @Test
   void aTimerThatIsNotNeededAnyMoreTakesNoTurn() {
-    decisions =
-        input -> {
-          if (input instanceof RouterInput.ShutdownStarted) {
-            return List.of(new RouterOutput.WakeAt(500));
-          }
-          return input instanceof RouterInput.ClientGone
-              ? List.of(new RouterOutput.WakeAt(100))
-              : List.of();
-        };
-    driver.feed(new RouterInput.ShutdownStarted());
-    driver.feed(new RouterInput.ClientGone(1));
+    askForWakeAt(500, new RouterInput.ShutdownStarted());
+    askForWakeAt(100, new RouterInput.ClientGone(1));
     channel.advanceTimeBy(99, TimeUnit.MICROSECONDS);
     assertThat(channel.runScheduledPendingTasks(), is(1_000L)); // the earlier one alone
   }
 
   @Test
   void aPeriodicTurnTakesTheWakeUpAlong() {
-    decisions =
-        input ->
-            input instanceof RouterInput.ShutdownStarted
-                ? List.of(new RouterOutput.WakeAt(500))
-                : List.of();
-    driver.feed(new RouterInput.ShutdownStarted());
+    askForWakeAt(500, new RouterInput.ShutdownStarted());
     micros = 499;
     driver.wakeIfDue();
     assertThat(wakes(), is(0L));
