--- a/src/main/java/slateslip/routing/policy/RoutingParameter.java
+++ b/src/main/java/slateslip/routing/policy/RoutingParameter.java
@@ -4,9 +4,9 @@
 import java.util.Optional;
 
 /**
- * A figure that the router's decisions depend on and that no deployment tells. What
- * other values are worth stands in docs/experiments/decisions.md, "Parameters"; experiments and a
- * data plane's command line can set one within the range.
+ * A figure that the router's decisions depend on and that no deployment tells. What other values
+ * are worth stands in docs/experiments/decisions.md, "Parameters"; experiments and a data plane's
+ * command line can set one within the range.
  */
 public enum RoutingParameter {
   /**
