Review case 2: more time between the crash and the backend's answer

The backend works for 1.5 s and is killed 0.3 s after it began, so that a slower machine doesn't miss the moment.

--- a/review/harness/LongBodyBackend.java
+++ b/review/harness/LongBodyBackend.java
@@ -17,7 +17,7 @@
 final class LongBodyBackend {
   private static final int LONG_BODY_BYTES = 1_000_000;
   private static final int RECEIVE_BUFFER_BYTES = 32_768;
-  private static final long WORK_MILLIS = 400;
+  private static final long WORK_MILLIS = 1_500;
 
   private final Backend registration;
 
--- a/review/harness/LongBodyCrash.java
+++ b/review/harness/LongBodyCrash.java
@@ -25,7 +25,7 @@
   private static final int BODY_BYTES = 4_194_304;
 
   /** Less than the backends' time of work. */
-  private static final long CRASH_AFTER_MILLIS = 250;
+  private static final long CRASH_AFTER_MILLIS = 300;
 
   private LongBodyCrash() {}
 
