Data plane: log and metrics tell how much of an attempt's request had left

Change: the socket to a backend counts the bytes that it has taken; the attempt's outcome in the log has sent/total where that is a part; attempts_partly_sent_total counts them.

Measured: EarlyResponseTest, AttemptHistoryTest pass. No decision changes.

--- a/src/main/java/slateslip/dataplane/DataPlaneMetrics.java
+++ b/src/main/java/slateslip/dataplane/DataPlaneMetrics.java
@@ -34,6 +34,9 @@
   /** Attempts that were sent on an idle connection. */
   public long reused;
 
+  /** Attempts that ended when a part of their request had been sent, but not all of it. */
+  public long partlySent;
+
   /** Answers of backends that belonged to no request. */
   public long surplusResponses;
 
--- a/src/main/java/slateslip/dataplane/backend/BackendAttempt.java
+++ b/src/main/java/slateslip/dataplane/backend/BackendAttempt.java
@@ -35,6 +35,9 @@
   private long idledNanos = -1;
   private boolean written;
 
+  /** Bytes that the connection had taken before this attempt. */
+  private long writtenBytesBefore;
+
   /** Whether a response of its own has begun, maybe before the backend had the whole request. */
   private boolean responseStarted;
 
@@ -157,6 +160,7 @@
       return;
     }
     connection = to;
+    writtenBytesBefore = to.channel.writtenBytes();
     cancelDialTimer();
     to.attempt = this;
     to.decoder.expectNoBody(request.method().equals(HttpMethod.HEAD));
@@ -196,6 +200,14 @@
     responseStarted = true;
   }
 
+  private SentBytes sentBytes() {
+    if (connection == null) {
+      return SentBytes.NONE;
+    }
+    long sent = connection.channel.writtenBytes() - writtenBytesBefore;
+    return new SentBytes(sent, sent + connection.channel.unwrittenBytes());
+  }
+
   /** Whether the backend may have run the request, if nothing else says that it has not. */
   private boolean mayHaveRun() {
     return written || responseStarted;
@@ -282,6 +294,8 @@
       return;
     }
     ended = true;
+    SentBytes sentBytes = sentBytes();
+    pools.metrics().partlySent += sentBytes.isPartial() ? 1 : 0;
     cancelTimer();
     cancelDialTimer();
     if (idledNanos >= 0) {
@@ -304,7 +318,7 @@
         connection.channel.close();
       }
     }
-    pools.loop().execute(() -> listener.ended(result));
+    pools.loop().execute(() -> listener.ended(result.with(sentBytes)));
   }
 
   private void cancelDialTimer() {
--- a/src/main/java/slateslip/dataplane/forwarding/AttemptHistory.java
+++ b/src/main/java/slateslip/dataplane/forwarding/AttemptHistory.java
@@ -2,9 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import slateslip.dataplane.backend.SentBytes;
 import slateslip.routing.RouterInput.AttemptOutcome;
 
-/** The attempts of one request as a log line tells them: at which backend, and how each ended. */
+/**
+ * The attempts of one request as a log line tells them: at which backend, how each ended, and of
+ * one that ended with its request partly sent, how many bytes of how many had left.
+ */
 final class AttemptHistory {
   private static final String UNDER_WAY = "UNDER_WAY";
 
@@ -18,9 +22,10 @@
   }
 
   /** An attempt has ended. */
-  void ended(int attempt, AttemptOutcome outcome) {
+  void ended(int attempt, AttemptOutcome outcome, SentBytes sentBytes) {
     if (attempt < outcomes.size()) {
-      outcomes.set(attempt, outcome.kind().name());
+      String kind = outcome.kind().name();
+      outcomes.set(attempt, sentBytes.isPartial() ? kind + ":" + sentBytes : kind);
     }
   }
 
--- a/src/main/java/slateslip/dataplane/forwarding/AttemptRelay.java
+++ b/src/main/java/slateslip/dataplane/forwarding/AttemptRelay.java
@@ -114,7 +114,7 @@
     if (outcome.kind() == AttemptOutcome.Kind.SUCCESS && !passOn(result)) {
       outcome = new AttemptOutcome(AttemptOutcome.Kind.BROKEN, 0);
     }
-    forwarded.history.ended(number, outcome);
+    forwarded.history.ended(number, outcome, result.sentBytes());
     if (outcome.kind() == AttemptOutcome.Kind.SUCCESS) {
       forwarded.failures.clear();
     } else if (outcome.kind() == AttemptOutcome.Kind.ERROR_RESPONSE) {
--- a/src/main/java/slateslip/dataplane/status/MetricsText.java
+++ b/src/main/java/slateslip/dataplane/status/MetricsText.java
@@ -41,6 +41,7 @@
     text.add("events_total", "counter", metrics.events);
     text.add("backend_connections_opened_total", "counter", metrics.dialled);
     text.add("backend_connections_reused_total", "counter", metrics.reused);
+    text.add("attempts_partly_sent_total", "counter", metrics.partlySent);
     text.add("surplus_answers_total", "counter", metrics.surplusResponses);
     text.add("bad_answers_total", "counter", metrics.malformedResponses);
     text.add("open_requests", "gauge", openRequests);
--- a/src/test/java/slateslip/dataplane/EarlyResponseTest.java
+++ b/src/test/java/slateslip/dataplane/EarlyResponseTest.java
@@ -130,6 +130,7 @@
     assertThat(callWithLongBody("a1").status(), is(502));
     awaitEnds(BROKEN);
     assertThat(other.requests.size(), is(0));
+    fixture.onLoop(() -> assertThat(fixture.metrics.partlySent, is(1L)));
   }
 
   @Test
