TWICE: an attempt is NOT_SENT only while the socket has taken no byte of it

What callers saw: one 200, but a request that may run once had run at two backends; with one backend alone a 503, the promise that it has not run, for a request that had.

Change: RequestTransmission decides, by the bytes that the socket has taken. All readers of the outcome go by it: repeat, max_attempts, retry budget, charge, 502 for 503, passive health, time-out. A world with bodies that are partly sent, and its mutation.

Why it works: the bytes that the socket took are the last that this process can know; with none taken nothing can have reached a backend, with one it may have begun.

Ruled out: a repeat by a library (the second attempt is the router's), a repeat of BROKEN (the outcome was NOT_SENT).

--- a/src/main/java/slateslip/dataplane/backend/BackendAttempt.java
+++ b/src/main/java/slateslip/dataplane/backend/BackendAttempt.java
@@ -14,6 +14,7 @@
 import slateslip.dataplane.HeaderNames;
 import slateslip.dataplane.stream.StreamEvent;
 import slateslip.eventloop.WakeUpCause;
+import slateslip.routing.RequestTransmission;
 import slateslip.routing.RouterInput.AttemptOutcome;
 import slateslip.routing.RouterInput.BackendLoad;
 
@@ -33,14 +34,11 @@
   private final Set<Channel> dialling = new HashSet<>();
   private BackendConnection connection;
   private long idledNanos = -1;
-  private boolean written;
+  private final RequestTransmission transmission = new RequestTransmission();
 
   /** Bytes that the connection had taken before this attempt. */
   private long writtenBytesBefore;
 
-  /** Whether a response of its own has begun, maybe before the backend had the whole request. */
-  private boolean responseStarted;
-
   private boolean started;
   private boolean ended;
 
@@ -70,7 +68,7 @@
 
   /** Whether the whole request has left. */
   boolean isWritten() {
-    return written;
+    return transmission.isComplete();
   }
 
   boolean isEnded() {
@@ -188,16 +186,17 @@
         .writeAndFlush(message)
         .addListener(
             done -> {
-              written |= done.isSuccess();
-              if (!done.isSuccess()) {
-                broken(); // its last byte never left
+              if (done.isSuccess()) {
+                transmission.completed();
+              } else {
+                broken();
               }
             });
   }
 
   /** The head of a response of its own has come. */
   void responseStarted() {
-    responseStarted = true;
+    transmission.responseStarted();
   }
 
   private SentBytes sentBytes() {
@@ -208,11 +207,6 @@
     return new SentBytes(sent, sent + connection.channel.unwrittenBytes());
   }
 
-  /** Whether the backend may have run the request, if nothing else says that it has not. */
-  private boolean mayHaveRun() {
-    return written || responseStarted;
-  }
-
   /** The head of a stream has come. */
   void streamBegan(BackendResponse head, BackendLoad load) {
     listener.streamBegan(head, load);
@@ -272,12 +266,14 @@
   }
 
   private void timeOut() {
-    end(mayHaveRun() ? AttemptOutcome.Kind.TIMEOUT : AttemptOutcome.Kind.NOT_SENT);
+    transmission.sent(sentBytes().sent());
+    end(transmission.whenTimedOut());
   }
 
   /** The connection has ended under the attempt, or what came is no response. */
   void broken() {
-    end(mayHaveRun() ? AttemptOutcome.Kind.BROKEN : AttemptOutcome.Kind.NOT_SENT);
+    transmission.sent(sentBytes().sent());
+    end(transmission.whenBroken());
   }
 
   /** Stops it and closes its connection. */
--- a/src/main/java/slateslip/routing/RouterInput.java
+++ b/src/main/java/slateslip/routing/RouterInput.java
@@ -102,11 +102,14 @@
       OTHER_INSTANCE,
       /** Nothing was sent: the key lease had run out by then. */
       WITHHELD,
-      /** No byte of the request can have reached the backend. */
+      /** No byte of the request can have reached the backend: no connection has taken any. */
       NOT_SENT,
-      /** The connection broke, or the response was no valid answer, after bytes had been sent. */
+      /**
+       * The connection broke, or the response was no valid answer, after a first byte had been
+       * sent.
+       */
       BROKEN,
-      /** No response in the time given, after bytes had been sent. */
+      /** No response in the time given, after a first byte had been sent. */
       TIMEOUT,
       /** Ended by {@link RouterOutput.CancelAttempt}. */
       CANCELLED;
--- a/src/main/java/slateslip/simulation/dataplane/BackendCall.java
+++ b/src/main/java/slateslip/simulation/dataplane/BackendCall.java
@@ -1,5 +1,7 @@
 package slateslip.simulation.dataplane;
 
+import slateslip.routing.RequestTransmission;
+
 /** One attempt on its way: what a data plane sends to a backend over one connection. */
 final class BackendCall {
   private final DataPlaneHost host;
@@ -11,6 +13,7 @@
   private final int priority;
   private final long resumeAfter;
   private final long deadlineMicros;
+  private final RequestTransmission transmission;
   private boolean closed;
 
   BackendCall(
@@ -18,7 +21,8 @@
       ClientAttempt content,
       slateslip.routing.RouterOutput.SendAttempt sent,
       long resumeAfter,
-      long deadlineMicros) {
+      long deadlineMicros,
+      RequestTransmission transmission) {
     this.host = host;
     this.content = content;
     this.request = sent.request();
@@ -28,6 +32,7 @@
     this.priority = sent.priority();
     this.resumeAfter = resumeAfter;
     this.deadlineMicros = deadlineMicros;
+    this.transmission = transmission;
   }
 
   DataPlaneHost host() {
@@ -72,6 +77,11 @@
     return deadlineMicros;
   }
 
+  /** How far its request has left the data plane. */
+  RequestTransmission transmission() {
+    return transmission;
+  }
+
   /** Whether the data plane has closed the connection, or has seen it end. */
   boolean closed() {
     return closed;
--- a/src/main/java/slateslip/simulation/dataplane/BackendReply.java
+++ b/src/main/java/slateslip/simulation/dataplane/BackendReply.java
@@ -20,6 +20,6 @@
   /** No connection came up; nothing was sent. */
   record NotConnected() implements BackendReply {}
 
-  /** The connection broke after something was sent. */
+  /** The connection broke, or ended before the whole request had left. */
   record Reset() implements BackendReply {}
 }
--- a/src/main/java/slateslip/simulation/dataplane/DataPlaneHost.java
+++ b/src/main/java/slateslip/simulation/dataplane/DataPlaneHost.java
@@ -210,7 +210,7 @@
     } else if (reply instanceof BackendReply.NotConnected) {
       end(exchange, call, Kind.NOT_SENT, 0, load);
     } else {
-      end(exchange, call, Kind.BROKEN, 0, load);
+      end(exchange, call, call.transmission().whenBroken(), 0, load);
     }
   }
 
@@ -310,13 +310,15 @@
         send.deadlineMillis() == 0
             ? exchange.acceptedMicros + exchange.content.attributes().deadlineMillis() * 1_000
             : loop.nowMicros() + send.deadlineMillis() * 1_000;
-    long clientHas = exchange.content.attributes().lastEventId();
-    boolean afterLast = send.resumeAfter() == RouterOutput.AFTER_LAST_EVENT;
-    long routed = afterLast ? exchange.lastEventId : send.resumeAfter();
-    long resumeAfter = routed == RouterOutput.AS_SENT ? clientHas : routed;
     exchange.lastEventWhenSent.put(send.attempt(), exchange.lastEventId);
     BackendCall call =
-        new BackendCall(this, exchange.content, send, Math.max(0, resumeAfter), deadlineMicros);
+        new BackendCall(
+            this,
+            exchange.content,
+            send,
+            exchange.resumeAfter(send),
+            deadlineMicros,
+            world.newTransmission());
     exchange.live.put(send.attempt(), call);
     exchange.idleMicros.put(send.attempt(), send.idleTimeoutMicros());
     SimulatedBackend backend = world.control().backend(send.backendId());
@@ -337,7 +339,7 @@
   private void timeOut(Exchange exchange, BackendCall call) {
     boolean silent = !exchange.started.contains(call.attempt());
     if (exchange.live.get(call.attempt()) == call && silent) {
-      leave(exchange, call, Kind.TIMEOUT);
+      leave(exchange, call, call.transmission().whenTimedOut());
     }
   }
 
--- a/src/main/java/slateslip/simulation/dataplane/DataPlaneWorld.java
+++ b/src/main/java/slateslip/simulation/dataplane/DataPlaneWorld.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Supplier;
 import slateslip.configuration.RoutingTable;
 import slateslip.routing.RequestRouter;
+import slateslip.routing.RequestTransmission;
 import slateslip.routing.RouterSettings;
 import slateslip.routing.quota.QuotaBounds;
 import slateslip.routing.retry.RetryBounds;
@@ -20,6 +22,7 @@
 
   private final WorldPlan plan;
   private final RouterFactory factory;
+  private final Supplier<RequestTransmission> transmissions;
   private final EventQueue loop = new EventQueue();
   private final RuleChecker checker;
   private final SimulatedNetwork network;
@@ -49,9 +52,11 @@
   public record Result(
       List<Violation> violations, Measurements measurements, long digest, int requests) {}
 
-  private DataPlaneWorld(WorldPlan plan, RouterFactory factory) {
+  private DataPlaneWorld(
+      WorldPlan plan, RouterFactory factory, Supplier<RequestTransmission> transmissions) {
     this.plan = plan;
     this.factory = factory;
+    this.transmissions = transmissions;
     this.checker = new RuleChecker(plan, loop);
     this.windows = new FaultWindows(plan.faults(), loop);
     this.network = new SimulatedNetwork(plan, loop, windows);
@@ -63,7 +68,17 @@
 
   /** Plays a plan to its end. */
   public static Result run(WorldPlan plan, RouterFactory factory) {
-    DataPlaneWorld world = new DataPlaneWorld(plan, factory);
+    return run(plan, factory, RequestTransmission::new);
+  }
+
+  /**
+   * Plays a plan to its end.
+   *
+   * @param transmissions tell what attempts mean that end while their requests are sent
+   */
+  static Result run(
+      WorldPlan plan, RouterFactory factory, Supplier<RequestTransmission> transmissions) {
+    DataPlaneWorld world = new DataPlaneWorld(plan, factory, transmissions);
     world.build();
     new Traffic(world, world.windows).begin();
     plan.faults().forEach(fault -> world.loop.at(fault.atMicros(), () -> world.strike(fault)));
@@ -122,7 +137,7 @@
       case DATA_PLANE_CRASH, DATA_PLANE_DARK -> crashHost(fault);
       case DATA_PLANE_FREEZE -> freezeHost(fault);
       case DATA_PLANE_JOIN -> addHost();
-      case RESETS, HOT_KEY, HOT_TENANT, BURST -> {
+      case RESETS, LONG_BODIES, HOT_KEY, HOT_TENANT, BURST -> {
         // looked up in the windows where they matter
       }
       default -> throw new IllegalStateException("unknown fault");
@@ -218,6 +233,10 @@
     request.begin();
   }
 
+  RequestTransmission newTransmission() {
+    return transmissions.get();
+  }
+
   String nextAttemptId() {
     return Long.toHexString(0x1000_0000L + attempts++);
   }
--- a/src/main/java/slateslip/simulation/dataplane/Exchange.java
+++ b/src/main/java/slateslip/simulation/dataplane/Exchange.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import slateslip.routing.RouterOutput;
 
 /** One client request inside the data plane. */
 final class Exchange {
@@ -35,6 +36,14 @@
     this.acceptedMicros = acceptedMicros;
   }
 
+  /** Id of the last event that the client has had when an attempt is sent; 0 if none. */
+  long resumeAfter(RouterOutput.SendAttempt send) {
+    boolean afterLast = send.resumeAfter() == RouterOutput.AFTER_LAST_EVENT;
+    long routed = afterLast ? lastEventId : send.resumeAfter();
+    long clientHas = content.attributes().lastEventId();
+    return Math.max(0, routed == RouterOutput.AS_SENT ? clientHas : routed);
+  }
+
   /** Whether a call's events are those that the client gets; see the data plane's own rule. */
   boolean takesStream(BackendCall call) {
     return streaming == call.attempt()
--- a/src/main/java/slateslip/simulation/dataplane/Fault.java
+++ b/src/main/java/slateslip/simulation/dataplane/Fault.java
@@ -26,6 +26,11 @@
     DATA_PLANE_DARK,
     /** A data plane stands still; what arrives meanwhile is handled afterwards. */
     DATA_PLANE_FREEZE,
+    /**
+     * A share {@code strength} of requests have bodies that take long to send; some of their
+     * connections end between two bytes.
+     */
+    LONG_BODIES,
     /** Connections to backends are reset with probability {@code strength}. */
     RESETS,
     /** A share {@code strength} of a class asks for the same shared part. */
--- a/src/main/java/slateslip/simulation/dataplane/SimulatedNetwork.java
+++ b/src/main/java/slateslip/simulation/dataplane/SimulatedNetwork.java
@@ -16,18 +16,28 @@
   private final EventQueue loop;
   private final FaultWindows windows;
   private final SplittableRandom random;
+  private final LongBodies longBodies;
 
   SimulatedNetwork(WorldPlan plan, EventQueue loop, FaultWindows windows) {
     this.plan = plan;
     this.loop = loop;
     this.windows = windows;
     this.random = new SplittableRandom(plan.seed() ^ 0x4e45_5457L);
+    this.longBodies = new LongBodies(plan, loop, windows);
   }
 
   /** Carries a call to a backend. */
   void send(BackendCall call, SimulatedBackend backend) {
     boolean newConnection = random.nextDouble() < NEW_CONNECTION_SHARE;
-    loop.after(delay(call.host(), backend), () -> arrive(call, backend, newConnection));
+    LongBodies.Transfer transfer = longBodies.next();
+    if (transfer == null) {
+      call.transmission().completed();
+    } else {
+      longBodies.send(call, transfer, () -> reset(call, backend));
+    }
+    if (transfer == null || transfer.includesHead()) {
+      loop.after(delay(call.host(), backend), () -> arrive(call, backend, newConnection));
+    }
     double resetShare = windows.strength(Fault.Kind.RESETS);
     if (resetShare > 0 && random.nextDouble() < resetShare) {
       loop.after(random.nextLong(LATEST_RESET_MICROS), () -> reset(call, backend));
--- a/src/main/java/slateslip/simulation/dataplane/WorldPlans.java
+++ b/src/main/java/slateslip/simulation/dataplane/WorldPlans.java
@@ -29,7 +29,9 @@
 
   /** Kinds that random schedules draw from. */
   private static final List<Fault.Kind> KINDS =
-      Stream.of(Fault.Kind.values()).filter(kind -> kind != Fault.Kind.BACKEND_STALL).toList();
+      Stream.of(Fault.Kind.values())
+          .filter(kind -> kind != Fault.Kind.BACKEND_STALL && kind != Fault.Kind.LONG_BODIES)
+          .toList();
 
   private WorldPlans() {}
 
@@ -127,6 +129,19 @@
     return plan.withFaults(faults);
   }
 
+  /** A small world with bodies that take long to send, and backends that crash meanwhile. */
+  public static WorldPlan randomLongBodies(long seed) {
+    SplittableRandom random = new SplittableRandom(seed ^ 0x4c4f_4e47L);
+    WorldPlan plan = random(seed);
+    List<Fault> faults = new ArrayList<>(plan.faults());
+    int periods = 1 + random.nextInt(MAX_FAULTS);
+    for (int i = 0; i < periods; i++) {
+      faults.add(fault(random, Fault.Kind.LONG_BODIES));
+      faults.add(fault(random, Fault.Kind.BACKEND_CRASH));
+    }
+    return plan.withFaults(faults);
+  }
+
   private static Fault fault(SplittableRandom random) {
     return fault(random, KINDS.get(random.nextInt(KINDS.size())));
   }
@@ -137,7 +152,7 @@
     int target = random.nextInt(6);
     double strength =
         switch (kind) {
-          case RESETS -> 0.1 + 0.8 * random.nextDouble();
+          case RESETS, LONG_BODIES -> 0.1 + 0.8 * random.nextDouble();
           case HOT_KEY -> 0.2 + 0.5 * random.nextDouble();
           case HOT_TENANT -> 3 + 9 * random.nextDouble();
           case BURST -> 1.5 + 2 * random.nextDouble();
--- a/src/test/java/slateslip/dataplane/DataPlaneFixture.java
+++ b/src/test/java/slateslip/dataplane/DataPlaneFixture.java
@@ -1,5 +1,6 @@
 package slateslip.dataplane;
 
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -39,9 +40,7 @@
   final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   final EventLoop loop = group.next();
   final PeriodicTasks periodic = new PeriodicTasks(loop, metrics.wakeUps);
-  final BackendPools pools =
-      new BackendPools(
-          loop, periodic, CONNECTIONS, STREAM_POLL_MILLIS, metrics, PollableSocketChannel::new);
+  final BackendPools pools;
   final KeyLease keyLease;
   final Forwarder forwarder;
   final ClientIngress ingress;
@@ -60,7 +59,15 @@
 
   /** With a router of the test's own, and a lease for requests with keys. */
   DataPlaneFixture(RequestRouter other, KeyLease keyLease) throws IOException {
+    this(other, keyLease, PollableSocketChannel::new);
+  }
+
+  /** With a router of the test's own, and its own sockets to backends. */
+  DataPlaneFixture(
+      RequestRouter other, KeyLease keyLease, ChannelFactory<PollableSocketChannel> sockets)
+      throws IOException {
     this.keyLease = keyLease;
+    pools = new BackendPools(loop, periodic, CONNECTIONS, STREAM_POLL_MILLIS, metrics, sockets);
     RequestRouter decides = other == null ? router : other;
     forwarder =
         new Forwarder(loop, decides, () -> System.nanoTime() / 1_000, pools, metrics, 1, keyLease);
--- a/src/test/java/slateslip/dataplane/EarlyResponseTest.java
+++ b/src/test/java/slateslip/dataplane/EarlyResponseTest.java
@@ -6,6 +6,7 @@
 import static slateslip.routing.RouterInput.AttemptOutcome.Kind.ERROR_RESPONSE;
 import static slateslip.routing.RouterInput.AttemptOutcome.Kind.NOT_EXECUTED;
 import static slateslip.routing.RouterInput.AttemptOutcome.Kind.SUCCESS;
+import static slateslip.routing.RouterInput.AttemptOutcome.Kind.TIMEOUT;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -28,6 +29,8 @@
   /** More than the sockets between the two hold. */
   private static final int BODY_BYTES = 4_000_000;
 
+  private static final long FIRST_EVENT_TIMEOUT_MICROS = 1_000_000;
+
   private final List<Socket> accepted = new CopyOnWriteArrayList<>();
   private DataPlaneFixture fixture;
   private ServerSocket server;
@@ -133,6 +136,31 @@
     fixture.onLoop(() -> assertThat(fixture.metrics.partlySent, is(1L)));
   }
 
+  /**
+   * TWICE: a request that may not be repeated went to a second backend when the first crashed with
+   * a part of its body.
+   */
+  @Test
+  void aRequestThatHasPartlyLeftWhenItsBackendCrashesIsNotRepeated() throws IOException {
+    backendThatReadsHeads((id, socket) -> ScriptedPeer.reset(socket));
+    ScriptedPeer other = good();
+    assertThat(callWithLongBody("a1").status(), is(502));
+    awaitEnds(BROKEN);
+    assertThat(other.requests.size(), is(0));
+    fixture.onLoop(() -> assertThat(fixture.metrics.partlySent, is(1L)));
+  }
+
+  /** TWICE, and REFUSED: the same where the backend is silent until the attempt times out. */
+  @Test
+  void aRequestThatHasPartlyLeftWhenItTimesOutIsNotRepeated() throws IOException {
+    fixture.router.firstEventTimeoutMicros = FIRST_EVENT_TIMEOUT_MICROS;
+    backendThatReadsHeads((id, socket) -> {});
+    ScriptedPeer other = good();
+    assertThat(callWithLongBody("a1").status(), is(502));
+    awaitEnds(TIMEOUT);
+    assertThat(other.requests.size(), is(0));
+  }
+
   @Test
   void aConnectionWhoseBodyIsNotOutIsNotUsedAgain() throws IOException {
     backendThatReadsHeads(
--- a/src/test/java/slateslip/simulation/dataplane/DataPlaneWorldTest.java
+++ b/src/test/java/slateslip/simulation/dataplane/DataPlaneWorldTest.java
@@ -33,6 +33,17 @@
     }
   }
 
+  /** TWICE: a request ran twice when its backend crashed with a part of a long body. */
+  @Test
+  void bodiesThatArePartlySentBreakNoRule() {
+    for (long seed = 1; seed <= SCHEDULES; seed++) {
+      WorldPlan plan = WorldPlans.randomLongBodies(seed);
+      if (!DataPlaneWorld.run(plan, FleetRouter::new).violations().isEmpty()) {
+        throw new AssertionError(report(plan));
+      }
+    }
+  }
+
   @Test
   void seedRepeatsARunExactly() {
     for (long seed = 1; seed <= 5; seed++) {
--- a/src/test/java/slateslip/simulation/dataplane/Mutants.java
+++ b/src/test/java/slateslip/simulation/dataplane/Mutants.java
@@ -11,6 +11,7 @@
 import slateslip.distribution.TenantDemand;
 import slateslip.routing.FleetRouter;
 import slateslip.routing.RequestRouter;
+import slateslip.routing.RequestTransmission;
 import slateslip.routing.RouterInput;
 import slateslip.routing.RouterInput.AttemptOutcome;
 import slateslip.routing.RouterInput.AttemptOutcome.Kind;
@@ -36,6 +37,14 @@
                 : input);
   }
 
+  /** Takes a request for not sent until its last byte has left, as once was done (TWICE). */
+  static final class NotSentBeforeTheLastByte extends RequestTransmission {
+    @Override
+    public boolean mayHaveRun() {
+      return isComplete() || hasResponse();
+    }
+  }
+
   /** Resumes a stream one event too far on. */
   static DataPlaneWorld.RouterFactory resumesFromTheWrongEvent() {
     return withOutputs(
--- a/src/test/java/slateslip/simulation/dataplane/MutationTest.java
+++ b/src/test/java/slateslip/simulation/dataplane/MutationTest.java
@@ -8,7 +8,9 @@
 import java.util.EnumSet;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
+import slateslip.routing.FleetRouter;
 import slateslip.simulation.dataplane.Violation.Rule;
 
 /** The world can fail: each fault put into the router is caught within the random schedules. */
@@ -20,6 +22,22 @@
     assertThat(caught(Mutants.repeatsAfterReset(), Rule.RAN_TWICE), is(true));
   }
 
+  @Test
+  void takingAPartOfARequestForNothingIsCaught() {
+    assertThat(caughtWithPartlySent(Rule.RAN_TWICE), is(true));
+    assertThat(caughtWithPartlySent(Rule.PROMISE_BROKEN), is(true));
+  }
+
+  private static boolean caughtWithPartlySent(Rule rule) {
+    return LongStream.rangeClosed(1, SCHEDULES)
+        .mapToObj(WorldPlans::randomLongBodies)
+        .map(
+            plan ->
+                DataPlaneWorld.run(plan, FleetRouter::new, Mutants.NotSentBeforeTheLastByte::new))
+        .flatMap(result -> result.violations().stream())
+        .anyMatch(violation -> violation.rule() == rule);
+  }
+
   @Test
   void resumingFromTheWrongEventIsCaught() {
     assertThat(caught(Mutants.resumesFromTheWrongEvent(), Rule.STREAM_ORDER), is(true));
