--- a/src/main/java/slateslip/dataplane/DataPlane.java
+++ b/src/main/java/slateslip/dataplane/DataPlane.java
@@ -12,7 +12,9 @@
 import java.util.concurrent.TimeUnit;
 import org.jboss.logging.Logger;
 import slateslip.configuration.FleetConfiguration;
+import slateslip.configuration.HeaderText;
 import slateslip.configuration.RoutingTable;
+import slateslip.configuration.Tenant;
 import slateslip.dataplane.backend.BackendPools;
 import slateslip.dataplane.forwarding.Forwarder;
 import slateslip.dataplane.ingress.ClientIngress;
@@ -210,6 +212,10 @@
     forwarder.tableChanged(table);
     LogContext.version(configuration.version());
     LOG.infof("configuration %d in force", configuration.version());
+    configuration.tenants().stream()
+        .map(Tenant::name)
+        .filter(name -> !HeaderText.fits(name))
+        .forEach(name -> LOG.warnf("tenant not served, no header can carry its name: %s", name));
   }
 
   /** Takes over what may change while it runs: the control agents that the settings name. */
--- a/src/main/java/slateslip/dataplane/backend/BackendPools.java
+++ b/src/main/java/slateslip/dataplane/backend/BackendPools.java
@@ -17,6 +17,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import slateslip.configuration.HeaderText;
 import slateslip.configuration.RoutingTable;
 import slateslip.configuration.Service;
 import slateslip.dataplane.DataPlaneMetrics;
@@ -154,7 +155,9 @@
   public void probe(String backendId, Consumer<ProbeResult> then) {
     BackendPool pool = pools.get(backendId);
     var headers = new DefaultHttpHeaders().set(HttpHeaderNames.HOST, "backend");
-    headers.set(HeaderNames.TARGET_INSTANCE, backendId);
+    if (HeaderText.fits(backendId)) {
+      headers.set(HeaderNames.TARGET_INSTANCE, HeaderText.encode(backendId));
+    }
     var request =
         new OutgoingRequest(
             HttpMethod.GET,
--- a/src/main/java/slateslip/dataplane/backend/ProbeListener.java
+++ b/src/main/java/slateslip/dataplane/backend/ProbeListener.java
@@ -1,6 +1,7 @@
 package slateslip.dataplane.backend;
 
 import java.util.function.Consumer;
+import slateslip.configuration.HeaderText;
 import slateslip.dataplane.HeaderNames;
 import slateslip.dataplane.stream.StreamEvent;
 import slateslip.routing.RouterInput.BackendLoad;
@@ -37,7 +38,7 @@
     BackendResponse response = result.response();
     if (response != null) {
       String instance = response.headers().get(HeaderNames.INSTANCE_ID);
-      if (instance != null && !instance.equals(backendId)) {
+      if (instance != null && !HeaderText.decode(instance).equals(backendId)) {
         return ProbeOutcome.OTHER_INSTANCE;
       }
     }
--- a/src/main/java/slateslip/dataplane/backend/ResponseHandler.java
+++ b/src/main/java/slateslip/dataplane/backend/ResponseHandler.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import slateslip.configuration.HeaderText;
 import slateslip.dataplane.HeaderNames;
 import slateslip.dataplane.stream.EventSplitter;
 import slateslip.eventloop.WakeUpCause;
@@ -194,7 +195,8 @@
           : AttemptOutcome.Kind.BROKEN;
     }
     if (status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
-      boolean other = !attempt.pool().backendId.equals(headers.get(HeaderNames.INSTANCE_ID));
+      String instance = HeaderText.decode(headers.get(HeaderNames.INSTANCE_ID, ""));
+      boolean other = !attempt.pool().backendId.equals(instance);
       return other ? AttemptOutcome.Kind.OTHER_INSTANCE : AttemptOutcome.Kind.NOT_EXECUTED;
     }
     return headers.contains(HeaderNames.NOT_EXECUTED)
--- a/src/main/java/slateslip/dataplane/forwarding/Forwarder.java
+++ b/src/main/java/slateslip/dataplane/forwarding/Forwarder.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.jboss.logging.Logger;
+import slateslip.configuration.HeaderText;
 import slateslip.configuration.RoutingTable;
 import slateslip.dataplane.DataPlaneMetrics;
 import slateslip.dataplane.HeaderNames;
@@ -214,9 +215,11 @@
     ClientRequest request = forwarded.request;
     HttpHeaders headers = new DefaultHttpHeaders().set(request.headers());
     headers.set(HeaderNames.ATTEMPT_ID, forwarded.attemptId);
-    headers.set(HeaderNames.TARGET_INSTANCE, send.backendId());
+    if (HeaderText.fits(send.backendId())) {
+      headers.set(HeaderNames.TARGET_INSTANCE, HeaderText.encode(send.backendId()));
+    }
     if (send.tenant() != null) {
-      headers.set(HeaderNames.TENANT, send.tenant());
+      headers.set(HeaderNames.TENANT, HeaderText.encode(send.tenant()));
     }
     if (send.priority() != RouterOutput.NO_PRIORITY) {
       headers.set(HeaderNames.PRIORITY, send.priority());
--- a/src/main/java/slateslip/routing/Admission.java
+++ b/src/main/java/slateslip/routing/Admission.java
@@ -1,6 +1,7 @@
 package slateslip.routing;
 
 import java.util.Optional;
+import slateslip.configuration.HeaderText;
 import slateslip.configuration.Route;
 import slateslip.configuration.RoutingTable;
 import slateslip.configuration.Tenant;
@@ -57,6 +58,9 @@
     if (tenant == null && needsKey) {
       return refused(arrived, 401, 0);
     }
+    if (tenant != null && !HeaderText.fits(tenant.name())) {
+      return refused(arrived, 503, retryMicros); // no backend could be told whose it is
+    }
     return judgeByQuota(nowMicros, arrived, route.get(), tenant);
   }
 
--- a/src/test/java/slateslip/dataplane/BackendsTest.java
+++ b/src/test/java/slateslip/dataplane/BackendsTest.java
@@ -18,8 +18,10 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import slateslip.configuration.HeaderText;
 import slateslip.dataplane.DataPlaneFixture.ClientResponse;
 import slateslip.dataplane.backend.ProbeResult;
+import slateslip.distribution.BackendSession;
 import slateslip.loadbalancer.net.ScriptedPeer;
 import slateslip.routing.KeyLease;
 import slateslip.routing.RouterInput;
@@ -127,6 +129,32 @@
     awaitEnds(NOT_EXECUTED, OTHER_INSTANCE, SUCCESS);
   }
 
+  /**
+   * UNASKED, related: ids are letters of any alphabet too, and are compared with what comes back.
+   */
+  @Test
+  void idsOfBackendsTravelAsUtf8() throws Exception {
+    String id = "i-\u017e\u6771";
+    String idBytes = HeaderText.encode(id);
+    ScriptedPeer backend =
+        fixture.backend(
+            (message, socket) ->
+                ScriptedPeer.respond(
+                    socket,
+                    message.target().equals("/health") ? 200 : 421,
+                    DataPlaneFixture.idOf(message) + "X-Instance-Id: " + idBytes + "\r\n",
+                    ""));
+    fixture.list(
+        List.of(new BackendSession(id, "svc", backend.address(), "z", "v1", 4, false, 0, 1)));
+    fixture.call("a1");
+    awaitEnds(NOT_EXECUTED);
+    assertThat(backend.requests.get(0).header("X-Target-Instance"), is(idBytes));
+    List<ProbeOutcome> outcomes = new java.util.concurrent.CopyOnWriteArrayList<>();
+    fixture.onLoop(() -> fixture.pools.probe(id, result -> outcomes.add(result.outcome())));
+    DataPlaneFixture.await(() -> !outcomes.isEmpty());
+    assertThat(outcomes, contains(ProbeOutcome.HEALTHY));
+  }
+
   @Test
   void relaysAFailureUnchanged() throws IOException {
     fixture.backend(
--- /dev/null
+++ b/src/test/java/slateslip/dataplane/TenantNamesTest.java
@@ -0,0 +1,102 @@
+package slateslip.dataplane;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import slateslip.configuration.ConfigurationDocument;
+import slateslip.configuration.ConfigurationOutcome;
+import slateslip.configuration.RoutingTable;
+import slateslip.dataplane.DataPlaneFixture.ClientResponse;
+import slateslip.loadbalancer.net.ScriptedPeer;
+import slateslip.routing.FleetRouter;
+
+/**
+ * UNASKED: X-Tenant had '?' for letters beyond ISO 8859-1, and others in an encoding that is not
+ * the configuration's, so that several tenants reached backends under one name.
+ */
+class TenantNamesTest {
+  private static final String DOCUMENT =
+      "{\"version\":1,\"routes\":[{\"name\":\"r\",\"hostname\":\"h.example\",\"path_prefix\":\"/a/\","
+          + "\"kind\":\"idempotent\",\"timeout_ms\":8000,\"service\":\"svc\"}],"
+          + "\"services\":[{\"name\":\"svc\"}],\"tenants\":[%s]}";
+
+  private DataPlaneFixture fixture;
+  private ScriptedPeer backend;
+
+  @BeforeEach
+  void open() throws IOException {
+    fixture = new DataPlaneFixture(new FleetRouter("z", 1));
+    backend =
+        fixture.backend(
+            (message, socket) ->
+                DataPlaneFixture.serve(message, socket, "Keep-Alive: timeout=60\r\n", "ran"));
+  }
+
+  @AfterEach
+  void close() throws IOException {
+    fixture.close();
+  }
+
+  /** Puts a configuration in force; a tenant's key is "key-" and its number. */
+  private void configure(List<String> jsonNames) {
+    StringBuilder tenants = new StringBuilder();
+    for (String name : jsonNames) {
+      tenants.append(tenants.length() == 0 ? "" : ",");
+      tenants.append("{\"name\":\"").append(name).append("\",\"api_keys\":[\"key-");
+      tenants.append(jsonNames.indexOf(name)).append("\"]}");
+    }
+    byte[] json = String.format(DOCUMENT, tenants).getBytes(StandardCharsets.UTF_8);
+    ConfigurationOutcome outcome = ConfigurationDocument.parse(json);
+    assertThat(outcome, instanceOf(ConfigurationOutcome.Parsed.class));
+    var parsed = (ConfigurationOutcome.Parsed) outcome;
+    fixture.onLoop(
+        () -> fixture.forwarder.tableChanged(new RoutingTable(parsed.document().configuration())));
+  }
+
+  private ClientResponse callAs(int tenant) throws IOException {
+    Socket socket = fixture.dial();
+    String key = "X-Credential: key-" + tenant + "\r\n";
+    ScriptedPeer.write(socket, DataPlaneFixture.request("a" + tenant, key, "body"));
+    return ClientResponse.read(socket.getInputStream());
+  }
+
+  @Test
+  void aBackendGetsTheNameInTheBytesOfTheConfiguration() throws IOException {
+    List<String> names =
+        List.of(
+            "Zona C",
+            "Z\u00f3na",
+            "Z\u00f3na \u010c",
+            "Z\u00f3na \u0160",
+            "Z\u00f3na \u017d",
+            "\u6771\u4eac",
+            "\ud83d\udeb0 \u2013 \u0434\u043e\u043c");
+    configure(names);
+    for (int tenant = 0; tenant < names.size(); tenant++) {
+      assertThat(callAs(tenant).status(), is(200));
+      String seen = backend.requests.get(tenant).header("X-Tenant");
+      byte[] bytes = seen.getBytes(StandardCharsets.ISO_8859_1);
+      assertThat(new String(bytes, StandardCharsets.UTF_8), is(names.get(tenant)));
+    }
+  }
+
+  /** Such a name is valid; its requests end with an answer, and reach no backend under another. */
+  @Test
+  void aTenantWhoseNameNoHeaderCanCarryIsRefusedWithAPromise() throws IOException {
+    List<String> names = List.of(" a", "a ", "a\\nb", "a\\u0000b", "a\\u007fb", "plain");
+    configure(names);
+    for (int tenant = 0; tenant < names.size() - 1; tenant++) {
+      assertThat(callAs(tenant).status(), is(503));
+    }
+    assertThat(backend.requests.size(), is(0));
+    assertThat(callAs(names.size() - 1).status(), is(200));
+  }
+}
