Keys, hosts and paths of requests are matched with the configuration as UTF-8

The library reads one character a byte, and these were compared with strings of JSON in UTF-8. No form of a path but the configuration's own was known, though a client has to percent-encode such letters.

Change: Host, X-Credential and the request line are read as UTF-8; bytes that are not UTF-8 are taken as ISO 8859-1 in a header, as before, and are no request in a request line. A path's letters match as themselves and percent-encoded, a host whatever its case, port or form for the domain name system. What stands just as configured goes first, so no configuration that was taken means something else now. What goes on is what was sent, byte by byte (tested).

Ruled out: java.net.IDN, as decisions may not use java.net (ArchitectureTest); Punycode is read here, and checked against it in a test.

--- a/src/main/java/slateslip/configuration/HeaderText.java
+++ b/src/main/java/slateslip/configuration/HeaderText.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 
 /**
  * Text in the values of HTTP headers. On the wire it is UTF-8, as in the configuration and in
@@ -46,14 +47,20 @@
    * taken as ISO 8859-1, as some clients write it.
    */
   public static String decode(String value) {
-    if (isAscii(value)) {
-      return value;
-    }
+    return isAscii(value) ? value : decodeUtf8(value).orElse(value);
+  }
+
+  /** Whether the bytes of a value as a library read it are UTF-8. */
+  public static boolean isUtf8(String value) {
+    return isAscii(value) || decodeUtf8(value).isPresent();
+  }
+
+  private static Optional<String> decodeUtf8(String value) {
     try {
       ByteBuffer bytes = ByteBuffer.wrap(value.getBytes(StandardCharsets.ISO_8859_1));
-      return StandardCharsets.UTF_8.newDecoder().decode(bytes).toString();
+      return Optional.of(StandardCharsets.UTF_8.newDecoder().decode(bytes).toString());
     } catch (CharacterCodingException notUtf8) {
-      return value;
+      return Optional.empty();
     }
   }
 
--- a/src/main/java/slateslip/configuration/RoutingTable.java
+++ b/src/main/java/slateslip/configuration/RoutingTable.java
@@ -12,25 +12,37 @@
  */
 public final class RoutingTable {
   private final FleetConfiguration configuration;
-  private final Map<String, List<Route>> routesByHost = new HashMap<>();
+  private final Map<String, List<IndexedRoute>> routesByHost = new HashMap<>();
+  private final Map<String, List<IndexedRoute>> routesByCanonicalHost = new HashMap<>();
   private final Map<String, Service> services = new HashMap<>();
   private final Map<String, Tenant> tenantsByKey = new HashMap<>();
 
+  /** A route beside the one form of its path prefix. */
+  private record IndexedRoute(Route route, String canonicalPrefix) {}
+
   /** Indexes a valid configuration. */
   public RoutingTable(FleetConfiguration configuration) {
     this.configuration = configuration;
     for (Route route : configuration.routes()) {
-      routesByHost.computeIfAbsent(route.hostname(), host -> new ArrayList<>()).add(route);
+      IndexedRoute indexed = new IndexedRoute(route, RequestPath.canonical(route.pathPrefix()));
+      add(routesByHost, route.hostname(), indexed);
+      add(routesByCanonicalHost, HostName.canonical(route.hostname()), indexed);
     }
-    Comparator<Route> longestFirst =
-        Comparator.comparingInt((Route route) -> route.pathPrefix().length()).reversed();
+    Comparator<IndexedRoute> longestFirst =
+        Comparator.comparingInt((IndexedRoute route) -> route.canonicalPrefix().length())
+            .reversed();
     routesByHost.values().forEach(routes -> routes.sort(longestFirst));
+    routesByCanonicalHost.values().forEach(routes -> routes.sort(longestFirst));
     configuration.services().forEach(service -> services.put(service.name(), service));
     for (Tenant tenant : configuration.tenants()) {
       tenant.keys().forEach(key -> tenantsByKey.put(key, tenant));
     }
   }
 
+  private static void add(Map<String, List<IndexedRoute>> byHost, String host, IndexedRoute route) {
+    byHost.computeIfAbsent(host, name -> new ArrayList<>()).add(route);
+  }
+
   /** Version of the configuration. */
   public long version() {
     return configuration.version();
@@ -41,14 +53,35 @@
     return configuration;
   }
 
-  /** The route of this host with the longest prefix that begins the path, if any. */
+  /**
+   * The route of this host with the longest prefix that begins the path, if any. Routes that have
+   * the host or the path just as it stands go before those that mean the same by another spelling.
+   */
   public Optional<Route> route(String host, String path) {
-    for (Route route : routesByHost.getOrDefault(host, List.of())) {
-      if (path.startsWith(route.pathPrefix())) {
-        return Optional.of(route);
+    Optional<Route> exact = longestMatch(routesByHost.getOrDefault(host, List.of()), path);
+    if (exact.isPresent()) {
+      return exact;
+    }
+    String canonicalHost = HostName.canonical(host);
+    return longestMatch(routesByCanonicalHost.getOrDefault(canonicalHost, List.of()), path);
+  }
+
+  private static Optional<Route> longestMatch(List<IndexedRoute> longestFirst, String path) {
+    String canonicalPath = RequestPath.canonical(path);
+    IndexedRoute match = null;
+    for (IndexedRoute route : longestFirst) {
+      if (match != null && !route.canonicalPrefix().equals(match.canonicalPrefix())) {
+        continue;
+      }
+      if (!canonicalPath.startsWith(route.canonicalPrefix())) {
+        continue;
+      }
+      if (path.startsWith(route.route().pathPrefix())) {
+        return Optional.of(route.route());
       }
+      match = match == null ? route : match;
     }
-    return Optional.empty();
+    return Optional.ofNullable(match).map(IndexedRoute::route);
   }
 
   /** The service of this name, if any. */
--- a/src/main/java/slateslip/dataplane/ingress/ClientConnection.java
+++ b/src/main/java/slateslip/dataplane/ingress/ClientConnection.java
@@ -23,6 +23,7 @@
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 import org.jboss.logging.Logger;
+import slateslip.configuration.HeaderText;
 import slateslip.dataplane.HeaderNames;
 import slateslip.loadbalancer.net.StrictHttpDecoders;
 
@@ -260,7 +261,8 @@
     HeaderNames.removeHopByHop(headers);
     HeaderNames.removeOwn(headers);
     var attributes = RequestHead.attributes(head, bytes.length);
-    var request = new ClientRequest(head.method(), head.uri(), headers, bytes, attributes);
+    String target = HeaderText.decode(head.uri());
+    var request = new ClientRequest(head.method(), target, headers, bytes, attributes);
     enqueue(new PipelinedRequests.ParsedRequest(request, null, HttpUtil.isKeepAlive(head)));
   }
 
--- a/src/main/java/slateslip/dataplane/ingress/RequestHead.java
+++ b/src/main/java/slateslip/dataplane/ingress/RequestHead.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import slateslip.configuration.HeaderText;
 import slateslip.dataplane.HeaderNames;
 import slateslip.loadbalancer.net.StrictHttpDecoders;
 import slateslip.routing.RequestAttributes;
@@ -71,7 +72,8 @@
 
   private static boolean isWellFormed(HttpRequest head) {
     HttpHeaders headers = head.headers();
-    if (!head.uri().startsWith("/") || !isVisible(head.uri())) {
+    String target = head.uri();
+    if (!target.startsWith("/") || !isVisible(target) || !HeaderText.isUtf8(target)) {
       return false;
     }
     if (headers.get(HttpHeaderNames.HOST, "").isEmpty()) {
@@ -93,7 +95,7 @@
   private static boolean isVisible(String text) {
     for (int i = 0; i < text.length(); i++) {
       char character = text.charAt(i);
-      if (character <= ' ' || character >= DELETE) {
+      if (character <= ' ' || character == DELETE) {
         return false;
       }
     }
@@ -115,12 +117,14 @@
     HttpHeaders headers = head.headers();
     String usage = headers.get(HeaderNames.TOKEN_USAGE);
     int comma = usage == null ? -1 : usage.indexOf(',');
-    int query = head.uri().indexOf('?');
+    String target = HeaderText.decode(head.uri());
+    int query = target.indexOf('?');
+    String credential = headers.get(HeaderNames.CREDENTIAL);
     return new RequestAttributes(
         headers.get(HeaderNames.ATTEMPT_ID, ""),
-        headers.get(HttpHeaderNames.HOST),
-        query < 0 ? head.uri() : head.uri().substring(0, query),
-        headers.get(HeaderNames.CREDENTIAL),
+        HeaderText.decode(headers.get(HttpHeaderNames.HOST)),
+        query < 0 ? target : target.substring(0, query),
+        credential == null ? null : HeaderText.decode(credential),
         StrictHttpDecoders.digits(headers.get(HeaderNames.DEADLINE_MS), 0),
         comma < 0 ? -1 : StrictHttpDecoders.digits(usage.substring(0, comma).trim(), -1),
         comma < 0 ? -1 : StrictHttpDecoders.digits(usage.substring(comma + 1).trim(), -1),
--- a/src/test/java/slateslip/dataplane/TenantNamesTest.java
+++ b/src/test/java/slateslip/dataplane/ConfiguredTextTest.java
@@ -13,16 +13,17 @@
 import org.junit.jupiter.api.Test;
 import slateslip.configuration.ConfigurationDocument;
 import slateslip.configuration.ConfigurationOutcome;
+import slateslip.configuration.HeaderText;
 import slateslip.configuration.RoutingTable;
 import slateslip.dataplane.DataPlaneFixture.ClientResponse;
 import slateslip.loadbalancer.net.ScriptedPeer;
 import slateslip.routing.FleetRouter;
 
 /**
- * UNASKED: X-Tenant had '?' for letters beyond ISO 8859-1, and others in an encoding that is not
- * the configuration's, so that several tenants reached backends under one name.
+ * Text of a configuration with letters of any alphabet, on its way to backends and where clients
+ * send it.
  */
-class TenantNamesTest {
+class ConfiguredTextTest {
   private static final String DOCUMENT =
       "{\"version\":1,\"routes\":[{\"name\":\"r\",\"hostname\":\"h.example\",\"path_prefix\":\"/a/\","
           + "\"kind\":\"idempotent\",\"timeout_ms\":8000,\"service\":\"svc\"}],"
@@ -53,7 +54,11 @@
       tenants.append("{\"name\":\"").append(name).append("\",\"api_keys\":[\"key-");
       tenants.append(jsonNames.indexOf(name)).append("\"]}");
     }
-    byte[] json = String.format(DOCUMENT, tenants).getBytes(StandardCharsets.UTF_8);
+    configure(DOCUMENT.formatted(tenants));
+  }
+
+  private void configure(String document) {
+    byte[] json = document.getBytes(StandardCharsets.UTF_8);
     ConfigurationOutcome outcome = ConfigurationDocument.parse(json);
     assertThat(outcome, instanceOf(ConfigurationOutcome.Parsed.class));
     var parsed = (ConfigurationOutcome.Parsed) outcome;
@@ -68,6 +73,10 @@
     return ClientResponse.read(socket.getInputStream());
   }
 
+  /**
+   * UNASKED: X-Tenant had '?' for letters beyond ISO 8859-1, and others in an encoding that is not
+   * the configuration's, so that several tenants reached backends under one name.
+   */
   @Test
   void aBackendGetsTheNameInTheBytesOfTheConfiguration() throws IOException {
     List<String> names =
@@ -99,4 +108,59 @@
     assertThat(backend.requests.size(), is(0));
     assertThat(callAs(names.size() - 1).status(), is(200));
   }
+
+  /** DENIED: keys, hosts and paths with letters beyond ASCII got 401, 404 or 400. */
+  @Test
+  void whatAClientSendsIsMatchedWithTheConfiguration() throws IOException {
+    configure(
+        DOCUMENT
+            .replace("h.example", "\u017eilina.example")
+            .replace("/a/", "/\u017eiadosti/")
+            .formatted("{\"name\":\"t\",\"api_keys\":[\"k\u013e\u00fa\u010d-\u6771\"]}"));
+    for (String host : List.of("\u017eilina.example", "xn--ilina-tib.example")) {
+      for (String path : List.of("/\u017eiadosti/\u6771?q=\u010d", "/%C5%BEiadosti/x?q=%2f")) {
+        assertThat(
+            host + path, callRaw(host, path, "k\u013e\u00fa\u010d-\u6771").status(), is(200));
+        String line = backend.requests.get(backend.requests.size() - 1).first();
+        assertThat(line, is("POST " + HeaderText.encode(path) + " HTTP/1.1"));
+      }
+    }
+    assertThat(
+        callRaw("\u017eilina.example", "/\u017eiadosti/", "k\u013e\u00fac").status(), is(401));
+    assertThat(callRaw("\u017eilina.example", "/ziadosti/", "k").status(), is(404));
+  }
+
+  /** Clients that write ISO 8859-1 go on to be known by keys with such letters. */
+  @Test
+  void keysInIso88591AreStillKnown() throws IOException {
+    configure(DOCUMENT.formatted("{\"name\":\"t\",\"api_keys\":[\"cl\u00e9\"]}"));
+    Socket socket = fixture.dial();
+    ScriptedPeer.write(
+        socket, DataPlaneFixture.request("a1", "X-Credential: cl\u00e9\r\n", "body"));
+    assertThat(ClientResponse.read(socket.getInputStream()).status(), is(200));
+  }
+
+  @Test
+  void aPathWhoseBytesAreNotUtf8IsNoRequest() throws IOException {
+    configure(List.of("t"));
+    Socket socket = fixture.dial();
+    ScriptedPeer.write(socket, DataPlaneFixture.request("a1", "", "").replace("/a/b", "/a/\u00e9"));
+    assertThat(ClientResponse.read(socket.getInputStream()).status(), is(400));
+  }
+
+  private ClientResponse callRaw(String host, String target, String key) throws IOException {
+    Socket socket = fixture.dial();
+    ScriptedPeer.write(
+        socket,
+        HeaderText.encode(
+            "POST "
+                + target
+                + " HTTP/1.1\r\nHost: "
+                + host
+                + "\r\nX-Attempt-Id: a1\r\n"
+                + "X-Credential: "
+                + key
+                + "\r\nX-Deadline-Ms: 8000\r\nContent-Length: 0\r\n\r\n"));
+    return ClientResponse.read(socket.getInputStream());
+  }
 }
