Health paths, metrics and log lines carry configured text of any letters

What callers saw: a service whose health_path has a blank or a control character had all its probes fail (UNREACHABLE), so its backends counted as unhealthy; one with letters beyond ASCII was asked for raw bytes, which HTTP does not have in a request line. At the primary a tenant's label in the metrics had JSON's escapes (\u0001, \t), which make the page unreadable for Prometheus. A log line broke for readers that end lines at U+0085, U+2028 or VT.

Change: RequestPath.encode for the probe's target; MetricLabel for both programs; the log's formatter writes control characters and line separators as \uXXXX. Ids of requests are told in the log as the UTF-8 that they are.

Evidence, with the sources before: probesPathsWithAnyLetters UNREACHABLE for HEALTHY; StatusReportTest, LogSetupTest textWithControlCharactersStaysOnItsLine fail.

--- a/src/main/java/slateslip/controlplane/StatusReport.java
+++ b/src/main/java/slateslip/controlplane/StatusReport.java
@@ -8,6 +8,7 @@
 import slateslip.eventloop.ProcessorTime;
 import slateslip.eventloop.WakeUpCause;
 import slateslip.eventloop.WakeUpCounter;
+import slateslip.logging.MetricLabel;
 
 /** Writes an {@link AgentStatus} for people and for Prometheus. */
 final class StatusReport {
@@ -79,8 +80,8 @@
     text.append("# HELP ").append(metric).append(" Part of a tenant's quota\n");
     text.append("# TYPE ").append(metric).append(" gauge\n");
     for (TenantAllocation tenant : quotas.tenants()) {
-      String label = Json.quoted(tenant.tenant());
-      text.append(metric).append("{tenant=").append(label).append("} ");
+      String label = MetricLabel.escaped(tenant.tenant());
+      text.append(metric).append("{tenant=\"").append(label).append("\"} ");
       text.append(value.applyAsDouble(tenant)).append('\n');
     }
   }
--- a/src/main/java/slateslip/dataplane/backend/BackendPools.java
+++ b/src/main/java/slateslip/dataplane/backend/BackendPools.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import slateslip.configuration.HeaderText;
+import slateslip.configuration.RequestPath;
 import slateslip.configuration.RoutingTable;
 import slateslip.configuration.Service;
 import slateslip.dataplane.DataPlaneMetrics;
@@ -175,7 +176,7 @@
   private String healthPath(BackendPool pool) {
     Service service =
         pool == null || table == null ? null : table.service(pool.service).orElse(null);
-    return service == null ? DEFAULT_HEALTH_PATH : service.healthPath();
+    return service == null ? DEFAULT_HEALTH_PATH : RequestPath.encode(service.healthPath());
   }
 
   EventLoop loop() {
--- a/src/main/java/slateslip/dataplane/forwarding/ForwardedRequest.java
+++ b/src/main/java/slateslip/dataplane/forwarding/ForwardedRequest.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import slateslip.configuration.HeaderText;
 import slateslip.dataplane.backend.BackendAttempt;
 import slateslip.dataplane.backend.BackendResponse;
 import slateslip.dataplane.ingress.ClientExchange;
@@ -50,6 +51,11 @@
     this.attemptId = attemptId;
   }
 
+  /** Its id as text, for the log. */
+  String attemptIdText() {
+    return HeaderText.decode(attemptId);
+  }
+
   /** Whether nothing is owed and nothing is under way. */
   boolean isDone() {
     return exchange.isEnded() && attempts.isEmpty();
--- a/src/main/java/slateslip/dataplane/forwarding/Forwarder.java
+++ b/src/main/java/slateslip/dataplane/forwarding/Forwarder.java
@@ -160,7 +160,8 @@
   @Override
   public void requestDropped(ClientRequest request, DropReason reason) {
     metrics.dropped++;
-    LOG.infof("request dropped: reason=%s attempt_id=%s", reason, request.attributes().attemptId());
+    String attemptId = HeaderText.decode(request.attributes().attemptId());
+    LOG.infof("request dropped: reason=%s attempt_id=%s", reason, attemptId);
   }
 
   @Override
@@ -290,7 +291,7 @@
     LOG.infof(
         "response broken off: reason=%s attempt_id=%s held_ms=%d last_event=%d attempts=%s",
         reason,
-        forwarded.attemptId,
+        forwarded.attemptIdText(),
         TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - forwarded.account.arrivedNanos()),
         forwarded.lastEventId,
         forwarded.history);
--- a/src/main/java/slateslip/dataplane/forwarding/RequestLog.java
+++ b/src/main/java/slateslip/dataplane/forwarding/RequestLog.java
@@ -48,7 +48,7 @@
 
   private static String line(ForwardedRequest forwarded, RequestOutcome outcome, long now) {
     StringBuilder line = new StringBuilder("request ended: outcome=").append(outcome.label());
-    line.append(" attempt_id=").append(forwarded.attemptId);
+    line.append(" attempt_id=").append(forwarded.attemptIdText());
     forwarded.account.describe(line, now);
     line.append(" attempts=").append(forwarded.history);
     return line.toString();
--- a/src/main/java/slateslip/dataplane/status/MetricsText.java
+++ b/src/main/java/slateslip/dataplane/status/MetricsText.java
@@ -7,6 +7,7 @@
 import slateslip.dataplane.RequestOutcome;
 import slateslip.eventloop.ProcessorTime;
 import slateslip.eventloop.WakeUpCause;
+import slateslip.logging.MetricLabel;
 import slateslip.routing.AbortReason;
 import slateslip.routing.quota.QuotaStatus;
 import slateslip.routing.quota.TenantQuotaStatus;
@@ -86,15 +87,14 @@
     }
     text.append("# TYPE ").append(PREFIX).append(name).append(' ').append(type).append('\n');
     for (TenantQuotaStatus quota : quotas) {
-      text.append(PREFIX).append(name).append("{tenant=\"").append(escaped(quota.tenant()));
+      text.append(PREFIX)
+          .append(name)
+          .append("{tenant=\"")
+          .append(MetricLabel.escaped(quota.tenant()));
       text.append("\"} ").append(value.apply(quota)).append('\n');
     }
   }
 
-  private static String escaped(String label) {
-    return label.replace("\\", "\\\\").replace("\"", "\\\"").replace("\n", "\\n");
-  }
-
   private void add(String name, String type, long value) {
     text.append("# TYPE ").append(PREFIX).append(name).append(' ').append(type).append('\n');
     text.append(PREFIX).append(name).append(' ').append(value).append('\n');
--- a/src/main/java/slateslip/logging/KeyValueFormatter.java
+++ b/src/main/java/slateslip/logging/KeyValueFormatter.java
@@ -15,6 +15,8 @@
   private static final int MILLIS_PER_SECOND = 1_000;
   private static final int NANOS_PER_MILLI = 1_000_000;
   private static final int TYPICAL_LENGTH = 160;
+  private static final char LINE_SEPARATOR = 0x2028;
+  private static final char PARAGRAPH_SEPARATOR = 0x2029;
 
   @Override
   public String format(LogRecord entry) {
@@ -80,9 +82,19 @@
         case '"', '\\' -> line.append('\\').append(character);
         case '\n' -> line.append("\\n");
         case '\r' -> line.append("\\r");
-        default -> line.append(character);
+        default -> appendVisible(line, character);
       }
     }
     line.append('"');
   }
+
+  /** Text from outside must not look like the end of a line to any reader. */
+  private static void appendVisible(StringBuilder line, char character) {
+    boolean invisible = Character.isISOControl(character) && character != '\t';
+    if (invisible || character == LINE_SEPARATOR || character == PARAGRAPH_SEPARATOR) {
+      line.append(String.format("\\u%04x", (int) character));
+    } else {
+      line.append(character);
+    }
+  }
 }
--- /dev/null
+++ b/src/test/java/slateslip/controlplane/StatusReportTest.java
@@ -0,0 +1,25 @@
+package slateslip.controlplane;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import slateslip.controlplane.agent.AgentStatus;
+import slateslip.distribution.quota.QuotaAllocatorStatus;
+import slateslip.distribution.quota.QuotaAllocatorStatus.TenantAllocation;
+import slateslip.eventloop.ProcessorTime;
+import slateslip.eventloop.WakeUpCounter;
+
+class StatusReportTest {
+  /** A label had escapes of JSON, which make the whole page unreadable for Prometheus. */
+  @Test
+  void labelsHaveTheNamesOfTenantsInAnyLetters() {
+    TenantAllocation tenant = new TenantAllocation("Z\u00f3na \u010c\u0001\t/", 0.5, 0.5, 0, 0);
+    QuotaAllocatorStatus quotas = new QuotaAllocatorStatus(1, 1, true, List.of(tenant));
+    AgentStatus status =
+        new AgentStatus("core-1", 1, "p", true, true, 1, 0, true, 0, 0, List.of(), quotas);
+    String text = StatusReport.metrics(status, new WakeUpCounter(), ProcessorTime.ofThisProcess());
+    assertThat(text, containsString("quota_spent{tenant=\"Z\u00f3na \u010c\u0001\t/\"} 0.5\n"));
+  }
+}
--- a/src/test/java/slateslip/dataplane/BackendsTest.java
+++ b/src/test/java/slateslip/dataplane/BackendsTest.java
@@ -18,7 +18,11 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import slateslip.configuration.FleetConfiguration;
 import slateslip.configuration.HeaderText;
+import slateslip.configuration.IngressLimits;
+import slateslip.configuration.RoutingTable;
+import slateslip.configuration.Service;
 import slateslip.dataplane.DataPlaneFixture.ClientResponse;
 import slateslip.dataplane.backend.ProbeResult;
 import slateslip.distribution.BackendSession;
@@ -155,6 +159,23 @@
     assertThat(outcomes, contains(ProbeOutcome.HEALTHY));
   }
 
+  /** A health path from the configuration that no request line can carry as it stands. */
+  @Test
+  void probesPathsWithAnyLetters() throws Exception {
+    ScriptedPeer backend =
+        fixture.backend(
+            (message, socket) -> ScriptedPeer.respond(socket, 200, "X-Instance-Id: b-1\r\n", ""));
+    Service service = new Service("svc", "/zdravie a\u017e\n?x=1", 0, null);
+    FleetConfiguration configuration =
+        new FleetConfiguration(1, List.of(), List.of(service), IngressLimits.DEFAULT, List.of());
+    fixture.onLoop(() -> fixture.pools.tableChanged(new RoutingTable(configuration)));
+    List<ProbeOutcome> outcomes = new java.util.concurrent.CopyOnWriteArrayList<>();
+    fixture.onLoop(() -> fixture.pools.probe("b-1", result -> outcomes.add(result.outcome())));
+    DataPlaneFixture.await(() -> !outcomes.isEmpty());
+    assertThat(outcomes, contains(ProbeOutcome.HEALTHY));
+    assertThat(backend.requests.get(0).target(), is("/zdravie%20a%C5%BE%0A?x=1"));
+  }
+
   @Test
   void relaysAFailureUnchanged() throws IOException {
     fixture.backend(
--- a/src/test/java/slateslip/logging/LogSetupTest.java
+++ b/src/test/java/slateslip/logging/LogSetupTest.java
@@ -55,6 +55,13 @@
     return written.toString(StandardCharsets.UTF_8);
   }
 
+  @Test
+  void textWithControlCharactersStaysOnItsLine() {
+    install("INFO");
+    Logger.getLogger("a.Text").infof("tenant: %s", "a\u0085b\u2028c\u0001d\u000be \u017e");
+    assertThat(log(), containsString("tenant: a\\u0085b\\u2028c\\u0001d\\u000be \u017e\""));
+  }
+
   @Test
   void aLineTellsLevelNodeEpochAndVersion() {
     install("INFO");
