Load balancer in service: tenants and affinity keys may have letters of any alphabet

What callers saw: 400 for each request of a tenant whose name in the settings has a letter beyond ASCII, or with an affinity key that has one.

Cause: header values had to be visible ASCII, and the tenant's was compared, one character a byte, with a name that is JSON in UTF-8.

Change: Tenant and Affinity-Key may hold bytes from 0x80; the tenant is read as UTF-8. They go on as they came. All other headers and the path stay visible ASCII: the class is the path's first segment, and the rest is what a server might refuse.

Evidence: RequestParserTest, without the change null (400) for each tenant, "acme" included as its affinity key has such letters; with it all are known.

--- a/src/main/java/slateslip/loadbalancer/net/RequestParser.java
+++ b/src/main/java/slateslip/loadbalancer/net/RequestParser.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import slateslip.loadbalancer.LoadBalancer;
@@ -43,6 +44,9 @@
           "Request-Info",
           "Idempotency-Key");
 
+  /** Names from the settings or the application; any letters, in UTF-8. */
+  private static final List<String> NAMES = List.of("Tenant", "Affinity-Key");
+
   private static final long MAX_TIMEOUT_MS = 3_600_000;
   private static final int MAX_TOKEN_LENGTH = 128;
   private static final int ASCII_END = 128;
@@ -85,13 +89,14 @@
    */
   static IncomingRequest parse(AgentConfig config, HttpRequest request) {
     HttpHeaders headers = request.headers();
-    if (!isVisible(request.uri(), '!')
+    if (!isVisible(request.uri(), '!', false)
         || !request.uri().startsWith("/")
         || SINGLE_VALUED.stream().anyMatch(name -> headers.getAll(name).size() > 1)) {
       return null;
     }
     for (Map.Entry<String, String> each : headers) {
-      if (!isVisible(each.getValue(), ' ')) {
+      boolean anyLetters = NAMES.stream().anyMatch(each.getKey()::equalsIgnoreCase);
+      if (!isVisible(each.getValue(), ' ', anyLetters)) {
         return null;
       }
     }
@@ -100,7 +105,7 @@
     long timeout = StrictHttpDecoders.digits(headers.get(BackendConnections.REQUEST_TIMEOUT), 0);
     long workHint = StrictHttpDecoders.digits(headers.get("Work-Hint", "0"), -1);
     String id = headers.get("Request-Id", "");
-    int tenant = config.tenants().indexOf(headers.get("Tenant", ""));
+    int tenant = config.tenants().indexOf(utf8(headers.get("Tenant", "")));
     if (requestClass < 0
         || !className.equals(request.uri().split("[/?]", 3)[1])
         || timeout < 1
@@ -143,11 +148,17 @@
             request.method(), request.uri(), forwarded, BackendConnections.NO_BODY));
   }
 
-  /** Whether a text is of visible characters alone, and from this one on. */
-  private static boolean isVisible(String text, char min) {
+  /** The text of a value that was read one character a byte. */
+  private static String utf8(String value) {
+    return new String(value.getBytes(StandardCharsets.ISO_8859_1), StandardCharsets.UTF_8);
+  }
+
+  /** Whether a text is of visible characters from this one on, or of letters beyond ASCII. */
+  private static boolean isVisible(String text, char min, boolean anyLetters) {
     for (int i = 0; i < text.length(); i++) {
       char c = text.charAt(i);
-      if ((c < min || c > '~') && c != '\t') {
+      boolean visible = (c >= min && c <= '~') || (anyLetters && c >= ASCII_END);
+      if (!visible && c != '\t') {
         return false;
       }
     }
