--- a/src/test/java/slateslip/controlplane/ControlPlaneFleetTest.java
+++ b/src/test/java/slateslip/controlplane/ControlPlaneFleetTest.java
@@ -5,7 +5,9 @@
 import static org.hamcrest.Matchers.is;
 
 import java.io.IOException;
+import java.net.URLEncoder;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
@@ -65,6 +67,41 @@
     }
   }
 
+  /** UNASKED, related: ids and names keep their letters from each agent to the data planes. */
+  @Test
+  void lettersOfAnyAlphabetReachDataPlanes() throws Exception {
+    String letters = "\u017e \u6771+\ud83d\udeb0";
+    String name = "Z\u00f3na \u010c \u6771\ud83d\udeb0";
+    String escaped = URLEncoder.encode(letters, StandardCharsets.UTF_8).replace("+", "%20");
+    assertThat(config(0, "0", OperatorDocuments.complete(3)), is(200));
+    try (DataPlaneStandIn dataPlane = new DataPlaneStandIn(fixture.internalSocket(1), "edge")) {
+      for (int agent = 0; agent < AGENTS; agent++) {
+        String id = "i-" + agent + letters;
+        String path = "i-" + agent + escaped;
+        String body = OperatorDocuments.instance("ready", 1);
+        assertThat(instance(agent, "PUT", path, body), is(200));
+        dataPlane.await(message -> isRegistered(message, id));
+        assertThat(instance(agent, "DELETE", path, null), is(200));
+        dataPlane.await(message -> isGone(message, id));
+      }
+      assertThat(
+          fixture
+              .callUntilClear(2, "PATCH", "/config", "3", OperatorDocuments.patch(4, name))
+              .statusCode(),
+          is(200));
+      ControlPlaneMessage message =
+          dataPlane.await(each -> each instanceof ControlPlaneMessage.ConfigurationPatch);
+      String patch =
+          new String(
+              ((ControlPlaneMessage.ConfigurationPatch) message).patch(), StandardCharsets.UTF_8);
+      assertThat(patch, containsString(name));
+    }
+    for (int agent = 0; agent < AGENTS; agent++) {
+      HttpResponse<String> read = fixture.callUntilClear(agent, "GET", "/config", null, null);
+      assertThat(read.body(), containsString(name));
+    }
+  }
+
   @Test
   void acknowledgedPatchIsInForceAtDataPlane() throws Exception {
     assertThat(config(0, "0", OperatorDocuments.complete(3)), is(200));
