--- a/src/main/java/slateslip/configuration/HeaderText.java
+++ b/src/main/java/slateslip/configuration/HeaderText.java
@@ -24,7 +24,7 @@
         && !isBlank(text.charAt(0))
         && !isBlank(text.charAt(text.length() - 1))
         && text.chars().noneMatch(HeaderText::isControl)
-        && StandardCharsets.UTF_8.newEncoder().canEncode(text);
+        && (isAscii(text) || StandardCharsets.UTF_8.newEncoder().canEncode(text));
   }
 
   private static boolean isBlank(char character) {
