--- a/review/harness-2/LostAnswers.java
+++ b/review/harness-2/LostAnswers.java
@@ -10,15 +10,15 @@
  * an ordinary line. Does each get the whole answer to its own request?
  */
 final class LostAnswers {
-  private static final int USERS = 40;
-  private static final int USERS_AT_ONCE_IN_CALM = 4;
+  private static final int USERS = 60;
+  private static final int USERS_AT_ONCE_IN_CALM = 6;
   private static final int ARRIVAL_MILLIS = 100;
   private static final int ANSWER_BYTES = 6_000_000;
-  private static final int BYTES_PER_SECOND = 1_200_000;
+  private static final int BYTES_PER_SECOND = 900_000;
   private static final int CLIENT_BUFFER_BYTES = 64 * 1024;
   private static final int TIMEOUT_MILLIS = 15_000;
   private static final int AFTER_TIMEOUT_MILLIS = 500;
-  private static final int PIPELINING_USER = 8;
+  private static final int PIPELINING_USER = 4;
   private static final int MIN_UNANSWERED = 8;
 
   private final Record record;
