--- a/review/harness-2/Client.java
+++ b/review/harness-2/Client.java
@@ -39,6 +39,11 @@
   }
 
   void send(String path, String id, int deadlineMillis) throws IOException {
+    send(path, id, deadlineMillis, null);
+  }
+
+  /** Sends a request without a body, with an API key unless it is null. */
+  void send(String path, String id, int deadlineMillis, String key) throws IOException {
     String head =
         "POST "
             + path
@@ -49,6 +54,7 @@
             + id
             + "\r\nX-Deadline-Ms: "
             + deadlineMillis
+            + (key == null ? "" : "\r\nX-Credential: " + key)
             + "\r\nContent-Length: 0\r\n\r\n";
     socket.getOutputStream().write(head.getBytes(StandardCharsets.UTF_8));
   }
--- a/review/harness-2/CutAnswers.java
+++ b/review/harness-2/CutAnswers.java
@@ -1,5 +1,4 @@
 import java.io.IOException;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -25,18 +24,9 @@
   }
 
   public static void main(String[] arguments) throws Exception {
-    boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-    int status = 2;
-    try (Record record = new Record(Path.of(arguments[0]))) {
-      try (Deployment deployment =
-          new Deployment(record, List.of("127.1.0.1", "127.2.0.1", "127.3.0.1"))) {
-        status = new CutAnswers(record).run(deployment, trouble);
-      } catch (Exception failed) {
-        record.line("the case could not run: %s", failed);
-      }
-      record.line("exit status %d", status);
-    }
-    System.exit(status);
+    Case.run(
+        arguments,
+        (deployment, record, trouble) -> new CutAnswers(record).run(deployment, trouble));
   }
 
   private int run(Deployment deployment, boolean trouble) throws Exception {
@@ -50,7 +40,7 @@
                     Configurations.route("lookup", "non_idempotent", TIMEOUT_MILLIS),
                     Configurations.route("small", "non_idempotent", TIMEOUT_MILLIS))));
     if (fleet == null) {
-      return 2;
+      return Case.COULD_NOT_RUN;
     }
     List<Thread> threads = new ArrayList<>();
     for (int i = 0; i < CLIENTS; i++) {
@@ -72,9 +62,9 @@
     long whole = answers.stream().filter(answer -> answer.end() == Client.End.WHOLE).count();
     record.line("%d answers, %d whole", answers.size(), whole);
     if (answers.size() < CLIENTS) {
-      return 2;
+      return Case.COULD_NOT_RUN;
     }
-    return whole == CLIENTS ? 0 : 1;
+    return whole == CLIENTS ? Case.HELD : Case.BROKEN;
   }
 
   /** Sends a small request and then a large one on the same connection. */
--- a/review/harness-2/LostAnswers.java
+++ b/review/harness-2/LostAnswers.java
@@ -1,5 +1,4 @@
 import java.io.IOException;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -29,18 +28,9 @@
   }
 
   public static void main(String[] arguments) throws Exception {
-    boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-    int status = 2;
-    try (Record record = new Record(Path.of(arguments[0]))) {
-      try (Deployment deployment =
-          new Deployment(record, List.of("127.1.0.1", "127.2.0.1", "127.3.0.1"))) {
-        status = new LostAnswers(record).run(deployment, trouble);
-      } catch (Exception failed) {
-        record.line("the case could not run: %s", failed);
-      }
-      record.line("exit status %d", status);
-    }
-    System.exit(status);
+    Case.run(
+        arguments,
+        (deployment, record, trouble) -> new LostAnswers(record).run(deployment, trouble));
   }
 
   private int run(Deployment deployment, boolean trouble) throws Exception {
@@ -54,7 +44,7 @@
                     Configurations.route("lookup", "non_idempotent", TIMEOUT_MILLIS),
                     Configurations.route("small", "non_idempotent", TIMEOUT_MILLIS))));
     if (fleet == null) {
-      return 2;
+      return Case.COULD_NOT_RUN;
     }
     Semaphore places = new Semaphore(trouble ? USERS : USERS_AT_ONCE_IN_CALM);
     List<Thread> users = new ArrayList<>();
@@ -122,7 +112,7 @@
     boolean mixed = foreign > 0;
     boolean overdue = unanswered >= MIN_UNANSWERED && 4 * unanswered > lasting;
     record.line("MIXED %s, CONFIG %s", mixed ? "broken" : "held", overdue ? "broken" : "held");
-    return mixed || overdue ? 1 : 0;
+    return mixed || overdue ? Case.BROKEN : Case.HELD;
   }
 
   private long count(Client.End end) {
--- a/review/harness-2/ZoneLoss.java
+++ b/review/harness-2/ZoneLoss.java
@@ -1,5 +1,4 @@
 import java.io.IOException;
-import java.nio.file.Path;
 import java.util.List;
 
 /**
@@ -19,18 +18,7 @@
   private ZoneLoss() {}
 
   public static void main(String[] arguments) throws Exception {
-    boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-    int status = 2;
-    try (Record record = new Record(Path.of(arguments[0]))) {
-      try (Deployment deployment =
-          new Deployment(record, List.of("127.1.0.1", "127.2.0.1", "127.3.0.1"))) {
-        status = run(deployment, record, trouble);
-      } catch (Exception failed) {
-        record.line("the case could not run: %s", failed);
-      }
-      record.line("exit status %d", status);
-    }
-    System.exit(status);
+    Case.run(arguments, ZoneLoss::run);
   }
 
   private static int run(Deployment deployment, Record record, boolean trouble) throws Exception {
@@ -46,11 +34,11 @@
       deployment.start(machine);
     }
     if (deployment.change("PUT", 0, configuration(1), 30).status() != 200) {
-      return 2;
+      return Case.COULD_NOT_RUN;
     }
     restartInTurn(deployment);
     if (deployment.change("PUT", 1, configuration(2), 10).status() != 200) {
-      return 2;
+      return Case.COULD_NOT_RUN;
     }
     Thread.sleep(1_000);
     recordViews(deployment, record);
@@ -61,7 +49,7 @@
     boolean found = isReadBack(deployment, record);
     record.line(
         found ? "version 2 is read back" : "version 2 was acknowledged and is not read back");
-    return found ? 0 : 1;
+    return found ? Case.HELD : Case.BROKEN;
   }
 
   /** Stops and starts one agent after the other; each has sync_s before the next one. */
