--- a/review/harness-2/LostAnswers.java
+++ b/review/harness-2/LostAnswers.java
@@ -11,7 +11,7 @@
 final class LostAnswers {
   private static final int USERS = 60;
   private static final int USERS_AT_ONCE_IN_CALM = 6;
-  private static final int ARRIVAL_MILLIS = 100;
+  private static final int ARRIVAL_MILLIS = 65;
   private static final int ANSWER_BYTES = 6_000_000;
   private static final int BYTES_PER_SECOND = 900_000;
   private static final int CLIENT_BUFFER_BYTES = 64 * 1024;
