Configuration: the difference of two whole documents is kept as a patch

Cause: control agents kept patches for PATCH requests only. After a PUT every data plane received the whole document, also if one API key in 850 kB differed.

Change: ConfigurationDocument.patchFrom returns the patch that turns the earlier document into exactly the new one, or nothing if no patch does (another order of items, a part that is gone). ConfigurationState keeps it if it is at most half as long as the document, so data planes of every program version receive it as an ordinary patch. JsonText holds the writing of JSON strings that ConfigurationDocument had.

Result: ConfigurationStateTest.differenceOfTwoCompleteConfigurationsIsKeptAsPatch needs a patch that the code before did not keep.

--- a/src/main/java/slateslip/configuration/ConfigurationDocument.java
+++ b/src/main/java/slateslip/configuration/ConfigurationDocument.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * One version of the operator's configuration. Holds each part of the JSON document as it was sent,
@@ -61,6 +62,14 @@
     return DocumentReader.committedPatch(parts, patch);
   }
 
+  /**
+   * Returns the patch that turns an earlier configuration into exactly this one; empty if no patch
+   * does, for example because items have another order.
+   */
+  public Optional<byte[]> patchFrom(ConfigurationDocument previous) {
+    return DocumentDifference.patch(previous.parts, parts);
+  }
+
   /** Returns the version of the configuration, which is above 0. */
   public long version() {
     return configuration.version();
@@ -111,25 +120,10 @@
   }
 
   private static void writeName(ByteArrayOutputStream text, String field) {
-    text.writeBytes(utf8(",\"" + escaped(field) + "\":"));
+    text.writeBytes(utf8("," + JsonText.quoted(field) + ":"));
   }
 
   private static byte[] utf8(String text) {
     return text.getBytes(StandardCharsets.UTF_8);
   }
-
-  private static String escaped(String field) {
-    StringBuilder escaped = new StringBuilder(field.length());
-    for (int index = 0; index < field.length(); index++) {
-      char character = field.charAt(index);
-      if (character == '"' || character == '\\') {
-        escaped.append('\\').append(character);
-      } else if (character < ' ') {
-        escaped.append(String.format("\\u%04x", (int) character));
-      } else {
-        escaped.append(character);
-      }
-    }
-    return escaped.toString();
-  }
 }
--- a/src/main/java/slateslip/configuration/DocumentReader.java
+++ b/src/main/java/slateslip/configuration/DocumentReader.java
@@ -7,8 +7,8 @@
 
 /** Parses complete configuration documents and patches, and validates the result. */
 final class DocumentReader {
-  private static final String UPSERT = "upsert";
-  private static final String REMOVE = "remove";
+  static final String UPSERT = "upsert";
+  static final String REMOVE = "remove";
 
   private DocumentReader() {}
 
--- a/src/main/java/slateslip/configuration/NamedItems.java
+++ b/src/main/java/slateslip/configuration/NamedItems.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -93,6 +94,24 @@
     return new NamedItems<>(field, format, changed);
   }
 
+  /** Returns the names of the items, in order. */
+  List<String> names() {
+    return List.copyOf(items.keySet());
+  }
+
+  /** Returns the JSON of each item that another list does not have in the same form, in order. */
+  List<byte[]> changedSince(NamedItems<?> previous) {
+    List<byte[]> changed = new ArrayList<>();
+    items.forEach(
+        (name, item) -> {
+          Item<?> before = previous.items.get(name);
+          if (before == null || !Arrays.equals(before.json(), item.json())) {
+            changed.add(item.json());
+          }
+        });
+    return changed;
+  }
+
   /** Returns the parsed values of the items without errors, in order. */
   List<T> values() {
     List<T> values = new ArrayList<>(items.size());
--- a/src/main/java/slateslip/controlplane/state/ConfigurationState.java
+++ b/src/main/java/slateslip/controlplane/state/ConfigurationState.java
@@ -33,6 +33,9 @@
   /** Limits how many of the newest changes are kept as patches for data planes. */
   private static final int MAX_PATCHES = 16;
 
+  /** How many times shorter than a complete configuration its difference must be to be kept. */
+  private static final int MIN_PATCH_SAVING = 2;
+
   private final Map<ChangeDigest, CommittedChange> changes = new LinkedHashMap<>();
   private final Map<Long, ConfigurationSource.Patch> patches = new LinkedHashMap<>();
   private ConfigurationDocument document;
@@ -56,8 +59,8 @@
   }
 
   /**
-   * Returns the patch that was applied to a version; empty if the change was not a patch or is no
-   * longer kept.
+   * Returns the patch that turns a version into the next one; empty if the next one was sent as a
+   * complete configuration that differs in much, or if the patch is no longer kept.
    */
   public Optional<ConfigurationSource.Patch> patchFrom(long version) {
     return Optional.ofNullable(patches.get(version));
@@ -114,8 +117,10 @@
     if (!(outcomeOf(request) instanceof ConfigurationOutcome.Parsed parsed)) {
       throw new IllegalStateException("the document of a committed change cannot be parsed");
     }
+    ConfigurationDocument previous = document;
     document = parsed.document();
     recordCommitted(request);
+    recordPatch(request, previous);
   }
 
   /**
@@ -149,12 +154,28 @@
         new CommittedChange(
             request.baseVersion(), version(), digestBytes.getLong(), digestBytes.getLong()));
     dropOldest(changes, MAX_RETAINED_CHANGES);
+  }
+
+  /**
+   * Keeps the change as a patch for data planes: the operator's patch, or the difference between
+   * two complete configurations if it is much shorter than the whole.
+   */
+  private void recordPatch(OperatorRequest request, ConfigurationDocument previous) {
     if (request.method() == OperatorRequest.Method.PATCH) {
-      patches.put(request.baseVersion(), new ConfigurationSource.Patch(version(), request.body()));
-      dropOldest(patches, MAX_PATCHES);
+      keepPatch(request.baseVersion(), request.body());
+    } else if (previous != null) {
+      document
+          .patchFrom(previous)
+          .filter(patch -> patch.length <= request.body().length / MIN_PATCH_SAVING)
+          .ifPresent(patch -> keepPatch(previous.version(), patch));
     }
   }
 
+  private void keepPatch(long fromVersion, byte[] patch) {
+    patches.put(fromVersion, new ConfigurationSource.Patch(version(), patch));
+    dropOldest(patches, MAX_PATCHES);
+  }
+
   private static <K, V> void dropOldest(Map<K, V> map, int limit) {
     if (map.size() > limit) {
       map.remove(map.keySet().iterator().next());
--- a/src/test/java/slateslip/controlplane/state/ConfigurationStateTest.java
+++ b/src/test/java/slateslip/controlplane/state/ConfigurationStateTest.java
@@ -5,10 +5,14 @@
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
+import slateslip.configuration.ConfigurationDocument;
+import slateslip.configuration.ConfigurationOutcome;
 import slateslip.coordination.PreparedCommand;
+import slateslip.distribution.delivery.ConfigurationSource;
 import slateslip.distribution.peer.OperatorRequest;
 import slateslip.distribution.peer.OperatorRequest.Method;
 import slateslip.distribution.peer.OperatorResponse;
@@ -141,6 +145,39 @@
     assertThat(state.patchFrom(0).isPresent(), is(false));
   }
 
+  /** Guards against a complete configuration that is always sent whole (review, case 7). */
+  @Test
+  void differenceOfTwoCompleteConfigurationsIsKeptAsPatch() {
+    commit(new OperatorRequest(Method.PUT, 0, manyRoutes(3, 7)));
+    commit(new OperatorRequest(Method.PUT, 3, manyRoutes(5, 8)));
+    ConfigurationSource.Patch patch = state.patchFrom(3).orElseThrow();
+    assertThat(patch.toVersion(), is(5L));
+    assertThat(patch.body().length, is(lessThan(manyRoutes(5, 8).length / 10)));
+    ConfigurationOutcome before = ConfigurationDocument.committed(manyRoutes(3, 7));
+    ConfigurationOutcome after =
+        ((ConfigurationOutcome.Parsed) before).document().committedPatch(patch.body());
+    assertThat(
+        ((ConfigurationOutcome.Parsed) after).document().toJson(),
+        equalTo(state.document().orElseThrow().toJson()));
+  }
+
+  @Test
+  void longDifferenceIsNotKept() {
+    commit(put(0, 3));
+    commit(new OperatorRequest(Method.PUT, 3, body(5, "other")));
+    assertThat(state.patchFrom(3).isPresent(), is(false));
+  }
+
+  /** Returns a configuration with 100 routes and one more, whose name has this number. */
+  private static byte[] manyRoutes(long version, int number) {
+    String one = new String(body(version, "changed" + number), StandardCharsets.UTF_8);
+    StringBuilder others = new StringBuilder();
+    for (int other = 0; other < 100; other++) {
+      others.append(route("r" + other)).append(',');
+    }
+    return one.replace("\"routes\":[", "\"routes\":[" + others).getBytes(StandardCharsets.UTF_8);
+  }
+
   @Test
   void uncommittedPreparedChangeDoesNotAffectState() {
     commit(put(0, 3));
