--- a/src/main/java/slateslip/controlplane/ControlPlane.java
+++ b/src/main/java/slateslip/controlplane/ControlPlane.java
@@ -80,7 +80,8 @@
         settings.faultTolerance().machines(),
         settings.heartbeatMillis(),
         settings.bounds().closed(),
-        TimeUnit.MILLISECONDS.toMicros(settings.bounds().quotaWindowMillis()));
+        TimeUnit.MILLISECONDS.toMicros(settings.bounds().quotaWindowMillis()),
+        settings.bounds().acknowledgeTimeoutMillis());
   }
 
   private PeerConnector.PeerConnection connect(
--- a/src/main/java/slateslip/controlplane/agent/AgentSettings.java
+++ b/src/main/java/slateslip/controlplane/agent/AgentSettings.java
@@ -14,6 +14,8 @@
  * @param keyLeaseRequired whether data planes accept API keys only while they hold a lease, which
  *     requires a confirmed configuration version
  * @param quotaWindowMicros length of the window in which quotas are counted, in microseconds
+ * @param acknowledgeTimeoutMillis maximum time until a valid configuration change is acknowledged,
+ *     in milliseconds
  */
 public record AgentSettings(
     String node,
@@ -23,4 +25,5 @@
     int faultTolerance,
     long heartbeatMillis,
     boolean keyLeaseRequired,
-    long quotaWindowMicros) {}
+    long quotaWindowMicros,
+    long acknowledgeTimeoutMillis) {}
--- a/src/main/java/slateslip/controlplane/agent/ControlAgent.java
+++ b/src/main/java/slateslip/controlplane/agent/ControlAgent.java
@@ -98,13 +98,21 @@
             onBrokenInvariant);
     subscribers =
         new DataPlaneSubscriptions(
+            scheduler,
             new CommittedConfigurations(),
             sessionTable,
             this::dataPlaneHeartbeat,
             new StreamListener(),
             this::hasLeasedKeys,
             this::confirmVersion);
-    rollout = new RolloutTracker(scheduler, replica, links, subscribers, pendingAcknowledgements);
+    rollout =
+        new RolloutTracker(
+            scheduler,
+            replica,
+            links,
+            subscribers,
+            pendingAcknowledgements,
+            settings.acknowledgeTimeoutMillis() / 2 * MICROS_PER_MILLI);
     sessions =
         new SessionService(
             identity.incarnation(),
--- a/src/main/java/slateslip/controlplane/agent/DataPlaneSubscriptions.java
+++ b/src/main/java/slateslip/controlplane/agent/DataPlaneSubscriptions.java
@@ -2,7 +2,6 @@
 
 import java.util.Collection;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -13,6 +12,7 @@
 import slateslip.distribution.DataPlaneMessage;
 import slateslip.distribution.delivery.ConfigurationSource;
 import slateslip.distribution.delivery.DeliveryProgress;
+import slateslip.distribution.delivery.DepartedSubscribers;
 import slateslip.distribution.delivery.SubscriberDelivery;
 import slateslip.distribution.sessions.SessionTable;
 import slateslip.protocol.distribution.DistributionCodec;
@@ -24,13 +24,17 @@
   private static final Logger LOG = Logger.getLogger(DataPlaneSubscriptions.class);
 
   private final DistributionCodec codec = new DistributionCodec();
-  private final Map<DataPlaneStream, SubscriberDelivery> streams = new LinkedHashMap<>();
+  private final OutgoingMessages outgoingMessages = new OutgoingMessages(codec);
+  private final Map<DataPlaneStream, SubscriberStream> streams = new LinkedHashMap<>();
+  private final DepartedSubscribers departed = new DepartedSubscribers();
+  private final Scheduler scheduler;
   private final ConfigurationSource configurations;
   private final SessionTable sessions;
   private final Supplier<ControlPlaneMessage.Heartbeat> heartbeat;
   private final Listener listener;
   private final BooleanSupplier keyLeaseRequired;
   private final Consumer<LongConsumer> versionConfirmation;
+  private long deliveredBytes;
 
   /** Receives notifications about the messages of data planes. */
   interface Listener {
@@ -45,12 +49,14 @@
   }
 
   DataPlaneSubscriptions(
+      Scheduler scheduler,
       ConfigurationSource configurations,
       SessionTable sessions,
       Supplier<ControlPlaneMessage.Heartbeat> heartbeat,
       Listener listener,
       BooleanSupplier keyLeaseRequired,
       Consumer<LongConsumer> versionConfirmation) {
+    this.scheduler = scheduler;
     this.configurations = configurations;
     this.sessions = sessions;
     this.heartbeat = heartbeat;
@@ -60,26 +66,30 @@
   }
 
   void received(DataPlaneStream stream, DataPlaneMessage message) {
-    SubscriberDelivery delivery = streams.get(stream);
+    SubscriberStream subscriber = streams.get(stream);
     if (message instanceof DataPlaneMessage.Subscribe subscribe) {
       subscribe(stream, subscribe);
-    } else if (delivery == null) {
+    } else if (subscriber == null) {
       stream.close();
     } else if (message instanceof DataPlaneMessage.Acknowledge acknowledge) {
-      delivery.acknowledge(acknowledge);
+      subscriber.delivery().acknowledge(acknowledge);
       listener.progressChanged();
+    } else if (message instanceof DataPlaneMessage.SegmentAcknowledge acknowledge) {
+      deliveredBytes += subscriber.segmentAcknowledged(acknowledge.position());
+      subscriber.deliverPending();
     } else if (message instanceof DataPlaneMessage.Demand demand) {
-      delivery.subscription().ifPresent(subscriber -> listener.demandReceived(subscriber, demand));
+      subscriber.delivery().subscription().ifPresent(from -> listener.demandReceived(from, demand));
     } else if (message instanceof DataPlaneMessage.Ping ping) {
-      respond(stream, ping);
+      respond(stream, subscriber, ping);
     }
   }
 
-  private void respond(DataPlaneStream stream, DataPlaneMessage.Ping ping) {
+  private void respond(
+      DataPlaneStream stream, SubscriberStream subscriber, DataPlaneMessage.Ping ping) {
     if (keyLeaseRequired.getAsBoolean()) {
       versionConfirmation.accept(version -> sendConfirmedPong(stream, ping, version));
     } else {
-      send(stream, new ControlPlaneMessage.Pong(ping.nonce()));
+      subscriber.send(new ControlPlaneMessage.Pong(ping.nonce()));
     }
   }
 
@@ -89,66 +99,71 @@
    * of the data plane depends on this order of heartbeat and pong.
    */
   private void sendConfirmedPong(DataPlaneStream stream, DataPlaneMessage.Ping ping, long version) {
-    if (!streams.containsKey(stream)) {
+    SubscriberStream subscriber = streams.get(stream);
+    if (subscriber == null) {
       return;
     }
     ControlPlaneMessage.Heartbeat newest = heartbeat.get();
-    send(
-        stream,
+    subscriber.send(
         new ControlPlaneMessage.Heartbeat(
             newest.current(),
             Math.max(newest.configurationVersion(), version),
             newest.sessionRevision(),
             newest.controlAgents()));
-    send(stream, new ControlPlaneMessage.Pong(ping.nonce()));
+    subscriber.send(new ControlPlaneMessage.Pong(ping.nonce()));
   }
 
   private void subscribe(DataPlaneStream stream, DataPlaneMessage.Subscribe message) {
     if (!streams.containsKey(stream)) {
       LOG.infof("data plane subscribed: node=%s zone=%s", message.node(), message.zone());
     }
-    SubscriberDelivery delivery =
-        streams.computeIfAbsent(stream, key -> new SubscriberDelivery(configurations, sessions));
-    delivery.subscribe(message);
-    send(stream, heartbeat.get());
-    deliverPending(stream, delivery);
+    SubscriberStream subscriber = streams.computeIfAbsent(stream, this::newSubscriber);
+    subscriber.subscribe(message);
+    if (message.active()) {
+      departed.returned(message.node());
+    }
+    subscriber.send(heartbeat.get());
+    subscriber.deliverPending();
     listener.progressChanged();
   }
 
+  private SubscriberStream newSubscriber(DataPlaneStream stream) {
+    SubscriberDelivery delivery = new SubscriberDelivery(configurations, sessions);
+    return new SubscriberStream(stream, codec, outgoingMessages, delivery);
+  }
+
   void closed(DataPlaneStream stream) {
-    SubscriberDelivery delivery = streams.remove(stream);
-    if (delivery != null && delivery.isActive()) {
-      listener.progressChanged();
+    SubscriberStream subscriber = streams.remove(stream);
+    if (subscriber == null || !subscriber.isActive()) {
+      return;
     }
+    SubscriberDelivery delivery = subscriber.delivery();
+    String node = delivery.subscription().orElseThrow().node();
+    boolean hasOtherStream =
+        streams.values().stream().anyMatch(other -> other.isActiveStreamOf(node));
+    if (!hasOtherStream) {
+      departed.departed(node, delivery.acknowledgedVersion(), scheduler.nowMicros());
+    }
+    listener.progressChanged();
   }
 
   /** Sends pending configurations and sessions to all active streams that are writable. */
   void deliverPending() {
-    streams.forEach(this::deliverPending);
+    streams.values().forEach(SubscriberStream::deliverPending);
   }
 
   /** Sends pending configurations and sessions to a stream that has become writable again. */
   void writable(DataPlaneStream stream) {
-    SubscriberDelivery delivery = streams.get(stream);
-    if (delivery != null) {
-      deliverPending(stream, delivery);
+    SubscriberStream subscriber = streams.get(stream);
+    if (subscriber != null) {
+      subscriber.deliverPending();
     }
   }
 
-  private void deliverPending(DataPlaneStream stream, SubscriberDelivery delivery) {
-    if (!stream.isWritable()) {
-      return;
-    }
-    for (ControlPlaneMessage message : delivery.pending()) {
-      stream.write(codec.encode(message));
-    }
-    stream.flush();
-  }
-
   /** Sends a heartbeat on every writable stream. */
   void sendHeartbeats() {
     byte[] encoded = codec.encode(heartbeat.get());
-    streams.keySet().forEach(stream -> send(stream, encoded));
+    streams.values().forEach(subscriber -> subscriber.send(encoded));
   }
 
   /**
@@ -156,35 +171,31 @@
    * not writable.
    */
   void sendTo(String node, ControlPlaneMessage message) {
-    streams.forEach(
-        (stream, delivery) -> {
-          if (delivery.isActive() && delivery.subscription().get().node().equals(node)) {
-            send(stream, message);
-          }
-        });
-  }
-
-  private void send(DataPlaneStream stream, ControlPlaneMessage message) {
-    send(stream, codec.encode(message));
-  }
-
-  private static void send(DataPlaneStream stream, byte[] encoded) {
-    if (stream.isWritable()) {
-      stream.write(encoded);
-      stream.flush();
+    for (SubscriberStream subscriber : streams.values()) {
+      if (subscriber.isActiveStreamOf(node)) {
+        subscriber.send(message);
+      }
     }
   }
 
   /**
    * Returns the lowest configuration version and session revision acknowledged by the active
-   * streams.
+   * streams, and by the data planes whose active stream has ended a moment ago.
    */
   DeliveryProgress progress() {
-    return DeliveryProgress.of(streams.values());
+    return DeliveryProgress.of(streams()).including(departed.slowestVersion(scheduler.nowMicros()));
+  }
+
+  /**
+   * Returns the number of configuration bytes that data planes have acknowledged in segments since
+   * the start. The number grows while a transfer makes progress.
+   */
+  long deliveredBytes() {
+    return deliveredBytes;
   }
 
   /** Returns the delivery state of all streams, active or not. */
   Collection<SubscriberDelivery> streams() {
-    return List.copyOf(streams.values());
+    return streams.values().stream().map(SubscriberStream::delivery).toList();
   }
 }
--- a/src/main/java/slateslip/controlplane/agent/IncomingConnection.java
+++ b/src/main/java/slateslip/controlplane/agent/IncomingConnection.java
@@ -67,6 +67,11 @@
     }
   }
 
+  /** Returns whether a data plane has sent a valid message on this connection. */
+  public boolean isDataPlane() {
+    return isDataPlane;
+  }
+
   /** Handles that the connection is writable again. */
   public void writable() {
     if (isDataPlane) {
--- a/src/main/java/slateslip/controlplane/agent/OperatorRequestHandler.java
+++ b/src/main/java/slateslip/controlplane/agent/OperatorRequestHandler.java
@@ -30,9 +30,6 @@
    */
   private static final long FORWARD_TIMEOUT_MICROS = 900_000;
 
-  /** Limits how long an acknowledgement waits for data planes to put the version into force. */
-  private static final long ROLLOUT_TIMEOUT_MILLIS = 400;
-
   private static final byte[] NO_BODY = new byte[0];
 
   private final Scheduler scheduler;
@@ -55,9 +52,9 @@
   interface ConfigurationRollout {
     /**
      * Calls {@code onComplete} once: with true when all data planes in reach have this version, or
-     * with false after the timeout.
+     * with false when those that do not have it make no progress or take too long.
      */
-    void await(long version, long timeoutMillis, Consumer<Boolean> onComplete);
+    void await(long version, Consumer<Boolean> onComplete);
   }
 
   /**
@@ -180,13 +177,12 @@
 
   /**
    * Acknowledges a committed change once all data planes in reach have put the version into force,
-   * or after the timeout.
+   * or once the rollout gives up on those that have not.
    */
   private void acknowledge(long version, Consumer<OperatorResponse> responseHandler) {
     byte[] body = ("{\"version\":" + version + "}").getBytes(StandardCharsets.UTF_8);
     rollout.await(
         version,
-        ROLLOUT_TIMEOUT_MILLIS,
         inForce -> {
           LOG.infof("configuration acknowledged: version=%d in_force=%b", version, inForce);
           responseHandler.accept(new OperatorResponse(OperatorResponse.OK, version, body));
--- a/src/main/java/slateslip/controlplane/agent/PendingAcknowledgements.java
+++ b/src/main/java/slateslip/controlplane/agent/PendingAcknowledgements.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 /**
  * Holds acknowledgements that wait for deliveries, each for a bounded time. Confined to the event
@@ -40,6 +41,51 @@
     scheduler.schedule(timeoutMillis * MICROS_PER_MILLI, () -> complete(acknowledgement, false));
   }
 
+  /**
+   * Waits for a condition as long as there is progress.
+   *
+   * @param condition returns whether the condition holds; evaluated at once and at each {@link
+   *     #recheck}
+   * @param progress returns a number that changes while there is progress
+   * @param stallTimeoutMicros how long to wait without progress, in microseconds
+   * @param deadlineMicros time of the scheduler's clock at which the wait ends in any case, but not
+   *     before one stall timeout has passed, in microseconds
+   * @param onComplete called once: with true when the condition holds, or with false after the wait
+   */
+  void awaitWithProgress(
+      BooleanSupplier condition,
+      LongSupplier progress,
+      long stallTimeoutMicros,
+      long deadlineMicros,
+      Consumer<Boolean> onComplete) {
+    if (condition.getAsBoolean()) {
+      onComplete.accept(true);
+      return;
+    }
+    PendingAcknowledgement acknowledgement = new PendingAcknowledgement(condition, onComplete);
+    pending.add(acknowledgement);
+    awaitStall(acknowledgement, progress, stallTimeoutMicros, deadlineMicros);
+  }
+
+  private void awaitStall(
+      PendingAcknowledgement acknowledgement,
+      LongSupplier progress,
+      long stallTimeoutMicros,
+      long deadlineMicros) {
+    long before = progress.getAsLong();
+    scheduler.schedule(
+        stallTimeoutMicros,
+        () -> {
+          boolean stalled = progress.getAsLong() == before;
+          boolean late = scheduler.nowMicros() >= deadlineMicros;
+          if (stalled || late) {
+            complete(acknowledgement, false);
+          } else if (pending.contains(acknowledgement)) {
+            awaitStall(acknowledgement, progress, stallTimeoutMicros, deadlineMicros);
+          }
+        });
+  }
+
   /**
    * Evaluates all pending conditions again. Must be called after each delivery and after a peer or
    * data plane has disconnected.
--- a/src/main/java/slateslip/controlplane/agent/RolloutTracker.java
+++ b/src/main/java/slateslip/controlplane/agent/RolloutTracker.java
@@ -10,25 +10,42 @@
  * the progress of its data planes to the primary. Confined to the event loop.
  */
 final class RolloutTracker implements OperatorRequestHandler.ConfigurationRollout {
+  /** Limits how long an acknowledgement waits for data planes that make no progress. */
+  private static final long STALL_TIMEOUT_MICROS = 400_000;
+
   private final Scheduler scheduler;
   private final ReplicaHost replica;
   private final PeerLinks links;
   private final DataPlaneSubscriptions subscriptions;
   private final PendingAcknowledgements pendingAcknowledgements;
   private final PeerProgress peerProgress = new PeerProgress();
+  private final long maxWaitMicros;
   private long reportedVersion = -1;
 
+  /** Newest version for which an acknowledgement has waited, and when the first one began. */
+  private long awaitedVersion;
+
+  private long awaitedSinceMicros;
+
+  /**
+   * Creates a tracker.
+   *
+   * @param maxWaitMicros maximum time from the first request to await a version until its
+   *     acknowledgement, also while data planes make progress, in microseconds
+   */
   RolloutTracker(
       Scheduler scheduler,
       ReplicaHost replica,
       PeerLinks links,
       DataPlaneSubscriptions subscriptions,
-      PendingAcknowledgements pendingAcknowledgements) {
+      PendingAcknowledgements pendingAcknowledgements,
+      long maxWaitMicros) {
     this.scheduler = scheduler;
     this.replica = replica;
     this.links = links;
     this.subscriptions = subscriptions;
     this.pendingAcknowledgements = pendingAcknowledgements;
+    this.maxWaitMicros = maxWaitMicros;
   }
 
   /**
@@ -45,7 +62,8 @@
     }
     reportedVersion = version;
     String primary = replica.role().primary().address().toString();
-    links.send(primary, new ControlPeerMessage.DeliveryReport(version));
+    links.send(
+        primary, new ControlPeerMessage.DeliveryReport(version, subscriptions.deliveredBytes()));
   }
 
   /**
@@ -69,7 +87,11 @@
   /** Records a peer's report of the progress of its data planes. */
   void reportReceived(ControlPeerMessage.Hello sender, ControlPeerMessage.DeliveryReport report) {
     peerProgress.recordReport(
-        sender.address(), sender.incarnation(), replica.role().epoch(), report.slowestVersion());
+        sender.address(),
+        sender.incarnation(),
+        replica.role().epoch(),
+        report.slowestVersion(),
+        report.deliveredBytes());
     pendingAcknowledgements.recheck();
   }
 
@@ -79,8 +101,21 @@
   }
 
   @Override
-  public void await(long version, long timeoutMillis, Consumer<Boolean> onComplete) {
-    pendingAcknowledgements.await(() -> isRolledOut(version), timeoutMillis, onComplete);
+  public void await(long version, Consumer<Boolean> onComplete) {
+    if (version > awaitedVersion) {
+      awaitedVersion = version;
+      awaitedSinceMicros = scheduler.nowMicros();
+    }
+    pendingAcknowledgements.awaitWithProgress(
+        () -> isRolledOut(version),
+        this::deliveredBytes,
+        STALL_TIMEOUT_MICROS,
+        awaitedSinceMicros + maxWaitMicros,
+        onComplete);
+  }
+
+  private long deliveredBytes() {
+    return subscriptions.deliveredBytes() + peerProgress.deliveredBytes();
   }
 
   private boolean isRolledOut(long version) {
--- /dev/null
+++ b/src/main/java/slateslip/controlplane/agent/SubscriberStream.java
@@ -0,0 +1,187 @@
+package slateslip.controlplane.agent;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.function.Supplier;
+import slateslip.controlplane.agent.OutgoingMessages.Outgoing;
+import slateslip.distribution.ControlPlaneMessage;
+import slateslip.distribution.DataPlaneMessage;
+import slateslip.distribution.TransferPosition;
+import slateslip.distribution.delivery.SubscriberDelivery;
+import slateslip.distribution.transfer.SegmentSender;
+import slateslip.protocol.distribution.DistributionCodec;
+
+/**
+ * The stream of one data plane and what is sent on it. Configurations and session tables are sent
+ * in segments, of which few bytes are in flight, so that a heartbeat, a pong or a quota waits for
+ * these bytes at most. A data plane that does not read segments receives each message whole.
+ * Confined to the event loop.
+ */
+final class SubscriberStream {
+  /** Number of segment bytes that may be in flight: 75 ms on a link of 7 Mbit/s. */
+  private static final int MAX_BYTES_IN_FLIGHT = 64 * 1024;
+
+  private final DataPlaneStream stream;
+  private final DistributionCodec codec;
+  private final OutgoingMessages outgoingMessages;
+  private final SubscriberDelivery delivery;
+  private final Lane configurations;
+  private final Lane sessions;
+  private boolean acceptsSegments;
+  private TransferPosition partial = TransferPosition.NONE;
+
+  SubscriberStream(
+      DataPlaneStream stream,
+      DistributionCodec codec,
+      OutgoingMessages outgoingMessages,
+      SubscriberDelivery delivery) {
+    this.stream = stream;
+    this.codec = codec;
+    this.outgoingMessages = outgoingMessages;
+    this.delivery = delivery;
+    configurations = new Lane(delivery::pendingConfigurations);
+    sessions = new Lane(delivery::pendingSessions);
+  }
+
+  SubscriberDelivery delivery() {
+    return delivery;
+  }
+
+  boolean isActive() {
+    return delivery.isActive();
+  }
+
+  /** Returns whether an active subscription of this data plane uses the stream. */
+  boolean isActiveStreamOf(String node) {
+    return isActive() && delivery.subscription().orElseThrow().node().equals(node);
+  }
+
+  /** Processes a subscription; a transfer continues at what the data plane has received. */
+  void subscribe(DataPlaneMessage.Subscribe message) {
+    delivery.subscribe(message);
+    acceptsSegments = message.acceptsSegments();
+    partial = message.partial();
+    configurations.clear();
+    sessions.clear();
+  }
+
+  /**
+   * Records what the data plane has received of a transfer.
+   *
+   * @return the number of bytes of a configuration that were not acknowledged before
+   */
+  int segmentAcknowledged(TransferPosition position) {
+    sessions.acknowledged(position);
+    return configurations.acknowledged(position);
+  }
+
+  /** Sends what is pending, as far as the stream accepts data and few bytes are in flight. */
+  void deliverPending() {
+    if (!isActive() || !stream.isWritable()) {
+      return;
+    }
+    if (acceptsSegments) {
+      sendSegments();
+    } else {
+      delivery.pending().forEach(message -> stream.write(codec.encode(message)));
+    }
+    stream.flush();
+  }
+
+  /** Sends segments of both lanes in turn, so that neither waits for the whole other transfer. */
+  private void sendSegments() {
+    boolean sent = true;
+    while (sent && stream.isWritable()) {
+      boolean configurationSent = sendNext(configurations);
+      boolean sessionsSent = sendNext(sessions);
+      sent = configurationSent || sessionsSent;
+    }
+  }
+
+  private boolean sendNext(Lane lane) {
+    lane.refill();
+    int bytesInFlight = configurations.bytesInFlight() + sessions.bytesInFlight();
+    if (!lane.hasNext() || bytesInFlight + SegmentSender.SEGMENT_BYTES > MAX_BYTES_IN_FLIGHT) {
+      return false;
+    }
+    stream.write(codec.encode(lane.next()));
+    return true;
+  }
+
+  /** Sends a message that does not wait for transfers, unless the data plane does not read. */
+  void send(ControlPlaneMessage message) {
+    send(codec.encode(message));
+  }
+
+  /** Sends an encoded message that does not wait for transfers. */
+  void send(byte[] encoded) {
+    if (stream.isWritable()) {
+      stream.write(encoded);
+      stream.flush();
+    }
+  }
+
+  /**
+   * Messages of one kind, which are sent in order. While one of them is in transfer, later changes
+   * are not queued; they are sent as one change afterwards.
+   */
+  private final class Lane {
+    private final Supplier<List<ControlPlaneMessage>> pending;
+    private final Deque<ControlPlaneMessage> waiting = new ArrayDeque<>();
+    private SegmentSender current;
+
+    private Lane(Supplier<List<ControlPlaneMessage>> pending) {
+      this.pending = pending;
+    }
+
+    private void clear() {
+      waiting.clear();
+      current = null;
+    }
+
+    /** Sends the short messages that are due and begins the transfer of the next long one. */
+    private void refill() {
+      while (current == null && stream.isWritable()) {
+        if (waiting.isEmpty()) {
+          waiting.addAll(pending.get());
+        }
+        if (waiting.isEmpty()) {
+          return;
+        }
+        begin(outgoingMessages.of(waiting.remove()));
+      }
+    }
+
+    private void begin(Outgoing outgoing) {
+      if (outgoing instanceof Outgoing.Segmented segmented) {
+        current = new SegmentSender(segmented.message(), partial);
+      } else if (outgoing instanceof Outgoing.Whole whole) {
+        stream.write(whole.encoded());
+      }
+    }
+
+    private boolean hasNext() {
+      return current != null && current.hasNext();
+    }
+
+    private ControlPlaneMessage.Segment next() {
+      return current.next();
+    }
+
+    private int bytesInFlight() {
+      return current == null ? 0 : current.bytesInFlight();
+    }
+
+    private int acknowledged(TransferPosition position) {
+      if (current == null || current.transfer() != position.transfer()) {
+        return 0;
+      }
+      int progress = current.acknowledged(position.receivedBytes());
+      if (current.isComplete()) {
+        current = null;
+      }
+      return progress;
+    }
+  }
+}
--- a/src/main/java/slateslip/dataplane/subscription/ControlStream.java
+++ b/src/main/java/slateslip/dataplane/subscription/ControlStream.java
@@ -32,7 +32,9 @@
   /** Time at which the agent was last dialled. */
   long lastDialMillis;
 
-  /** Time of the last message, or of the opening or dialling of the stream if that is later. */
+  /**
+   * Time of the last received bytes, or of the opening or dialling of the stream if that is later.
+   */
   long lastReceivedMillis;
 
   /** The newest heartbeat on this stream, or null if none has arrived. */
--- a/src/main/java/slateslip/dataplane/subscription/Subscription.java
+++ b/src/main/java/slateslip/dataplane/subscription/Subscription.java
@@ -8,6 +8,11 @@
 import slateslip.distribution.DataPlaneMessage;
 import slateslip.distribution.QuotaAllocation;
 import slateslip.distribution.QuotaReport;
+import slateslip.distribution.transfer.SegmentAssembler;
+import slateslip.distribution.transfer.SegmentOutcome;
+import slateslip.protocol.Decoded;
+import slateslip.protocol.Framing;
+import slateslip.protocol.distribution.DistributionCodec;
 
 /**
  * Keeps streams to up to three control agents. The active stream carries configurations, backend
@@ -21,7 +26,7 @@
   /** Interval between two ticks, in milliseconds. */
   public static final long TICK_MILLIS = 100;
 
-  /** Time without a message that closes a stream. Agents send several heartbeats a second. */
+  /** Time without any byte that closes a stream. Agents send several heartbeats a second. */
   private static final long STREAM_TIMEOUT_MILLIS = 700;
 
   /** How long a stream may take to be established. */
@@ -64,6 +69,8 @@
   private final long leaseMillis;
   private final ControlStreams streams;
   private final BackendDirectory sessions = new BackendDirectory();
+  private final SegmentAssembler assembler = new SegmentAssembler(Framing.MAX_MESSAGE_BYTES);
+  private final DistributionCodec codec = new DistributionCodec();
   private List<SubscriptionOutput> outputs = new ArrayList<>();
   private ConfigurationDocument document;
   private boolean backendsReceived;
@@ -124,6 +131,8 @@
       disconnected(nowMillis, disconnected.agent());
     } else if (input instanceof SubscriptionInput.Received received) {
       received(nowMillis, received);
+    } else if (input instanceof SubscriptionInput.BytesReceived received) {
+      bytesReceived(nowMillis, received.agent());
     } else if (input instanceof SubscriptionInput.SeedsChanged changed) {
       streams.seedsChanged(changed.agents());
     } else if (input instanceof SubscriptionInput.Tick tick) {
@@ -167,7 +176,9 @@
             identity.incarnation(),
             identity.zone(),
             configurationVersion(),
-            asActive));
+            asActive,
+            true,
+            assembler.largestPartial()));
   }
 
   private void send(ControlStream stream, DataPlaneMessage message) {
@@ -317,7 +328,52 @@
       return;
     }
     stream.lastReceivedMillis = now;
-    ControlPlaneMessage message = received.message();
+    if (received.message() instanceof ControlPlaneMessage.Segment segment) {
+      segmentReceived(now, stream, segment);
+    } else {
+      messageReceived(now, stream, received.message());
+    }
+  }
+
+  private void bytesReceived(long now, String agent) {
+    ControlStream stream = streams.of(agent);
+    if (stream != null && stream.isOpen()) {
+      stream.lastReceivedMillis = now;
+    }
+  }
+
+  /** Acknowledges a segment, and handles the message whose last segment has arrived. */
+  private void segmentReceived(
+      long now, ControlStream stream, ControlPlaneMessage.Segment segment) {
+    SegmentOutcome outcome = assembler.add(segment);
+    if (outcome instanceof SegmentOutcome.Incomplete incomplete) {
+      send(stream, new DataPlaneMessage.SegmentAcknowledge(incomplete.position()));
+    } else if (outcome instanceof SegmentOutcome.Complete complete) {
+      send(stream, new DataPlaneMessage.SegmentAcknowledge(complete.position()));
+      transferCompleted(now, stream, complete.message());
+    } else if (outcome instanceof SegmentOutcome.Corrupt corrupt) {
+      closeCorrupt(now, stream, corrupt.reason());
+    }
+  }
+
+  private void transferCompleted(long now, ControlStream stream, byte[] encoded) {
+    Decoded<ControlPlaneMessage> decoded = codec.decodeToDataPlane(encoded);
+    if (decoded instanceof Decoded.Malformed<ControlPlaneMessage> malformed) {
+      closeCorrupt(now, stream, malformed.reason());
+    } else if (decoded instanceof Decoded.Message<ControlPlaneMessage> known
+        && !(known.value() instanceof ControlPlaneMessage.Segment)) {
+      messageReceived(now, stream, known.value());
+    }
+  }
+
+  private void closeCorrupt(long now, ControlStream stream, String reason) {
+    outputs.add(
+        new SubscriptionOutput.LogLine(
+            "malformed transfer from control agent " + stream.agent + ": " + reason));
+    close(now, stream);
+  }
+
+  private void messageReceived(long now, ControlStream stream, ControlPlaneMessage message) {
     if (message instanceof ControlPlaneMessage.Heartbeat heartbeat) {
       stream.heartbeat(now, heartbeat);
       streams.heartbeatReceived(stream);
--- a/src/main/java/slateslip/dataplane/subscription/SubscriptionClient.java
+++ b/src/main/java/slateslip/dataplane/subscription/SubscriptionClient.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -140,6 +141,7 @@
                 new ChannelInitializer<SocketChannel>() {
                   @Override
                   protected void initChannel(SocketChannel channel) {
+                    channel.pipeline().addLast(new ArrivalHandler(agent));
                     Framing.addDecoder(channel.pipeline());
                     channel.pipeline().addLast(new MessageHandler(agent));
                   }
@@ -171,6 +173,24 @@
     }
   }
 
+  /** Reports the arrival of bytes, also of those that do not complete a message yet. */
+  private final class ArrivalHandler extends ChannelInboundHandlerAdapter {
+    private final String agent;
+
+    ArrivalHandler(String agent) {
+      this.agent = agent;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object bytes) {
+      ControlConnection connection = connections.get(agent);
+      if (connection != null && connection.channel == context.channel()) {
+        feed(new SubscriptionInput.BytesReceived(agent));
+      }
+      context.fireChannelRead(bytes);
+    }
+  }
+
   private final class MessageHandler extends SimpleChannelInboundHandler<ByteBuf> {
     private final String agent;
 
--- a/src/main/java/slateslip/dataplane/subscription/SubscriptionInput.java
+++ b/src/main/java/slateslip/dataplane/subscription/SubscriptionInput.java
@@ -15,6 +15,12 @@
   /** A message has been received on a stream. */
   record Received(String agent, ControlPlaneMessage message) implements SubscriptionInput {}
 
+  /**
+   * Bytes have arrived on a stream; they need not complete a message. An agent of an earlier
+   * program version sends a long message whole, and its bytes show that the agent is alive.
+   */
+  record BytesReceived(String agent) implements SubscriptionInput {}
+
   /** The list of control agents in the settings has changed. */
   record SeedsChanged(List<String> agents) implements SubscriptionInput {}
 
--- a/src/main/java/slateslip/distribution/ControlPlaneMessage.java
+++ b/src/main/java/slateslip/distribution/ControlPlaneMessage.java
@@ -45,4 +45,17 @@
 
   /** Responds to the {@link DataPlaneMessage.Ping} with the same nonce. */
   record Pong(long nonce) implements ControlPlaneMessage {}
+
+  /**
+   * Carries a part of a long message, which is compressed and split so that heartbeats, pongs and
+   * quotas do not wait behind it. The complete bytes decode to another message of this interface.
+   *
+   * @param transfer identity of the compressed bytes; the same at all agents that send the same
+   *     bytes
+   * @param totalBytes length of all compressed bytes of the transfer
+   * @param offset offset of {@code content} within the compressed bytes
+   * @param content this part of the compressed bytes
+   */
+  record Segment(long transfer, int totalBytes, int offset, byte[] content)
+      implements ControlPlaneMessage {}
 }
--- a/src/main/java/slateslip/distribution/delivery/DeliveryProgress.java
+++ b/src/main/java/slateslip/distribution/delivery/DeliveryProgress.java
@@ -27,4 +27,9 @@
     }
     return new DeliveryProgress(version, revision);
   }
+
+  /** Returns this progress with a version of data planes that are connecting again included. */
+  public DeliveryProgress including(long departedVersion) {
+    return new DeliveryProgress(Math.min(slowestVersion, departedVersion), slowestRevision);
+  }
 }
--- a/src/main/java/slateslip/distribution/delivery/PeerProgress.java
+++ b/src/main/java/slateslip/distribution/delivery/PeerProgress.java
@@ -12,7 +12,7 @@
   private final Map<String, Long> incarnations = new HashMap<>();
   private final Map<String, Report> reports = new HashMap<>();
 
-  private record Report(long epoch, long slowestVersion) {}
+  private record Report(long epoch, long slowestVersion, long deliveredBytes) {}
 
   /** Records the incarnation of a peer's process. Drops the report of an earlier incarnation. */
   public void peerStarted(String peer, long incarnation) {
@@ -29,10 +29,12 @@
    * @param epoch epoch of the view in which this agent received the report
    * @param slowestVersion lowest version acknowledged by the data planes of the peer; {@link
    *     DeliveryProgress#NO_SUBSCRIBERS} if there are no data planes
+   * @param deliveredBytes number of configuration bytes that these data planes have acknowledged
    */
-  public void recordReport(String peer, long incarnation, long epoch, long slowestVersion) {
+  public void recordReport(
+      String peer, long incarnation, long epoch, long slowestVersion, long deliveredBytes) {
     if (incarnations.getOrDefault(peer, incarnation) == incarnation) {
-      reports.put(peer, new Report(epoch, slowestVersion));
+      reports.put(peer, new Report(epoch, slowestVersion, deliveredBytes));
     }
   }
 
@@ -45,6 +47,14 @@
     return report != null && report.epoch == epoch && report.slowestVersion >= version;
   }
 
+  /**
+   * Returns the number of configuration bytes that the data planes of all peers have acknowledged.
+   * The number changes while a transfer makes progress.
+   */
+  public long deliveredBytes() {
+    return reports.values().stream().mapToLong(Report::deliveredBytes).sum();
+  }
+
   /** Removes all state of a peer that no longer exists. */
   public void remove(String peer) {
     incarnations.remove(peer);
--- a/src/main/java/slateslip/distribution/delivery/SubscriberDelivery.java
+++ b/src/main/java/slateslip/distribution/delivery/SubscriberDelivery.java
@@ -89,12 +89,26 @@
    * stream is writable.
    */
   public List<ControlPlaneMessage> pending() {
-    if (!isActive()) {
-      return List.of();
+    List<ControlPlaneMessage> messages = new ArrayList<>(pendingConfigurations());
+    messages.addAll(pendingSessions());
+    return messages;
+  }
+
+  /** Returns the configurations to be sent now and records them as sent. */
+  public List<ControlPlaneMessage> pendingConfigurations() {
+    List<ControlPlaneMessage> messages = new ArrayList<>();
+    if (isActive()) {
+      addConfigurations(messages);
     }
+    return messages;
+  }
+
+  /** Returns the sessions to be sent now and records them as sent. */
+  public List<ControlPlaneMessage> pendingSessions() {
     List<ControlPlaneMessage> messages = new ArrayList<>();
-    addConfigurations(messages);
-    addSessions(messages);
+    if (isActive()) {
+      addSessions(messages);
+    }
     return messages;
   }
 
--- a/src/main/java/slateslip/distribution/peer/ControlPeerMessage.java
+++ b/src/main/java/slateslip/distribution/peer/ControlPeerMessage.java
@@ -56,12 +56,15 @@
       implements ControlPeerMessage {}
 
   /**
-   * Reports the delivery progress of the data planes that are connected to the sender.
+   * Reports the progress of the sender's data planes to the primary.
    *
-   * @param slowestVersion lowest configuration version that any of these data planes has
-   *     acknowledged; {@link Long#MAX_VALUE} if there are no data planes
+   * @param slowestVersion lowest configuration version that these data planes have acknowledged;
+   *     {@code Long.MAX_VALUE} if there are no data planes
+   * @param deliveredBytes number of configuration bytes that the data planes have acknowledged in
+   *     segments since the sender's start; it grows while a transfer makes progress. 0 from an
+   *     agent of an earlier program version
    */
-  record DeliveryReport(long slowestVersion) implements ControlPeerMessage {}
+  record DeliveryReport(long slowestVersion, long deliveredBytes) implements ControlPeerMessage {}
 
   /** Reports the quota demand of data planes that are connected to the sender. */
   record DemandReport(List<DataPlaneDemand> dataPlanes) implements ControlPeerMessage {}
--- a/src/main/java/slateslip/protocol/distribution/DistributionDecoder.java
+++ b/src/main/java/slateslip/protocol/distribution/DistributionDecoder.java
@@ -11,6 +11,7 @@
 import slateslip.distribution.QuotaReport;
 import slateslip.distribution.Spending;
 import slateslip.distribution.TenantDemand;
+import slateslip.distribution.TransferPosition;
 import slateslip.protocol.MessageReader;
 import slateslip.protocol.distribution.generated.AcknowledgeDecoder;
 import slateslip.protocol.distribution.generated.ConfigurationPatchDecoder;
@@ -23,6 +24,8 @@
 import slateslip.protocol.distribution.generated.PingDecoder;
 import slateslip.protocol.distribution.generated.PongDecoder;
 import slateslip.protocol.distribution.generated.QuotaUpdateDecoder;
+import slateslip.protocol.distribution.generated.SegmentAcknowledgeDecoder;
+import slateslip.protocol.distribution.generated.SegmentDecoder;
 import slateslip.protocol.distribution.generated.SessionsDecoder;
 import slateslip.protocol.distribution.generated.SubscribeDecoder;
 
@@ -40,6 +43,7 @@
       case SubscribeDecoder.TEMPLATE_ID -> readSubscribe(buffer);
       case AcknowledgeDecoder.TEMPLATE_ID -> readAcknowledge(buffer);
       case DemandDecoder.TEMPLATE_ID -> readDemand(buffer);
+      case SegmentAcknowledgeDecoder.TEMPLATE_ID -> readSegmentAcknowledge(buffer);
       case PingDecoder.TEMPLATE_ID ->
           new DataPlaneMessage.Ping(
               new PingDecoder().wrapAndApplyHeader(buffer, 0, header).nonce());
@@ -55,6 +59,7 @@
       case SessionsDecoder.TEMPLATE_ID -> readSessions(buffer);
       case QuotaUpdateDecoder.TEMPLATE_ID -> readQuotaUpdate(buffer);
       case HeartbeatDecoder.TEMPLATE_ID -> readHeartbeat(buffer);
+      case SegmentDecoder.TEMPLATE_ID -> readSegment(buffer);
       case PongDecoder.TEMPLATE_ID ->
           new ControlPlaneMessage.Pong(
               new PongDecoder().wrapAndApplyHeader(buffer, 0, header).nonce());
@@ -67,9 +72,30 @@
     long incarnation = decoder.incarnation();
     long configurationVersion = decoder.configurationVersion();
     boolean active = isSet(decoder.active());
+    boolean acceptsSegments = isSet(decoder.acceptsSegments());
+    TransferPosition partial =
+        acceptsSegments
+            ? new TransferPosition(decoder.partialTransfer(), decoder.partialBytes())
+            : TransferPosition.NONE;
     String node = decoder.node();
     String zone = decoder.zone();
-    return new DataPlaneMessage.Subscribe(node, incarnation, zone, configurationVersion, active);
+    return new DataPlaneMessage.Subscribe(
+        node, incarnation, zone, configurationVersion, active, acceptsSegments, partial);
+  }
+
+  private DataPlaneMessage readSegmentAcknowledge(DirectBuffer buffer) {
+    SegmentAcknowledgeDecoder decoder =
+        new SegmentAcknowledgeDecoder().wrapAndApplyHeader(buffer, 0, header);
+    return new DataPlaneMessage.SegmentAcknowledge(
+        new TransferPosition(decoder.transfer(), decoder.receivedBytes()));
+  }
+
+  private ControlPlaneMessage readSegment(DirectBuffer buffer) {
+    SegmentDecoder decoder = new SegmentDecoder().wrapAndApplyHeader(buffer, 0, header);
+    byte[] content = new byte[checkedLength(buffer, decoder.limit(), decoder.contentLength())];
+    decoder.getContent(content, 0, content.length);
+    return new ControlPlaneMessage.Segment(
+        decoder.transfer(), decoder.totalBytes(), decoder.startOffset(), content);
   }
 
   private DataPlaneMessage readAcknowledge(DirectBuffer buffer) {
--- a/src/main/java/slateslip/protocol/distribution/DistributionEncoder.java
+++ b/src/main/java/slateslip/protocol/distribution/DistributionEncoder.java
@@ -19,6 +19,8 @@
 import slateslip.protocol.distribution.generated.PingEncoder;
 import slateslip.protocol.distribution.generated.PongEncoder;
 import slateslip.protocol.distribution.generated.QuotaUpdateEncoder;
+import slateslip.protocol.distribution.generated.SegmentAcknowledgeEncoder;
+import slateslip.protocol.distribution.generated.SegmentEncoder;
 import slateslip.protocol.distribution.generated.SessionsEncoder;
 import slateslip.protocol.distribution.generated.SubscribeEncoder;
 
@@ -45,6 +47,9 @@
     if (message instanceof DataPlaneMessage.Demand demand) {
       return write(demand);
     }
+    if (message instanceof DataPlaneMessage.SegmentAcknowledge acknowledge) {
+      return write(acknowledge);
+    }
     if (message instanceof DataPlaneMessage.Ping ping) {
       PingEncoder encoder = new PingEncoder().wrapAndApplyHeader(messageBuffer.buffer(), 0, header);
       return encoder.nonce(ping.nonce()).encodedLength();
@@ -72,6 +77,9 @@
     if (message instanceof ControlPlaneMessage.Heartbeat heartbeat) {
       return write(heartbeat);
     }
+    if (message instanceof ControlPlaneMessage.Segment segment) {
+      return write(segment);
+    }
     if (message instanceof ControlPlaneMessage.Pong pong) {
       PongEncoder encoder = new PongEncoder().wrapAndApplyHeader(messageBuffer.buffer(), 0, header);
       return encoder.nonce(pong.nonce()).encodedLength();
@@ -85,6 +93,9 @@
         .incarnation(message.incarnation())
         .configurationVersion(message.configurationVersion())
         .active(flag(message.active()))
+        .acceptsSegments(flag(message.acceptsSegments()))
+        .partialTransfer(message.partial().transfer())
+        .partialBytes(message.partial().receivedBytes())
         .node(message.node())
         .zone(message.zone())
         .encodedLength();
@@ -98,6 +109,14 @@
         .encodedLength();
   }
 
+  private int write(DataPlaneMessage.SegmentAcknowledge message) {
+    return new SegmentAcknowledgeEncoder()
+        .wrapAndApplyHeader(messageBuffer.buffer(), 0, header)
+        .transfer(message.position().transfer())
+        .receivedBytes(message.position().receivedBytes())
+        .encodedLength();
+  }
+
   private int write(DataPlaneMessage.Demand message) {
     QuotaReport report = message.report();
     DemandEncoder encoder =
@@ -142,6 +161,16 @@
         .encodedLength();
   }
 
+  private int write(ControlPlaneMessage.Segment message) {
+    return new SegmentEncoder()
+        .wrapAndApplyHeader(messageBuffer.buffer(), 0, header)
+        .transfer(message.transfer())
+        .totalBytes(message.totalBytes())
+        .startOffset(message.offset())
+        .putContent(message.content(), 0, message.content().length)
+        .encodedLength();
+  }
+
   private int writeSessions(
       long revision,
       boolean fullTable,
--- a/src/main/java/slateslip/protocol/peer/ControlPeerDecoder.java
+++ b/src/main/java/slateslip/protocol/peer/ControlPeerDecoder.java
@@ -52,15 +52,22 @@
                   .number());
       case ForwardedRequestDecoder.TEMPLATE_ID -> readForwardedRequest(buffer);
       case ForwardedResponseDecoder.TEMPLATE_ID -> readForwardedResponse(buffer);
-      case DeliveryReportDecoder.TEMPLATE_ID ->
-          new ControlPeerMessage.DeliveryReport(
-              new DeliveryReportDecoder().wrapAndApplyHeader(buffer, 0, header).slowestVersion());
+      case DeliveryReportDecoder.TEMPLATE_ID -> readDeliveryReport(buffer);
       case DemandReportDecoder.TEMPLATE_ID -> readDemandReport(buffer);
       case QuotaAllocationsDecoder.TEMPLATE_ID -> readQuotaAllocations(buffer);
       default -> null;
     };
   }
 
+  private ControlPeerMessage readDeliveryReport(DirectBuffer buffer) {
+    DeliveryReportDecoder decoder =
+        new DeliveryReportDecoder().wrapAndApplyHeader(buffer, 0, header);
+    long slowestVersion = decoder.slowestVersion();
+    long deliveredBytes = decoder.deliveredBytes();
+    boolean reported = deliveredBytes != DeliveryReportDecoder.deliveredBytesNullValue();
+    return new ControlPeerMessage.DeliveryReport(slowestVersion, reported ? deliveredBytes : 0);
+  }
+
   private ControlPeerMessage readHello(DirectBuffer buffer) {
     HelloDecoder decoder = new HelloDecoder().wrapAndApplyHeader(buffer, 0, header);
     long incarnation = decoder.incarnation();
--- a/src/main/java/slateslip/protocol/peer/ControlPeerEncoder.java
+++ b/src/main/java/slateslip/protocol/peer/ControlPeerEncoder.java
@@ -51,7 +51,10 @@
     if (message instanceof ControlPeerMessage.DeliveryReport report) {
       DeliveryReportEncoder encoder = new DeliveryReportEncoder();
       encoder.wrapAndApplyHeader(messageBuffer.buffer(), 0, header);
-      return encoder.slowestVersion(report.slowestVersion()).encodedLength();
+      return encoder
+          .slowestVersion(report.slowestVersion())
+          .deliveredBytes(report.deliveredBytes())
+          .encodedLength();
     }
     if (message instanceof ControlPeerMessage.DemandReport demands) {
       return write(demands);
--- a/src/test/java/slateslip/distribution/delivery/PeerProgressTest.java
+++ b/src/test/java/slateslip/distribution/delivery/PeerProgressTest.java
@@ -19,19 +19,19 @@
   void peerWithoutReportIsNotDelivered() {
     assertThat(progress.isDelivered(PEER, EPOCH, 1), is(false));
     progress.peerStarted(PEER, 7);
-    progress.recordReport(PEER, 7, EPOCH, DeliveryProgress.NO_SUBSCRIBERS);
+    progress.recordReport(PEER, 7, EPOCH, DeliveryProgress.NO_SUBSCRIBERS, 0);
     assertThat(progress.isDelivered(PEER, EPOCH, 9), is(true));
   }
 
   @Test
   void reportOfEarlierProcessIsIgnored() {
     progress.peerStarted(PEER, 7);
-    progress.recordReport(PEER, 7, EPOCH, DeliveryProgress.NO_SUBSCRIBERS);
+    progress.recordReport(PEER, 7, EPOCH, DeliveryProgress.NO_SUBSCRIBERS, 0);
     progress.peerStarted(PEER, 8);
     assertThat(progress.isDelivered(PEER, EPOCH, 1), is(false));
-    progress.recordReport(PEER, 7, EPOCH, DeliveryProgress.NO_SUBSCRIBERS);
+    progress.recordReport(PEER, 7, EPOCH, DeliveryProgress.NO_SUBSCRIBERS, 0);
     assertThat(progress.isDelivered(PEER, EPOCH, 1), is(false));
-    progress.recordReport(PEER, 8, EPOCH, 3);
+    progress.recordReport(PEER, 8, EPOCH, 3, 0);
     assertThat(progress.isDelivered(PEER, EPOCH, 3), is(true));
     assertThat(progress.isDelivered(PEER, EPOCH, 4), is(false));
   }
@@ -39,14 +39,14 @@
   @Test
   void reportFromEarlierEpochIsIgnored() {
     progress.peerStarted(PEER, 7);
-    progress.recordReport(PEER, 7, EPOCH, DeliveryProgress.NO_SUBSCRIBERS);
+    progress.recordReport(PEER, 7, EPOCH, DeliveryProgress.NO_SUBSCRIBERS, 0);
     assertThat(progress.isDelivered(PEER, EPOCH + 1, 1), is(false));
   }
 
   @Test
   void reconnectOfSameProcessKeepsReport() {
     progress.peerStarted(PEER, 7);
-    progress.recordReport(PEER, 7, EPOCH, 5);
+    progress.recordReport(PEER, 7, EPOCH, 5, 0);
     progress.peerStarted(PEER, 7);
     assertThat(progress.isDelivered(PEER, EPOCH, 5), is(true));
   }
--- a/src/test/java/slateslip/protocol/distribution/DistributionCodecTest.java
+++ b/src/test/java/slateslip/protocol/distribution/DistributionCodecTest.java
@@ -24,6 +24,7 @@
 import slateslip.distribution.QuotaReport;
 import slateslip.distribution.Spending;
 import slateslip.distribution.TenantDemand;
+import slateslip.distribution.TransferPosition;
 import slateslip.protocol.Decoded;
 
 /**
@@ -42,6 +43,9 @@
     return Stream.of(
         new DataPlaneMessage.Subscribe("edge-1", -5, "faro", 7, true),
         new DataPlaneMessage.Subscribe("", 0, "", 0, false),
+        new DataPlaneMessage.Subscribe(
+            "edge-1", -5, "faro", 7, true, true, new TransferPosition(-9, 16_384)),
+        new DataPlaneMessage.SegmentAcknowledge(new TransferPosition(1L << 60, 65_536)),
         new DataPlaneMessage.Acknowledge(9, 12),
         new DataPlaneMessage.Demand(QuotaReport.countsOnly(List.of())),
         new DataPlaneMessage.Demand(
--- a/src/test/java/slateslip/protocol/peer/ControlPeerCodecTest.java
+++ b/src/test/java/slateslip/protocol/peer/ControlPeerCodecTest.java
@@ -64,7 +64,7 @@
         new ControlPeerMessage.SessionChanges(0, false, List.of(), List.of()),
         new ControlPeerMessage.SessionRenewals(List.of(new SessionRenewal("i-1", 20))),
         new ControlPeerMessage.SessionChangesAcknowledged(3),
-        new ControlPeerMessage.DeliveryReport(Long.MAX_VALUE),
+        new ControlPeerMessage.DeliveryReport(Long.MAX_VALUE, 850_000),
         new ControlPeerMessage.DemandReport(
             List.of(demand, new DataPlaneDemand("edge-2", 6, QuotaReport.countsOnly(List.of())))),
         new ControlPeerMessage.QuotaAllocations(List.of(new DataPlaneQuota("edge-1", shares))));
--- a/src/test/java/slateslip/simulation/agents/AgentMutation.java
+++ b/src/test/java/slateslip/simulation/agents/AgentMutation.java
@@ -62,7 +62,16 @@
   /** Any heartbeat extends a data plane's key lease. */
   LEASES_BY_HEARTBEAT,
   /** A key lease never expires. */
-  LEASES_NEVER_EXPIRE;
+  LEASES_NEVER_EXPIRE,
+  /** Long messages are sent whole, so that only a complete message shows that an agent is alive. */
+  SLOW_LINK_WHOLE_MESSAGES,
+  /** An agent sends no heartbeats and pongs while a transfer is in progress on the stream. */
+  SLOW_LINK_DROPS_HEARTBEATS,
+  /** A rollout does not wait for a data plane whose stream has ended a moment ago. */
+  SLOW_LINK_FORGETS_RECONNECTING;
+
+  /** More bytes in flight than the messages that are not part of a transfer have. */
+  private static final long TRANSFER_BYTES = 8 * 1024;
 
   // ---- disks ----
 
@@ -142,8 +151,28 @@
     return this == LEASES_NEVER_EXPIRE;
   }
 
+  /** Returns whether the data plane does not read segments. */
+  boolean sendsWholeMessages() {
+    return this == SLOW_LINK_WHOLE_MESSAGES;
+  }
+
+  /** Returns whether an agent forgets a data plane as soon as its stream has ended. */
+  boolean forgetsReconnecting() {
+    return this == SLOW_LINK_FORGETS_RECONNECTING;
+  }
+
   // ---- messages ----
 
+  /** Returns whether the defective control plane does not send this message to a data plane. */
+  boolean dropsMessageToDataPlane(byte[] message, long bytesInFlight) {
+    return this == SLOW_LINK_DROPS_HEARTBEATS
+        && bytesInFlight > TRANSFER_BYTES
+        && new DistributionCodec().decodeToDataPlane(message)
+            instanceof Decoded.Message<ControlPlaneMessage> known
+        && (known.value() instanceof ControlPlaneMessage.Heartbeat
+            || known.value() instanceof ControlPlaneMessage.Pong);
+  }
+
   /**
    * Returns a message to a data plane as the defective control plane sends it. A hello message to a
    * peer is returned unchanged.
@@ -223,7 +252,7 @@
 
   private ControlPeerMessage alter(ControlPeerMessage message) {
     if (this == IGNORES_DELIVERY && message instanceof ControlPeerMessage.DeliveryReport) {
-      return new ControlPeerMessage.DeliveryReport(DeliveryProgress.NO_SUBSCRIBERS);
+      return new ControlPeerMessage.DeliveryReport(DeliveryProgress.NO_SUBSCRIBERS, 0);
     }
     if (message instanceof ControlPeerMessage.SessionChanges changes) {
       List<String> deregistered =
--- a/src/test/java/slateslip/simulation/agents/AgentMutationTest.java
+++ b/src/test/java/slateslip/simulation/agents/AgentMutationTest.java
@@ -11,7 +11,8 @@
 
 /**
  * Tests that the checks detect each deliberate defect of the control plane: at least one random
- * schedule must violate an invariant. {@link KeyLeaseTest} tests the defects of the key lease.
+ * schedule must violate an invariant. {@link KeyLeaseTest} tests the defects of the key lease,
+ * {@link SlowLinkTest} those of transfers over slow links.
  */
 final class AgentMutationTest {
   private static final long SEEDS = 300;
@@ -19,7 +20,7 @@
   @ParameterizedTest
   @EnumSource(
       mode = EnumSource.Mode.MATCH_NONE,
-      names = {"NONE", "LEASES_.*"})
+      names = {"NONE", "LEASES_.*", "SLOW_LINK_.*"})
   void mutationViolatesInvariant(AgentMutation mutation) {
     AgentScheduleRunner runner = new AgentScheduleRunner(mutation, kinds(mutation));
     Optional<String> violation = Optional.empty();
--- a/src/test/java/slateslip/simulation/agents/ConfigurationChange.java
+++ b/src/test/java/slateslip/simulation/agents/ConfigurationChange.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.SplittableRandom;
 import slateslip.configuration.FleetConfiguration;
 import slateslip.configuration.Service;
 import slateslip.distribution.peer.OperatorRequest;
@@ -19,6 +20,7 @@
 record ConfigurationChange(
     long base, long version, String marker, boolean valid, OperatorRequest call) {
   private static final String SERVICE = "pool";
+  private static final int DRAWN_NAME_LENGTH = 400;
 
   /** A tenant with an API key, because a data plane needs a key lease only to serve API keys. */
   private static final String TENANT = "{\"name\":\"t\",\"api_keys\":[\"k\"]}";
@@ -54,6 +56,31 @@
     return change(OperatorRequest.Method.PUT, base, version, marker, true, body);
   }
 
+  /**
+   * Returns a change that replaces the complete configuration by routes of about the given size
+   * that have drawn names, so that they hardly compress and differ from those of any other change.
+   */
+  static ConfigurationChange incompressible(
+      long base, long version, String marker, int bytes, SplittableRandom random) {
+    StringBuilder routes = new StringBuilder(route("first", "/first/"));
+    while (routes.length() < bytes) {
+      String name = drawnName(random);
+      routes.append(',').append(route(name, "/" + name + "/"));
+    }
+    String body =
+        "{\"version\":%d,\"routes\":[%s],\"services\":[%s],\"tenants\":[%s]}"
+            .formatted(version, routes, service(marker), TENANT);
+    return change(OperatorRequest.Method.PUT, base, version, marker, true, body);
+  }
+
+  private static String drawnName(SplittableRandom random) {
+    StringBuilder name = new StringBuilder();
+    while (name.length() < DRAWN_NAME_LENGTH) {
+      name.append(Long.toString(random.nextLong(Long.MAX_VALUE), Character.MAX_RADIX));
+    }
+    return name.toString();
+  }
+
   /** Returns an invalid change, whose route refers to a service that does not exist. */
   static ConfigurationChange invalid(long base, long version, String marker) {
     String body =
--- a/src/test/java/slateslip/simulation/agents/ControlMachine.java
+++ b/src/test/java/slateslip/simulation/agents/ControlMachine.java
@@ -16,9 +16,11 @@
 import slateslip.coordination.DurableRecord;
 import slateslip.coordination.Effects;
 import slateslip.distribution.BackendSession;
+import slateslip.distribution.DataPlaneMessage;
 import slateslip.distribution.peer.ControlPeerMessage;
 import slateslip.distribution.peer.OperatorRequest;
 import slateslip.distribution.peer.OperatorResponse;
+import slateslip.protocol.distribution.DistributionCodec;
 import slateslip.protocol.peer.ControlPeerCodec;
 import slateslip.simulation.EventQueue;
 import slateslip.simulation.RuleViolation;
@@ -29,6 +31,7 @@
 final class ControlMachine extends SimulatedMachine {
   private static final boolean LEASED_KEYS = true;
   private static final long QUOTA_WINDOW = 8_000_000;
+  private static final long ACKNOWLEDGE_TIMEOUT_MILLIS = 4_000;
 
   private static final RingOptions RING = new RingOptions(3, 0);
 
@@ -80,7 +83,8 @@
             tolerance,
             heartbeatMillis,
             LEASED_KEYS,
-            QUOTA_WINDOW);
+            QUOTA_WINDOW,
+            ACKNOWLEDGE_TIMEOUT_MILLIS);
     agent =
         new ControlAgent(
             process,
@@ -128,7 +132,8 @@
               tolerance,
               heartbeatMillis,
               LEASED_KEYS,
-              QUOTA_WINDOW);
+              QUOTA_WINDOW,
+              ACKNOWLEDGE_TIMEOUT_MILLIS);
       process().execute(this, () -> agent.settingsChanged(settings));
     }
   }
@@ -145,6 +150,11 @@
 
       @Override
       public void closed() {
+        if (mutation.forgetsReconnecting() && connection.isDataPlane()) {
+          connection.received(
+              new DistributionCodec()
+                  .encode(new DataPlaneMessage.Subscribe("", 0, "", Long.MAX_VALUE, false)));
+        }
         connection.closed();
       }
 
@@ -229,7 +239,9 @@
 
     @Override
     public void write(byte[] message) {
-      socket.send(mutation.alterMessageToDataPlane(message));
+      if (!mutation.dropsMessageToDataPlane(message, socket.bytesInFlight())) {
+        socket.send(mutation.alterMessageToDataPlane(message));
+      }
     }
 
     @Override
--- a/src/test/java/slateslip/simulation/agents/DataPlaneMachine.java
+++ b/src/test/java/slateslip/simulation/agents/DataPlaneMachine.java
@@ -44,6 +44,8 @@
   private Map<String, ControlPlaneMessage.Heartbeat> newestHeartbeats = new HashMap<>();
   private FleetConfiguration configuration;
   private Map<String, BackendSession> backends = new TreeMap<>();
+  private final Map<SimulatedSocket, Long> lastHeartbeatMicros = new HashMap<>();
+  private long longestHeartbeatGapMicros;
   private boolean listed;
   private long lastLogLineMicros;
   private long leaseUntilMillis;
@@ -115,6 +117,22 @@
         || (leaseUntilMillis > 0 && mutation.leasesNeverExpire());
   }
 
+  /**
+   * Returns the longest time in microseconds between two heartbeats on a stream so far, from the
+   * first heartbeat of each stream on.
+   */
+  long longestHeartbeatGapMicros() {
+    return longestHeartbeatGapMicros;
+  }
+
+  private void recordHeartbeat(SimulatedSocket socket) {
+    Long previous = lastHeartbeatMicros.put(socket, events.nowMicros());
+    if (previous != null) {
+      longestHeartbeatGapMicros =
+          Math.max(longestHeartbeatGapMicros, events.nowMicros() - previous);
+    }
+  }
+
   boolean hasAccurateClock() {
     return clockRate == 1;
   }
@@ -173,7 +191,7 @@
     } else if (output instanceof SubscriptionOutput.Send send) {
       SimulatedSocket socket = sockets.get(send.agent());
       if (socket != null) {
-        socket.send(codec.encode(send.message()));
+        socket.send(codec.encode(altered(send.message())));
       }
       if (mutation.leasesUnconfirmed() && send.message() instanceof DataPlaneMessage.Ping ping) {
         feed(
@@ -194,6 +212,18 @@
     }
   }
 
+  private DataPlaneMessage altered(DataPlaneMessage message) {
+    if (mutation.sendsWholeMessages() && message instanceof DataPlaneMessage.Subscribe subscribe) {
+      return new DataPlaneMessage.Subscribe(
+          subscribe.node(),
+          subscribe.incarnation(),
+          subscribe.zone(),
+          subscribe.configurationVersion(),
+          subscribe.active());
+    }
+    return message;
+  }
+
   private void close(String agent) {
     dialled.remove(agent);
     SimulatedSocket socket = sockets.remove(agent);
@@ -258,6 +288,7 @@
           && decoded instanceof Decoded.Message<ControlPlaneMessage> known) {
         if (known.value() instanceof ControlPlaneMessage.Heartbeat heartbeat) {
           newestHeartbeats.put(agent, heartbeat);
+          recordHeartbeat(socket);
           if (mutation.leasesByHeartbeat()) {
             leaseUntilMillis = process().nowMicros() / MICROS_PER_MILLI + LEASE_MILLIS;
           }
--- a/src/test/java/slateslip/simulation/agents/SimulatedNetwork.java
+++ b/src/test/java/slateslip/simulation/agents/SimulatedNetwork.java
@@ -32,8 +32,25 @@
   private final Map<Link, Integer> partitionCounts = new HashMap<>();
   private final Map<String, Long> extraDelay = new HashMap<>();
   private final List<SimulatedSocket> sockets = new ArrayList<>();
+  private final Map<String, Downlink> downlinks = new HashMap<>();
   private long bytesPerMilli = Long.MAX_VALUE;
 
+  /** The link towards one machine, which all its connections share. */
+  private static final class Downlink {
+    private final long bytesPerMilli;
+    private long freeAtMicros;
+
+    private Downlink(long bytesPerMilli) {
+      this.bytesPerMilli = bytesPerMilli;
+    }
+
+    /** Returns when the last byte of a message arrives that reaches the link at a time. */
+    private long arrival(long atMicros, long bytes) {
+      freeAtMicros = Math.max(freeAtMicros, atMicros) + bytes * 1_000 / bytesPerMilli;
+      return freeAtMicros;
+    }
+  }
+
   SimulatedNetwork(EventQueue events, SplittableRandom random) {
     this.events = events;
     this.random = random;
@@ -48,6 +65,14 @@
     bytesPerMilli = newBytesPerMilli;
   }
 
+  /**
+   * Limits the rate, in bytes per millisecond, at which all connections together carry data to a
+   * machine.
+   */
+  void limitDownlink(String machine, long downlinkBytesPerMilli) {
+    downlinks.put(machine, new Downlink(downlinkBytesPerMilli));
+  }
+
   long delay() {
     return random.nextLong(MIN_DELAY, MAX_DELAY);
   }
@@ -148,6 +173,10 @@
     long delay = delay() + slow + bytes * 1_000 / bytesPerMilli;
     long at =
         Math.max(sender.lastArrival() + bytes * 1_000 / bytesPerMilli, events.nowMicros() + delay);
+    Downlink downlink = downlinks.get(link.to());
+    if (downlink != null) {
+      at = downlink.arrival(at, bytes);
+    }
     sender.setLastArrival(at);
     events.at(at, () -> deliverOrHold(link, sender, arrival));
   }
