Control state: copies and witnesses are placed by zones and regions, and commits ask for it

Cause: the tolerated zones and regions were read and not used. Copies were counted by number in five places, and candidates were taken in the order of addresses, so both copies lay in one zone.

Change: FailureTolerance alone decides whether a set of nodes survives each tolerated loss. The commit rule, joining members, last copies, witnesses and failover ask it. Nodes report zone and region in their status (coordination.xml, schema version 1). check-settings, the log, the status and a metric tell a tolerance that is not met. MembershipPolicy is split: WitnessPolicy, ObservedNodes, PeerHealth.

Why it works: a record is acknowledged only when the nodes that have it on disk survive each tolerated loss, and members are chosen so that this stays true after any one of them is dropped.

Evidence: ZoneLossTest loses a zone or a region at any place of a rolling restart; by number alone (mutation IGNORES_ZONES, which is the former rule) its runs fail.

--- a/src/main/java/slateslip/cli/Commands.java
+++ b/src/main/java/slateslip/cli/Commands.java
@@ -120,6 +120,9 @@
       return ExitStatus.INVALID;
     }
     output.println(file + ": valid");
+    if (outcome instanceof SettingsOutcome.Valid valid) {
+      valid.settings().warnings().forEach(warning -> output.println("warning: " + warning));
+    }
     return ExitStatus.SUCCESS;
   }
 
--- a/src/main/java/slateslip/controlplane/ControlPlane.java
+++ b/src/main/java/slateslip/controlplane/ControlPlane.java
@@ -12,10 +12,13 @@
 import slateslip.controlplane.agent.AgentSettings;
 import slateslip.controlplane.agent.ControlAgent;
 import slateslip.controlplane.agent.PeerConnector;
+import slateslip.coordination.FailureTolerance;
+import slateslip.coordination.NodeLocation;
 import slateslip.eventloop.CountingIoHandler;
 import slateslip.eventloop.ProcessorTime;
 import slateslip.eventloop.WakeUpCounter;
 import slateslip.protocol.peer.ControlPeerCodec;
+import slateslip.settings.FaultTolerance;
 import slateslip.settings.NodeSettings;
 import slateslip.storage.RingOptions;
 
@@ -72,12 +75,14 @@
   }
 
   private static AgentSettings agentSettings(NodeSettings settings) {
+    FaultTolerance tolerance = settings.faultTolerance();
     return new AgentSettings(
         settings.node(),
         settings.ip().getHostAddress(),
         settings.seeds().stream().map(seed -> seed.getAddress().getHostAddress()).toList(),
         settings.bootstrap(),
-        settings.faultTolerance().machines(),
+        new NodeLocation(settings.zone(), settings.regionOfMachine()),
+        new FailureTolerance(tolerance.machines(), tolerance.zones(), tolerance.regions()),
         settings.heartbeatMillis(),
         settings.bounds().closed(),
         TimeUnit.MILLISECONDS.toMicros(settings.bounds().quotaWindowMillis()),
@@ -99,6 +104,7 @@
    * @throws IOException if the agent's disk or ports cannot be used
    */
   public static ControlPlane start(NodeSettings settings) throws IOException {
+    settings.warnings().forEach(LOG::warn);
     ControlPlane started = new ControlPlane(settings);
     started.internal.listen(new InetSocketAddress(settings.ip(), settings.ports().first()));
     started.eventLoop.execute(started.agent::start);
--- a/src/main/java/slateslip/controlplane/StatusReport.java
+++ b/src/main/java/slateslip/controlplane/StatusReport.java
@@ -28,6 +28,7 @@
     append(text, "streams", status.streams());
     String peers = status.peers().stream().map(Json::quoted).collect(Collectors.joining(","));
     append(text, "peers", "[" + peers + "]");
+    append(text, "tolerated_losses", Json.quoted(status.placement().description()));
     return text.append('}').toString();
   }
 
@@ -47,6 +48,11 @@
     gauge(text, "session_revision", "Revision of the session table", status.sessionRevision());
     gauge(text, "streams", "Streams of data planes", status.streams());
     gauge(text, "peers", "Control agents in reach", status.peers().size());
+    gauge(
+        text,
+        "tolerated_losses_at_risk",
+        "1 if a tolerated loss would take all copies or leave no majority",
+        status.placement().isAtRisk() ? 1 : 0);
     addQuotas(text, status.quotas());
     for (WakeUpCause cause : WakeUpCause.values()) {
       String name = "event_loop_turns_" + cause.label() + "_total";
--- a/src/main/java/slateslip/controlplane/agent/AgentSettings.java
+++ b/src/main/java/slateslip/controlplane/agent/AgentSettings.java
@@ -1,6 +1,8 @@
 package slateslip.controlplane.agent;
 
 import java.util.List;
+import slateslip.coordination.FailureTolerance;
+import slateslip.coordination.NodeLocation;
 
 /**
  * The settings of the process that a control agent uses.
@@ -9,7 +11,8 @@
  * @param address IPv4 address of the agent's machine
  * @param seeds IPv4 addresses of the seed agents, to which the agent always connects
  * @param bootstrap whether the complete system starts for the first time
- * @param faultTolerance number of machines that may fail at the same time
+ * @param location zone and region of the agent's machine
+ * @param tolerance losses that the replicated state must survive
  * @param heartbeatMillis interval between two heartbeats of a backend, in milliseconds
  * @param keyLeaseRequired whether data planes accept API keys only while they hold a lease, which
  *     requires a confirmed configuration version
@@ -22,7 +25,8 @@
     String address,
     List<String> seeds,
     boolean bootstrap,
-    int faultTolerance,
+    NodeLocation location,
+    FailureTolerance tolerance,
     long heartbeatMillis,
     boolean keyLeaseRequired,
     long quotaWindowMicros,
--- a/src/main/java/slateslip/controlplane/agent/AgentStatus.java
+++ b/src/main/java/slateslip/controlplane/agent/AgentStatus.java
@@ -1,6 +1,7 @@
 package slateslip.controlplane.agent;
 
 import java.util.List;
+import slateslip.coordination.PlacementState;
 import slateslip.distribution.quota.QuotaAllocatorStatus;
 
 /**
@@ -20,6 +21,8 @@
  * @param peers IPv4 addresses of the other control agents in reach
  * @param quotas status of the quota allocator; {@link QuotaAllocatorStatus#NONE} if this agent is
  *     not the allocator
+ * @param placement whether the copies and witnesses of this primary's view survive each tolerated
+ *     loss
  */
 public record AgentStatus(
     String node,
@@ -33,4 +36,5 @@
     long sessionRevision,
     int streams,
     List<String> peers,
-    QuotaAllocatorStatus quotas) {}
+    QuotaAllocatorStatus quotas,
+    PlacementState placement) {}
--- a/src/main/java/slateslip/controlplane/agent/ControlAgent.java
+++ b/src/main/java/slateslip/controlplane/agent/ControlAgent.java
@@ -63,6 +63,7 @@
   private final long startedMicros;
   private final QuotaService quotas;
   private final VersionConfirmation versionConfirmation;
+  private final PlacementMonitor placementMonitor = new PlacementMonitor();
   private AgentSettings settings;
 
   /**
@@ -141,9 +142,10 @@
   private ReplicaSettings replicaSettings(AgentIdentity identity) {
     return new ReplicaSettings(
         NodeAddress.parse(identity.address()),
+        settings.location(),
         settings.seeds().stream().map(NodeAddress::parse).toList(),
         settings.bootstrap(),
-        settings.faultTolerance(),
+        settings.tolerance(),
         SNAPSHOT_THRESHOLD_BYTES);
   }
 
@@ -224,7 +226,8 @@
         sessionTable.revision(),
         subscribers.streams().size(),
         links.reachability().reachablePeers(scheduler.nowMicros()),
-        quotas.status());
+        quotas.status(),
+        replica.placement());
   }
 
   private void sendHeartbeats() {
@@ -233,6 +236,7 @@
     links.connectTo(retainedAgents);
     links.sendHeartbeats(sessionTable.isComplete(), retainedAgents);
     rollout.reportProgress(true);
+    placementMonitor.observe(scheduler.nowMicros(), replica.placement());
   }
 
   private void expireSessions() {
--- a/src/main/java/slateslip/controlplane/agent/ReplicaHost.java
+++ b/src/main/java/slateslip/controlplane/agent/ReplicaHost.java
@@ -11,6 +11,7 @@
 import slateslip.coordination.Effects.RoleStatus;
 import slateslip.coordination.NodeAddress;
 import slateslip.coordination.NodeId;
+import slateslip.coordination.PlacementState;
 import slateslip.coordination.PrimaryTerm;
 import slateslip.coordination.ReplicaInput;
 import slateslip.coordination.View;
@@ -118,6 +119,11 @@
     return replica.isPrimaryReachable();
   }
 
+  /** Returns whether the placement of this primary's view survives each tolerated loss. */
+  PlacementState placement() {
+    return replica.placement();
+  }
+
   /** Asks the other nodes to take over this node's role in the view. */
   void shutDown() {
     handle(new ReplicaInput.Shutdown());
--- a/src/main/java/slateslip/coordination/ControlReplica.java
+++ b/src/main/java/slateslip/coordination/ControlReplica.java
@@ -1,5 +1,6 @@
 package slateslip.coordination;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -276,6 +277,11 @@
     return primary.term();
   }
 
+  /** Returns whether the placement of this primary's view survives each tolerated loss. */
+  public PlacementState placement() {
+    return primary.placement();
+  }
+
   /**
    * Returns whether, at the last input, this node was an active primary or had received a heartbeat
    * of an active primary within the primary timeout.
@@ -333,19 +339,20 @@
       if (!base.mayLeadNext(context.self, context.durableWrites.durable().term().epoch())) {
         return Optional.empty();
       }
-      List<NodeId> responding =
-          base.members().stream()
-              .map(ViewMember::node)
-              .filter(node -> promises.containsKey(node))
-              .filter(node -> promises.get(node).status().healthy())
-              .toList();
+      Map<NodeId, NodeLocation> responding = new HashMap<>();
+      for (ViewMember member : base.members()) {
+        ReplicaMessage.Promise promise = promises.get(member.node());
+        if (promise != null && promise.status().healthy()) {
+          responding.put(member.node(), promise.status().location());
+        }
+      }
       List<NodeId> installed =
-          responding.stream()
+          responding.keySet().stream()
               .filter(node -> base.mayLeadNext(node, installedEpoch(promises.get(node))))
               .toList();
       return Optional.of(
           MembershipPolicy.viewAfterFailover(
-              base, context.self, context.settings.faultTolerance(), responding, installed));
+              base, context.self, context.tolerance(), responding, installed));
     }
 
     private long installedEpoch(ReplicaMessage.Promise promise) {
--- a/src/main/java/slateslip/coordination/Peer.java
+++ b/src/main/java/slateslip/coordination/Peer.java
@@ -33,6 +33,11 @@
     this.knownSinceMicros = knownSinceMicros;
   }
 
+  /** Returns the location that the peer has reported. */
+  NodeLocation location() {
+    return status == null ? NodeLocation.UNKNOWN : status.location();
+  }
+
   /** Clears the state that refers to messages sent in an earlier term. */
   void beginTerm() {
     confirmedRound = 0;
--- a/src/main/java/slateslip/coordination/PeerTable.java
+++ b/src/main/java/slateslip/coordination/PeerTable.java
@@ -37,6 +37,12 @@
     return peers.computeIfAbsent(node, added -> new Peer(added, context.nowMicros));
   }
 
+  /** Returns the location that a node has reported, or {@link NodeLocation#UNKNOWN}. */
+  NodeLocation location(NodeId node) {
+    Peer peer = peers.get(node);
+    return peer == null ? NodeLocation.UNKNOWN : peer.location();
+  }
+
   /**
    * Begins a term. The durable positions that peers reported in an earlier term no longer count,
    * but the time for which a peer has been unresponsive continues to count if this node was already
--- a/src/main/java/slateslip/coordination/PrimaryRole.java
+++ b/src/main/java/slateslip/coordination/PrimaryRole.java
@@ -87,18 +87,40 @@
   }
 
   /**
-   * Returns whether every member has the record with this sequence number on disk, and the view has
-   * enough members.
+   * Returns whether every member has the record with this sequence number on disk, and the members
+   * survive each tolerated loss.
    */
   private boolean committable(long sequence) {
     View view = context.view();
-    return view.members().size() >= context.requiredMembers()
-        && selfInstalled()
+    return selfInstalled()
         && context.durableWrites.durable().sequence() >= sequence
         && view.members().stream()
             .map(ViewMember::node)
             .filter(node -> !node.equals(context.self))
-            .allMatch(node -> peers.of(node).hasDurable(term, sequence));
+            .allMatch(node -> peers.of(node).hasDurable(term, sequence))
+        && context.tolerance().survives(memberLocations());
+  }
+
+  private List<NodeLocation> memberLocations() {
+    return context.view().members().stream().map(ViewMember::node).map(this::location).toList();
+  }
+
+  private NodeLocation location(NodeId node) {
+    return node.equals(context.self) ? context.settings.location() : peers.location(node);
+  }
+
+  /** Returns whether the placement of this primary's view survives each tolerated loss. */
+  PlacementState placement() {
+    if (!leading) {
+      return PlacementState.NOT_PRIMARY;
+    }
+    if (!context.tolerance().survives(memberLocations())) {
+      return PlacementState.COPIES_AT_RISK;
+    }
+    List<NodeLocation> witnesses = context.view().witnesses().stream().map(this::location).toList();
+    return context.tolerance().majoritySurvives(witnesses)
+        ? PlacementState.SURVIVES
+        : PlacementState.MAJORITY_AT_RISK;
   }
 
   /** Handles a node's reply to a heartbeat. */
@@ -290,8 +312,9 @@
             < ReplicationTimeouts.MIN_VIEW_CHANGE_INTERVAL_MICROS) {
       return Optional.empty();
     }
-    return MembershipPolicy.nextViewOfPrimary(
-        context.view(), context.self, context.settings.faultTolerance(), peerHealth());
+    ObservedNodes nodes =
+        new ObservedNodes(context.self, context.settings.location(), peerHealth());
+    return MembershipPolicy.nextViewOfPrimary(context.view(), nodes, context.tolerance());
   }
 
   /**
@@ -311,18 +334,19 @@
         && peer.status.decidedEpoch() == context.view().epoch();
   }
 
-  private List<MembershipPolicy.PeerHealth> peerHealth() {
-    List<MembershipPolicy.PeerHealth> peerHealth = new ArrayList<>();
+  private List<PeerHealth> peerHealth() {
+    List<PeerHealth> peerHealth = new ArrayList<>();
     for (Peer peer : peers.targets()) {
       peerHealth.add(
-          new MembershipPolicy.PeerHealth(
+          new PeerHealth(
               peer.node,
               peers.isHealthy(peer),
               peer.hasDurable(term, termStartSequence),
               peer.hasDurable(term, context.store.lastSequence()),
               peer.unresponsiveMicros(context.nowMicros),
               peer.healthyMicros(context.nowMicros),
-              peer.joinDelayMicros()));
+              peer.joinDelayMicros(),
+              peer.location()));
     }
     return peerHealth;
   }
--- a/src/main/java/slateslip/coordination/ReplicaContext.java
+++ b/src/main/java/slateslip/coordination/ReplicaContext.java
@@ -34,12 +34,9 @@
     return !view().isNone() && view().primary().equals(self);
   }
 
-  /**
-   * Returns the minimum number of members that must have a record on disk before the record is
-   * committed.
-   */
-  int requiredMembers() {
-    return settings.faultTolerance() + 1;
+  /** Returns the losses that the control state must survive. */
+  FailureTolerance tolerance() {
+    return settings.tolerance();
   }
 
   /**
@@ -81,7 +78,8 @@
         durableWrites.durable().term(),
         durableWrites.durable().sequence(),
         store.appliedSequence(),
-        healthy());
+        healthy(),
+        settings.location());
   }
 
   /** Returns a random duration in microseconds; both bounds are inclusive. */
--- a/src/main/java/slateslip/coordination/ReplicaStatus.java
+++ b/src/main/java/slateslip/coordination/ReplicaStatus.java
@@ -13,6 +13,8 @@
  *     committed
  * @param healthy whether the disk of the node accepts writes within the time limit and the process
  *     of the node has not been asked to end
+ * @param location the zone and the region of the node; {@link NodeLocation#UNKNOWN} if the node
+ *     runs an earlier program version
  */
 public record ReplicaStatus(
     long decidedEpoch,
@@ -22,7 +24,8 @@
     PrimaryTerm durableTerm,
     long durableSequence,
     long committedSequence,
-    boolean healthy) {
+    boolean healthy,
+    NodeLocation location) {
 
   /** Returns a copy of this status with another durable position. */
   ReplicaStatus withDurable(PrimaryTerm term, long sequence) {
@@ -34,6 +37,21 @@
         term,
         sequence,
         committedSequence,
-        healthy);
+        healthy,
+        location);
+  }
+
+  /** Returns a copy of this status with a location. */
+  public ReplicaStatus withLocation(NodeLocation reported) {
+    return new ReplicaStatus(
+        decidedEpoch,
+        acceptedNewerView,
+        receivedTerm,
+        receivedSequence,
+        durableTerm,
+        durableSequence,
+        committedSequence,
+        healthy,
+        reported);
   }
 }
--- a/src/main/java/slateslip/protocol/coordination/FieldCodec.java
+++ b/src/main/java/slateslip/protocol/coordination/FieldCodec.java
@@ -4,6 +4,7 @@
 import slateslip.coordination.Ballot;
 import slateslip.coordination.NodeAddress;
 import slateslip.coordination.NodeId;
+import slateslip.coordination.NodeLocation;
 import slateslip.coordination.PrimaryTerm;
 import slateslip.coordination.ReplicaStatus;
 import slateslip.protocol.MessageReader;
@@ -66,6 +67,7 @@
         .diskHealthy(flag(status.healthy()).value());
   }
 
+  /** Returns a status without the location, which is not part of the composite field. */
   static ReplicaStatus status(StatusReportDecoder decoder) {
     return new ReplicaStatus(
         decoder.decidedEpoch(),
@@ -75,7 +77,8 @@
         new PrimaryTerm(decoder.durableEpoch(), decoder.durableIncarnation()),
         decoder.durableSequence(),
         decoder.committedSequence(),
-        decoder.diskHealthy() == YES);
+        decoder.diskHealthy() == YES,
+        NodeLocation.UNKNOWN);
   }
 
   static Flag flag(boolean value) {
--- a/src/main/java/slateslip/protocol/coordination/ReplicaMessageDecoder.java
+++ b/src/main/java/slateslip/protocol/coordination/ReplicaMessageDecoder.java
@@ -3,6 +3,7 @@
 import org.agrona.DirectBuffer;
 import slateslip.coordination.Ballot;
 import slateslip.coordination.NodeId;
+import slateslip.coordination.NodeLocation;
 import slateslip.coordination.PrimaryTerm;
 import slateslip.coordination.ReplicaMessage;
 import slateslip.coordination.ReplicaStatus;
@@ -67,7 +68,8 @@
     byte[] viewBytes = FieldCodec.allocateBytes(buffer, decoder.limit(), decoder.viewLength());
     decoder.getView(viewBytes, 0, viewBytes.length);
     View view = NestedBlocks.view(viewBytes);
-    return new ReplicaFrame(from, new ReplicaMessage.Hello(view, status));
+    NodeLocation location = new NodeLocation(decoder.zone(), decoder.region());
+    return new ReplicaFrame(from, new ReplicaMessage.Hello(view, status.withLocation(location)));
   }
 
   private ReplicaFrame readHeartbeat() {
@@ -93,7 +95,9 @@
     PrimaryTerm term = FieldCodec.term(decoder.term());
     long round = decoder.round();
     ReplicaStatus status = FieldCodec.status(decoder.status());
-    return new ReplicaFrame(from, new ReplicaMessage.HeartbeatReply(term, round, status));
+    NodeLocation location = new NodeLocation(decoder.zone(), decoder.region());
+    return new ReplicaFrame(
+        from, new ReplicaMessage.HeartbeatReply(term, round, status.withLocation(location)));
   }
 
   private ReplicaFrame readDecided() {
@@ -130,8 +134,11 @@
         FieldCodec.allocateBytes(buffer, decoder.limit(), decoder.acceptedLength());
     decoder.getAccepted(acceptedBytes, 0, acceptedBytes.length);
     View accepted = NestedBlocks.view(acceptedBytes);
+    NodeLocation location = new NodeLocation(decoder.zone(), decoder.region());
     return new ReplicaFrame(
-        from, new ReplicaMessage.Promise(baseEpoch, ballot, acceptedBallot, accepted, status));
+        from,
+        new ReplicaMessage.Promise(
+            baseEpoch, ballot, acceptedBallot, accepted, status.withLocation(location)));
   }
 
   private ReplicaFrame readAccept() {
--- a/src/main/java/slateslip/protocol/coordination/ReplicaMessageEncoder.java
+++ b/src/main/java/slateslip/protocol/coordination/ReplicaMessageEncoder.java
@@ -2,6 +2,7 @@
 
 import org.agrona.ExpandableArrayBuffer;
 import slateslip.coordination.NodeId;
+import slateslip.coordination.NodeLocation;
 import slateslip.coordination.ReplicaMessage;
 import slateslip.protocol.coordination.generated.AcceptEncoder;
 import slateslip.protocol.coordination.generated.AcceptedEncoder;
@@ -85,6 +86,8 @@
     FieldCodec.put(encoder.status(), message.status());
     byte[] view = NestedBlocks.encode(message.view());
     encoder.putView(view, 0, view.length);
+    NodeLocation location = message.status().location();
+    encoder.zone(location.zone()).region(location.region());
     return encoder.limit();
   }
 
@@ -107,6 +110,8 @@
     FieldCodec.put(encoder.term(), message.term());
     encoder.round(message.round());
     FieldCodec.put(encoder.status(), message.status());
+    NodeLocation location = message.status().location();
+    encoder.zone(location.zone()).region(location.region());
     return encoder.limit();
   }
 
@@ -137,6 +142,8 @@
     FieldCodec.put(encoder.status(), message.status());
     byte[] accepted = NestedBlocks.encode(message.accepted());
     encoder.putAccepted(accepted, 0, accepted.length);
+    NodeLocation location = message.status().location();
+    encoder.zone(location.zone()).region(location.region());
     return encoder.limit();
   }
 
--- a/src/main/java/slateslip/settings/NodeSettings.java
+++ b/src/main/java/slateslip/settings/NodeSettings.java
@@ -123,4 +123,19 @@
     String reason = "cannot read " + what + ": " + cause;
     return new SettingsOutcome.Invalid(List.of(new SettingsOutcome.Problem("", reason)));
   }
+
+  /**
+   * Returns the region of the machine: as given, or the region of its zone; empty if neither is.
+   */
+  public String regionOfMachine() {
+    return region.isEmpty() ? zones.getOrDefault(zone, "") : region;
+  }
+
+  /**
+   * Returns what the settings ask for and the deployment cannot give, in words: a valid settings
+   * file may tolerate the loss of more zones or regions than control agents can be placed in.
+   */
+  public List<String> warnings() {
+    return faultTolerance.contradictions(zones);
+  }
 }
--- a/src/test/java/slateslip/cli/CommandLineTest.java
+++ b/src/test/java/slateslip/cli/CommandLineTest.java
@@ -126,6 +126,9 @@
   void checkCommandsReportValidAndInvalidFiles() throws IOException {
     String good = file("good.conf", SETTINGS).toString();
     assertThat(run(Program.DATA_PLANE, null, "check-settings", good), equalTo(0));
+    String tolerant = file("zones.conf", SETTINGS + "\nfault_tolerance.zones=1\n").toString();
+    assertThat(run(Program.DATA_PLANE, null, "check-settings", tolerant), equalTo(0));
+    assertThat(standardOutput(), containsString("warning: fault_tolerance.zones=1 needs"));
     String bad = file("bad.conf", "ip=x\n").toString();
     assertThat(run(Program.DATA_PLANE, null, "check-settings", bad), equalTo(ExitStatus.INVALID));
     assertThat(errorOutput(), containsString("ip: \"x\" is not an IPv4 address"));
--- a/src/test/java/slateslip/coordination/RecoveryTest.java
+++ b/src/test/java/slateslip/coordination/RecoveryTest.java
@@ -40,7 +40,16 @@
 
   private final RecordingState state = new RecordingState();
   private final ReplicaContext context =
-      new ReplicaContext(new ReplicaSettings(ADDRESS, List.of(), false, 1, 1_000), state, 1);
+      new ReplicaContext(
+          new ReplicaSettings(
+              ADDRESS,
+              NodeLocation.UNKNOWN,
+              List.of(),
+              false,
+              FailureTolerance.ofMachines(1),
+              1_000),
+          state,
+          1);
 
   private static byte[] record(int number) {
     return new byte[] {(byte) number};
--- a/src/test/java/slateslip/protocol/coordination/ReplicaMessageCodecTest.java
+++ b/src/test/java/slateslip/protocol/coordination/ReplicaMessageCodecTest.java
@@ -14,6 +14,7 @@
 import slateslip.coordination.DurableRecord;
 import slateslip.coordination.NodeAddress;
 import slateslip.coordination.NodeId;
+import slateslip.coordination.NodeLocation;
 import slateslip.coordination.PrimaryTerm;
 import slateslip.coordination.ReplicaMessage;
 import slateslip.coordination.ReplicaStatus;
@@ -31,7 +32,16 @@
   static final PrimaryTerm TERM = new PrimaryTerm(7, 3);
   static final Ballot BALLOT = new Ballot(12, ONE);
   static final ReplicaStatus STATUS =
-      new ReplicaStatus(7, true, TERM, 42, new PrimaryTerm(6, 1), 41, 40, false);
+      new ReplicaStatus(
+          7,
+          true,
+          TERM,
+          42,
+          new PrimaryTerm(6, 1),
+          41,
+          40,
+          false,
+          new NodeLocation("faro-ñ", "sur"));
   static final StateTransfer STATE =
       new StateTransfer(40, true, new byte[] {1, 2, 3}, List.of(new byte[0], new byte[] {9}), 41);
 
--- a/src/test/java/slateslip/settings/NodeSettingsTest.java
+++ b/src/test/java/slateslip/settings/NodeSettingsTest.java
@@ -185,4 +185,32 @@
     Path binary = Files.write(directory.resolve("binary"), new byte[] {(byte) 0xff, (byte) 0xfe});
     assertThat(NodeSettings.load(binary), instanceOf(SettingsOutcome.Invalid.class));
   }
+
+  /** Guards against a tolerated loss of zones that no placement of agents can survive. */
+  @Test
+  void toleranceThatNoPlacementCanSatisfyIsToldInWords() {
+    assertThat(valid(COMPLETE).warnings(), equalTo(List.of()));
+    String oneOfTwoZones = COMPLETE.replace("tolerance.zones=0", "tolerance.zones=1");
+    assertThat(
+        valid(oneOfTwoZones).warnings(),
+        equalTo(
+            List.of(
+                "fault_tolerance.zones=1 needs control agents in 3 zones, and the settings name 2:"
+                    + " after such a loss no change is accepted until the agents are back")));
+    String twoOfTwoRegions = COMPLETE.replace("tolerance.regions=0", "tolerance.regions=2");
+    assertThat(
+        valid(twoOfTwoRegions).warnings(),
+        equalTo(
+            List.of(
+                "fault_tolerance.regions=2 needs control agents in 5 regions, and the settings name"
+                    + " 2: no change of the configuration is accepted")));
+  }
+
+  @Test
+  void regionOfMachineIsThatOfItsZoneIfNotGiven() {
+    assertThat(valid(COMPLETE).regionOfMachine(), equalTo("coast"));
+    String ofZone =
+        COMPLETE.replace("region=coast\n", "").replace("zone=north", "zone=south: old #1");
+    assertThat(valid(ofZone).regionOfMachine(), equalTo("far coast"));
+  }
 }
--- a/src/test/java/slateslip/simulation/agents/AgentMutation.java
+++ b/src/test/java/slateslip/simulation/agents/AgentMutation.java
@@ -7,6 +7,7 @@
 import slateslip.coordination.DurableRecord;
 import slateslip.coordination.NodeAddress;
 import slateslip.coordination.NodeId;
+import slateslip.coordination.NodeLocation;
 import slateslip.coordination.PrimaryTerm;
 import slateslip.coordination.ReplicaMessage;
 import slateslip.coordination.ReplicaStatus;
@@ -208,7 +209,16 @@
       PrimaryTerm term = heartbeat.term();
       long sequence = heartbeat.committedSequence();
       ReplicaStatus status =
-          new ReplicaStatus(term.epoch(), false, term, sequence, term, sequence, sequence, true);
+          new ReplicaStatus(
+              term.epoch(),
+              false,
+              term,
+              sequence,
+              term,
+              sequence,
+              sequence,
+              true,
+              NodeLocation.UNKNOWN);
       return Optional.of(
           new ReplicaFrame(
               peer, new ReplicaMessage.HeartbeatReply(term, heartbeat.round(), status)));
@@ -286,7 +296,8 @@
               reply.term(),
               Long.MAX_VALUE,
               status.committedSequence(),
-              status.healthy());
+              status.healthy(),
+              status.location());
       return new ReplicaMessage.HeartbeatReply(reply.term(), reply.round(), complete);
     }
     return message;
--- a/src/test/java/slateslip/simulation/agents/ControlMachine.java
+++ b/src/test/java/slateslip/simulation/agents/ControlMachine.java
@@ -15,6 +15,8 @@
 import slateslip.controlplane.agent.WriteAheadLog;
 import slateslip.coordination.DurableRecord;
 import slateslip.coordination.Effects;
+import slateslip.coordination.FailureTolerance;
+import slateslip.coordination.NodeLocation;
 import slateslip.distribution.BackendSession;
 import slateslip.distribution.DataPlaneMessage;
 import slateslip.distribution.peer.ControlPeerMessage;
@@ -80,7 +82,8 @@
             address(),
             seeds,
             bootstrap,
-            tolerance,
+            NodeLocation.UNKNOWN,
+            FailureTolerance.ofMachines(tolerance),
             heartbeatMillis,
             LEASED_KEYS,
             QUOTA_WINDOW,
@@ -129,7 +132,8 @@
               address(),
               seeds,
               false,
-              tolerance,
+              NodeLocation.UNKNOWN,
+              FailureTolerance.ofMachines(tolerance),
               heartbeatMillis,
               LEASED_KEYS,
               QUOTA_WINDOW,
--- a/src/test/java/slateslip/simulation/control/ControlWorld.java
+++ b/src/test/java/slateslip/simulation/control/ControlWorld.java
@@ -2,12 +2,15 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import slateslip.coordination.ClientResult;
 import slateslip.coordination.NodeAddress;
 import slateslip.coordination.NodeId;
+import slateslip.coordination.NodeLocation;
 import slateslip.coordination.ReplicaInput;
 import slateslip.coordination.ReplicaMessage;
 import slateslip.protocol.coordination.ReplicaFrame;
@@ -40,7 +43,7 @@
   private int assignedAddresses;
   private long lastToken;
   private int lastAuthor;
-  private long firstProbeToken;
+  private final Set<Long> probeTokens = new HashSet<>();
   private long probedAtMicros;
   private boolean probing;
   private boolean probeAccepted;
@@ -61,10 +64,18 @@
   }
 
   private SimulatedNode newNode() {
+    NodeLocation location = shape.location(assignedAddresses);
     NodeAddress address = new NodeAddress(FIRST_ADDRESS + assignedAddresses++);
     SimulatedNode node =
         new SimulatedNode(
-            events, random.split(), network, history, this::handleResult, address, mutation);
+            events,
+            random.split(),
+            network,
+            history,
+            this::handleResult,
+            address,
+            location,
+            mutation);
     mutation.alterDisk(node.disk());
     nodes.add(node);
     return node;
@@ -109,8 +120,7 @@
   void begin(int operatorCount) {
     for (SimulatedNode node : nodes) {
       events.after(
-          random.nextLong(START_SPREAD_MICROS),
-          () -> node.start(seeds, true, shape.faultTolerance()));
+          random.nextLong(START_SPREAD_MICROS), () -> node.start(seeds, true, shape.tolerance()));
     }
     for (int i = 0; i < operatorCount; i++) {
       SimulatedOperator operator = new SimulatedOperator(events, random.split(), history, this, i);
@@ -122,7 +132,7 @@
   /** Starts the process of a machine again, which recovers from the disk. */
   void restart(SimulatedNode node) {
     if (nodes.contains(node)) {
-      node.start(seeds, false, shape.faultTolerance());
+      node.start(seeds, false, shape.tolerance());
     }
   }
 
@@ -186,7 +196,7 @@
       ReferenceState.Change change = node.state().changes().get((int) committed.sequence() - 1);
       history.committedBy(node.role().self(), node.role().epoch(), change);
     }
-    if (firstProbeToken > 0 && result.clientToken() >= firstProbeToken) {
+    if (probeTokens.contains(result.clientToken())) {
       probeAccepted |= result instanceof ClientResult.Committed;
       probing = false;
       return;
@@ -226,7 +236,8 @@
    */
   long timeToAcceptChange(long timeoutMicros) {
     long begin = events.nowMicros();
-    firstProbeToken = lastToken + 1;
+    probeAccepted = false;
+    probing = false;
     while (!probeAccepted && events.nowMicros() < begin + timeoutMicros) {
       probing &= events.nowMicros() - probedAtMicros < PROBE_TIMEOUT_MICROS;
       nodes.stream()
@@ -240,6 +251,7 @@
 
   private void probe(SimulatedNode node) {
     lastToken++;
+    probeTokens.add(lastToken);
     probing = true;
     probedAtMicros = events.nowMicros();
     long version = node.state().version();
--- a/src/test/java/slateslip/simulation/control/Mutation.java
+++ b/src/test/java/slateslip/simulation/control/Mutation.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import slateslip.coordination.Ballot;
 import slateslip.coordination.DurableRecord;
+import slateslip.coordination.FailureTolerance;
 import slateslip.coordination.ReplicaMessage;
 import slateslip.coordination.View;
 import slateslip.coordination.WitnessState;
@@ -20,7 +21,14 @@
   /** A witness loses its votes when the witness restarts. */
   FORGETS_VOTES,
   /** A member acknowledges records of an epoch older than the member's current epoch. */
-  ACKNOWLEDGES_OLD_EPOCH;
+  ACKNOWLEDGES_OLD_EPOCH,
+  /** Copies and witnesses are counted by the number of machines alone. */
+  IGNORES_ZONES;
+
+  /** Returns the tolerance by which the defective protocol places copies and witnesses. */
+  FailureTolerance tolerance(FailureTolerance configured) {
+    return this == IGNORES_ZONES ? FailureTolerance.ofMachines(configured.machines()) : configured;
+  }
 
   /** Returns the kinds of faults that reveal the defect. */
   List<Fault.Kind> faultKinds() {
--- a/src/test/java/slateslip/simulation/control/MutationTest.java
+++ b/src/test/java/slateslip/simulation/control/MutationTest.java
@@ -9,13 +9,15 @@
 
 /**
  * Tests that the checks detect each deliberate defect of the protocol: at least one schedule must
- * violate a safety invariant.
+ * violate a safety invariant. {@link ZoneLossTest} tests the defects of placement.
  */
 final class MutationTest {
   private static final long SEEDS = 1_500;
 
   @ParameterizedTest
-  @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "NONE")
+  @EnumSource(
+      mode = EnumSource.Mode.EXCLUDE,
+      names = {"NONE", "IGNORES_ZONES"})
   void mutationViolatesSafetyInvariant(Mutation mutation) {
     ScheduleRunner runner = new ScheduleRunner(mutation);
     Optional<String> violation = Optional.empty();
--- a/src/test/java/slateslip/simulation/control/SimulatedNode.java
+++ b/src/test/java/slateslip/simulation/control/SimulatedNode.java
@@ -8,8 +8,10 @@
 import slateslip.coordination.ControlReplica;
 import slateslip.coordination.DurableRecord;
 import slateslip.coordination.Effects;
+import slateslip.coordination.FailureTolerance;
 import slateslip.coordination.NodeAddress;
 import slateslip.coordination.NodeId;
+import slateslip.coordination.NodeLocation;
 import slateslip.coordination.ReplicaInput;
 import slateslip.coordination.ReplicaSettings;
 import slateslip.protocol.coordination.ReplicaFrame;
@@ -38,6 +40,8 @@
   private final CheckedHistory history;
   private final ResultReceiver resultReceiver;
   private final NodeAddress address;
+  private final NodeLocation location;
+  private final Mutation mutation;
   private final SimulatedDisk disk;
   private final Deque<ReplicaInput> queuedInputs = new ArrayDeque<>();
   private ControlReplica replica;
@@ -54,7 +58,10 @@
       CheckedHistory history,
       ResultReceiver resultReceiver,
       NodeAddress address,
+      NodeLocation location,
       Mutation mutation) {
+    this.location = location;
+    this.mutation = mutation;
     this.events = events;
     this.random = random;
     this.network = network;
@@ -68,6 +75,10 @@
     return address;
   }
 
+  NodeLocation location() {
+    return location;
+  }
+
   SimulatedDisk disk() {
     return disk;
   }
@@ -89,13 +100,19 @@
   }
 
   /** Starts the process if the process is not running. */
-  void start(List<NodeAddress> seeds, boolean bootstrap, int faultTolerance) {
+  void start(List<NodeAddress> seeds, boolean bootstrap, FailureTolerance tolerance) {
     if (replica != null) {
       return;
     }
     state = new ReferenceState(history);
     ReplicaSettings settings =
-        new ReplicaSettings(address, seeds, bootstrap, faultTolerance, SNAPSHOT_THRESHOLD_BYTES);
+        new ReplicaSettings(
+            address,
+            location,
+            seeds,
+            bootstrap,
+            mutation.tolerance(tolerance),
+            SNAPSHOT_THRESHOLD_BYTES);
     replica = new ControlReplica(settings, state, random.nextLong());
     List<DurableRecord> recovered = disk.open(this::written);
     if (trace) {
