--- a/src/main/java/slateslip/soak/FleetLayout.java
+++ b/src/main/java/slateslip/soak/FleetLayout.java
@@ -13,6 +13,10 @@
 final class FleetLayout {
   static final long GRACE_SECONDS = 6;
   static final int HEARTBEAT_MILLIS = 600;
+
+  /** Index of the data plane that reaches the control agents over a slow link. */
+  private static final int SLOW_DATA_PLANE = 0;
+
   private static final int BACKENDS_PER_SERVICE = 3;
   private static final long MILLIS_PER_SECOND = 1_000;
 
@@ -22,6 +26,7 @@
   private final int ready = freePort();
   private final int control = freePort();
   private final int internal = freePort();
+  private final int slowInternal = freePort();
   private final int backend = freePort();
 
   FleetLayout(SoakOptions options, Path folder) throws IOException {
@@ -75,6 +80,16 @@
     return addresses;
   }
 
+  /** Returns the address at which a control agent accepts data planes and other agents. */
+  InetSocketAddress internal(int index) {
+    return new InetSocketAddress(controlIp(index), internal);
+  }
+
+  /** Returns the address of the proxy through which the data plane with a slow link connects. */
+  InetSocketAddress slowInternal(int index) {
+    return new InetSocketAddress(controlIp(index), slowInternal);
+  }
+
   static String zone(int index) {
     return "zone-" + index % 3;
   }
@@ -91,6 +106,7 @@
     String ip = controlIp(index);
     Path data = Files.createDirectories(controlData(index));
     return write(
+        internal,
         "control-" + index,
         "role=controlplane\nserves=control_plane\nip="
             + ip
@@ -110,6 +126,7 @@
   Path dataPlaneSettings(int index) throws IOException {
     String ip = dataPlaneIp(index);
     return write(
+        index == SLOW_DATA_PLANE ? slowInternal : internal,
         "edge-" + index,
         "role=dataplane\nserves=edge\nip="
             + ip
@@ -126,7 +143,7 @@
             + "\nbootstrap=false\nlimits.max_fds=1024\n");
   }
 
-  private Path write(String name, String processSettings) throws IOException {
+  private Path write(int agentPort, String name, String processSettings) throws IOException {
     List<String> seeds = controlAddresses().subList(0, Math.min(3, options.controlAgents()));
     String text =
         "node="
@@ -134,9 +151,9 @@
             + "\n"
             + processSettings
             + "zones.zone-0=local\nzones.zone-1=local\nzones.zone-2=local\nregion=local\nport_range="
-            + internal
+            + agentPort
             + ","
-            + internal
+            + agentPort
             + "\nseed_nodes="
             + String.join(",", seeds)
             + "\nheartbeat_ms="
--- a/src/main/java/slateslip/soak/SoakConfiguration.java
+++ b/src/main/java/slateslip/soak/SoakConfiguration.java
@@ -1,5 +1,8 @@
 package slateslip.soak;
 
+import java.util.Base64;
+import java.util.Random;
+
 /** Builds the configuration documents of a soak test. */
 final class SoakConfiguration {
   static final String HOST = "soak.example";
@@ -10,8 +13,26 @@
 
   private static final int TIMEOUT_MILLIS = 15_000;
 
+  private static final int PADDING_NAME_BYTES = 60;
+
   private SoakConfiguration() {}
 
+  /**
+   * Returns routes that no client uses, each after a comma, with about this length in bytes. Their
+   * names are drawn, so that they hardly compress.
+   */
+  static String padding(long seed, int bytes) {
+    Random random = new Random(seed);
+    StringBuilder routes = new StringBuilder();
+    byte[] drawn = new byte[PADDING_NAME_BYTES];
+    while (routes.length() < bytes) {
+      random.nextBytes(drawn);
+      String name = Base64.getUrlEncoder().withoutPadding().encodeToString(drawn);
+      routes.append(',').append(route(name, ENTRIES, "non_idempotent", false, true));
+    }
+    return routes.toString();
+  }
+
   static String path(RequestRecord.Kind kind) {
     return "/" + service(kind) + "/x";
   }
@@ -27,14 +48,16 @@
 
   /**
    * Returns a complete configuration document, with or without the optional route and its service.
+   *
+   * @param padding routes that make the document long
    */
-  static String document(long version, boolean withOptionalRoute) {
+  static String document(long version, boolean withOptionalRoute, String padding) {
     String routes =
         String.join(
             ",",
             route(STREAMS, "streaming", true, true),
             route(ENTRIES, "non_idempotent", false, true),
-            route(LIMITED_ENTRIES, "non_idempotent", false, false));
+            route(LIMITED_ENTRIES, "non_idempotent", false, false) + padding);
     String services =
         String.join(",", service(STREAMS), service(ENTRIES), service(LIMITED_ENTRIES));
     if (withOptionalRoute) {
@@ -53,7 +76,12 @@
         + "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
   }
 
-  private static String route(String name, String kind, boolean resumable, boolean isPublic) {
+  private static String route(String service, String kind, boolean resumable, boolean isPublic) {
+    return route(service, service, kind, resumable, isPublic);
+  }
+
+  private static String route(
+      String name, String service, String kind, boolean resumable, boolean isPublic) {
     return "{\"name\":\""
         + name
         + "\",\"hostname\":\""
@@ -65,7 +93,7 @@
         + "\",\"timeout_ms\":"
         + TIMEOUT_MILLIS
         + ",\"target_latency_ms\":500,\"priority\":0,\"service\":\""
-        + name
+        + service
         + "\",\"max_attempts\":2,\"public\":"
         + isPublic
         + ",\"resumable\":"
--- a/src/main/java/slateslip/soak/SoakFleet.java
+++ b/src/main/java/slateslip/soak/SoakFleet.java
@@ -34,6 +34,7 @@
    */
   private static final long SYNC_MILLIS = 5_000;
 
+  private static final long SLOW_LINK_BITS_PER_SECOND = 7_000_000;
   private static final String CONTROL_JAR = "slateslip-controlplane.jar";
   private static final String DATA_PLANE_JAR = "slateslip-dataplane.jar";
 
@@ -43,6 +44,7 @@
   private final List<ManagedProcess> dataPlanes = new ArrayList<>();
   private final List<StandInServer> backends = new ArrayList<>();
   private final List<Heartbeats> heartbeats = new ArrayList<>();
+  private final SlowLink slowLink = new SlowLink(SLOW_LINK_BITS_PER_SECOND);
 
   SoakFleet(SoakOptions options, FleetLayout layout, LongSupplier clock, SoakRecords records) {
     this.options = options;
@@ -68,6 +70,9 @@
   }
 
   void start() throws IOException {
+    for (int i = 0; i < controlAgents.size(); i++) {
+      slowLink.add(layout.slowInternal(i), layout.internal(i));
+    }
     for (int i = 0; i < controlAgents.size(); i++) {
       controlAgents.get(i).start(controlStarter(i, true));
     }
@@ -229,9 +234,10 @@
     Stream.concat(controlAgents.stream(), dataPlanes.stream()).forEach(ManagedProcess::close);
   }
 
-  void close() {
+  void close() throws IOException {
     heartbeats.forEach(Heartbeats::close);
     killAll();
+    slowLink.close();
     backends.forEach(StandInServer::close);
   }
 
--- a/src/main/java/slateslip/soak/SoakOperator.java
+++ b/src/main/java/slateslip/soak/SoakOperator.java
@@ -27,12 +27,19 @@
   private final List<String> agents;
   private final LongSupplier clock;
   private final SoakRecords records;
+  private final String padding;
   private int next;
   private long baseVersion;
   private long version;
   private boolean withOptionalRoute = true;
 
-  SoakOperator(List<String> agents, LongSupplier clock, SoakRecords records) {
+  /**
+   * Creates an operator.
+   *
+   * @param padding routes that make each configuration long
+   */
+  SoakOperator(List<String> agents, LongSupplier clock, SoakRecords records, String padding) {
+    this.padding = padding;
     this.agents = agents;
     this.clock = clock;
     this.records = records;
@@ -45,7 +52,7 @@
   synchronized boolean change(boolean switchOptional) throws InterruptedException {
     version++;
     boolean optional = withOptionalRoute != switchOptional;
-    String body = SoakConfiguration.document(version, optional);
+    String body = SoakConfiguration.document(version, optional, padding);
     long sentMillis = clock.getAsLong();
     Kind kind = Kind.UNCLEAR;
     for (int i = 0; i < MAX_ATTEMPTS && kind == Kind.UNCLEAR; i++) {
--- a/src/main/java/slateslip/soak/SoakReport.java
+++ b/src/main/java/slateslip/soak/SoakReport.java
@@ -41,10 +41,11 @@
     List<SoakViolation> violations = result.violations();
     violations.stream().limit(MAX_VIOLATIONS).forEach(violation -> print(violation, result, out));
     out.printf(
-        "seed %d: %d requests, %d configurations, %d violations%n",
+        "seed %d: %d requests, %d configurations with %d bytes of padding, %d violations%n",
         options.seed(),
         result.records().requests().size(),
         result.records().configurations().size(),
+        options.paddingBytes(),
         violations.size());
   }
 
--- a/src/main/java/slateslip/soak/SoakRun.java
+++ b/src/main/java/slateslip/soak/SoakRun.java
@@ -51,7 +51,8 @@
     this.plan = SoakPlan.draw(options);
     FleetLayout layout = new FleetLayout(options, folder);
     fleet = new SoakFleet(options, layout, this::nowMillis, records);
-    operator = new SoakOperator(layout.controlAddresses(), this::nowMillis, records);
+    String padding = SoakConfiguration.padding(options.seed(), options.paddingBytes());
+    operator = new SoakOperator(layout.controlAddresses(), this::nowMillis, records, padding);
   }
 
   private static Thread daemon(Runnable task) {
--- a/src/test/java/slateslip/soak/SoakCheckerTest.java
+++ b/src/test/java/slateslip/soak/SoakCheckerTest.java
@@ -127,14 +127,16 @@
 
   @Test
   void lostConfigurationIsReported() {
-    String body = SoakConfiguration.document(2, true);
+    String body = SoakConfiguration.document(2, true, "");
     ConfigurationRecord first =
-        new ConfigurationRecord(0, 100, 1, SoakConfiguration.document(1, true), Kind.ACKNOWLEDGED);
+        new ConfigurationRecord(
+            0, 100, 1, SoakConfiguration.document(1, true, ""), Kind.ACKNOWLEDGED);
     ConfigurationRecord second = new ConfigurationRecord(200, 300, 2, body, Kind.ACKNOWLEDGED);
     ConfigurationRecord older = new ConfigurationRecord(9_000, 9_001, 1, first.body(), Kind.READ);
     ConfigurationRecord newest = new ConfigurationRecord(9_000, 9_001, 2, body, Kind.READ);
     ConfigurationRecord other =
-        new ConfigurationRecord(9_000, 9_001, 2, SoakConfiguration.document(2, false), Kind.READ);
+        new ConfigurationRecord(
+            9_000, 9_001, 2, SoakConfiguration.document(2, false, ""), Kind.READ);
     assertThat(check(first, second, older), is(List.of(Rule.CONFIGURATION)));
     assertThat(check(first, second, other), is(List.of(Rule.CONFIGURATION)));
     assertThat(check(first, second, newest), is(List.of()));
