--- a/src/main/java/slateslip/controlplane/agent/DataPlaneSubscriptions.java
+++ b/src/main/java/slateslip/controlplane/agent/DataPlaneSubscriptions.java
@@ -72,7 +72,8 @@
     } else if (subscriber == null) {
       stream.close();
     } else if (message instanceof DataPlaneMessage.Acknowledge acknowledge) {
-      subscriber.delivery().acknowledge(acknowledge);
+      subscriber.acknowledge(acknowledge);
+      subscriber.deliverPending();
       listener.progressChanged();
     } else if (message instanceof DataPlaneMessage.SegmentAcknowledge acknowledge) {
       deliveredBytes += subscriber.segmentAcknowledged(acknowledge.position());
--- a/src/main/java/slateslip/controlplane/agent/OutgoingMessages.java
+++ b/src/main/java/slateslip/controlplane/agent/OutgoingMessages.java
@@ -13,7 +13,7 @@
  */
 final class OutgoingMessages {
   /** Longest message that is sent whole, in bytes. */
-  private static final int MAX_WHOLE_BYTES = SegmentSender.SEGMENT_BYTES;
+  static final int MAX_WHOLE_BYTES = SegmentSender.SEGMENT_BYTES;
 
   private static final int MAX_SHARED_MESSAGES = 4;
 
--- a/src/main/java/slateslip/controlplane/agent/SubscriberStream.java
+++ b/src/main/java/slateslip/controlplane/agent/SubscriberStream.java
@@ -19,7 +19,10 @@
  * Confined to the event loop.
  */
 final class SubscriberStream {
-  /** Number of segment bytes that may be in flight: 75 ms on a link of 7 Mbit/s. */
+  /**
+   * Number of bytes of configurations and sessions that may be in flight: 75 ms on a link of 7
+   * Mbit/s.
+   */
   private static final int MAX_BYTES_IN_FLIGHT = 64 * 1024;
 
   private final DataPlaneStream stream;
@@ -28,6 +31,11 @@
   private final SubscriberDelivery delivery;
   private final Lane configurations;
   private final Lane sessions;
+
+  /** Length of each whole message that the data plane has not acknowledged, oldest first. */
+  private final Deque<Integer> unacknowledgedBytes = new ArrayDeque<>();
+
+  private int wholeBytesInFlight;
   private boolean acceptsSegments;
   private TransferPosition partial = TransferPosition.NONE;
 
@@ -62,10 +70,21 @@
     delivery.subscribe(message);
     acceptsSegments = message.acceptsSegments();
     partial = message.partial();
+    unacknowledgedBytes.clear();
+    wholeBytesInFlight = 0;
     configurations.clear();
     sessions.clear();
   }
 
+  /**
+   * Records what is in force at the data plane, which acknowledges each message that it handles.
+   */
+  void acknowledge(DataPlaneMessage.Acknowledge message) {
+    delivery.acknowledge(message);
+    Integer oldest = unacknowledgedBytes.poll();
+    wholeBytesInFlight -= oldest == null ? 0 : oldest;
+  }
+
   /**
    * Records what the data plane has received of a transfer.
    *
@@ -101,14 +120,25 @@
 
   private boolean sendNext(Lane lane) {
     lane.refill();
-    int bytesInFlight = configurations.bytesInFlight() + sessions.bytesInFlight();
-    if (!lane.hasNext() || bytesInFlight + SegmentSender.SEGMENT_BYTES > MAX_BYTES_IN_FLIGHT) {
+    if (!lane.hasNext() || !mayBeInFlight(SegmentSender.SEGMENT_BYTES)) {
       return false;
     }
     stream.write(codec.encode(lane.next()));
     return true;
   }
 
+  private boolean mayBeInFlight(int additionalBytes) {
+    int bytesInFlight =
+        wholeBytesInFlight + configurations.bytesInFlight() + sessions.bytesInFlight();
+    return bytesInFlight + additionalBytes <= MAX_BYTES_IN_FLIGHT;
+  }
+
+  private void writeWhole(byte[] encoded) {
+    stream.write(encoded);
+    unacknowledgedBytes.add(encoded.length);
+    wholeBytesInFlight += encoded.length;
+  }
+
   /** Sends a message that does not wait for transfers, unless the data plane does not read. */
   void send(ControlPlaneMessage message) {
     send(codec.encode(message));
@@ -142,7 +172,9 @@
 
     /** Sends the short messages that are due and begins the transfer of the next long one. */
     private void refill() {
-      while (current == null && stream.isWritable()) {
+      while (current == null
+          && stream.isWritable()
+          && mayBeInFlight(OutgoingMessages.MAX_WHOLE_BYTES)) {
         if (waiting.isEmpty()) {
           waiting.addAll(pending.get());
         }
@@ -157,7 +189,7 @@
       if (outgoing instanceof Outgoing.Segmented segmented) {
         current = new SegmentSender(segmented.message(), partial);
       } else if (outgoing instanceof Outgoing.Whole whole) {
-        stream.write(whole.encoded());
+        writeWhole(whole.encoded());
       }
     }
 
--- a/src/test/java/slateslip/simulation/agents/SlowLinkTest.java
+++ b/src/test/java/slateslip/simulation/agents/SlowLinkTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import slateslip.distribution.BackendSession;
 
 /**
  * Tests configurations of drawn sizes that reach a data plane over a link of a drawn rate. Guards
@@ -31,6 +32,7 @@
   private static final int MAX_BYTES_PER_MILLI = 15_000;
   private static final int MAX_CONFIGURATION_BYTES = 1_500_000;
   private static final int REVIEW_CONFIGURATION_BYTES = 850_000;
+  private static final int MANY_BACKENDS = 12_000;
   private static final long SEEDS = 20;
 
   /** A fleet whose first data plane is behind a slow link. */
@@ -154,6 +156,31 @@
                             seed, AgentMutation.SLOW_LINK_FORGETS_RECONNECTING)));
   }
 
+  /** Guards against a session table that a slow link cannot carry within a stream's time limit. */
+  @Test
+  void tableOfManyBackendsReachesRestartedDataPlane() {
+    SlowFleet fleet = new SlowFleet(9, MIN_BYTES_PER_MILLI, AgentMutation.NONE);
+    ControlMachine agent = fleet.run.primary();
+    for (int number = 0; number < MANY_BACKENDS; number++) {
+      BackendSession session = session(number);
+      agent.process().execute(agent, () -> agent.heartbeat(session, acknowledged -> {}));
+    }
+    fleet.run.advance(500 * MILLI);
+    restart(fleet);
+    long timeoutMicros = CONNECT_MICROS;
+    assertThat(
+        fleet.run.timeUntil(() -> fleet.slow.backends().size() >= MANY_BACKENDS, timeoutMicros),
+        greaterThanOrEqualTo(0L));
+    fleet.assertStreamStayedAlive();
+  }
+
+  private static BackendSession session(int number) {
+    String id = "i-%08x".formatted(number * 0x9e3779b1);
+    String address =
+        "10.%d.%d.%d:8080".formatted(100 + number / 65_536, number / 256 % 256, number % 256);
+    return new BackendSession(id, "service-" + number % 29, address, "z", "v1", 64, false, 0, 1);
+  }
+
   /** An upgraded agent sends whole messages to a data plane that does not read segments. */
   @Test
   void dataPlaneOfEarlierVersionReceivesLargeConfiguration() {
