Readable: schedules and transfers leave Subscription; replica settings leave ControlAgent

Change: QuotaReportSchedule, PingSchedule and TransferReceiver hold what Subscription held; SubscriptionTransferTest holds the tests of segments; AgentSettings builds the replica's settings. DocumentDifferenceTest names the charset. No behaviour changes.

--- a/src/main/java/slateslip/controlplane/agent/AgentSettings.java
+++ b/src/main/java/slateslip/controlplane/agent/AgentSettings.java
@@ -2,7 +2,9 @@
 
 import java.util.List;
 import slateslip.coordination.FailureTolerance;
+import slateslip.coordination.NodeAddress;
 import slateslip.coordination.NodeLocation;
+import slateslip.coordination.ReplicaSettings;
 
 /**
  * The settings of the process that a control agent uses.
@@ -30,4 +32,20 @@
     long heartbeatMillis,
     boolean keyLeaseRequired,
     long quotaWindowMicros,
-    long acknowledgeTimeoutMillis) {}
+    long acknowledgeTimeoutMillis) {
+  /**
+   * Returns the settings of the agent's replica.
+   *
+   * @param snapshotThresholdBytes number of bytes written since the last snapshot above which the
+   *     next write is a snapshot
+   */
+  ReplicaSettings replicaSettings(long snapshotThresholdBytes) {
+    return new ReplicaSettings(
+        NodeAddress.parse(address),
+        location,
+        seeds.stream().map(NodeAddress::parse).toList(),
+        bootstrap,
+        tolerance,
+        snapshotThresholdBytes);
+  }
+}
--- a/src/main/java/slateslip/controlplane/agent/ControlAgent.java
+++ b/src/main/java/slateslip/controlplane/agent/ControlAgent.java
@@ -12,9 +12,7 @@
 import slateslip.configuration.ConfigurationDocument;
 import slateslip.controlplane.state.ConfigurationState;
 import slateslip.coordination.ControlReplica;
-import slateslip.coordination.NodeAddress;
 import slateslip.coordination.NodeId;
-import slateslip.coordination.ReplicaSettings;
 import slateslip.distribution.BackendSession;
 import slateslip.distribution.ControlPlaneMessage;
 import slateslip.distribution.DataPlaneMessage;
@@ -87,12 +85,10 @@
     sessionTable.suspendExpiry(startedMicros);
     pendingAcknowledgements = new PendingAcknowledgements(scheduler);
     links = new PeerLinks(scheduler, identity.hello(), connector, new LinkListener());
-    ControlReplica controlReplica =
-        new ControlReplica(replicaSettings(identity), state, identity.incarnation());
     replica =
         new ReplicaHost(
             scheduler,
-            controlReplica,
+            newReplica(settings, identity),
             writeAheadLog,
             (to, message) -> links.send(to.toString(), message),
             this::configurationChanged,
@@ -139,14 +135,9 @@
         new PeerMessageDispatcher(sessionTable, links, sessions, operatorRequests, rollout, quotas);
   }
 
-  private ReplicaSettings replicaSettings(AgentIdentity identity) {
-    return new ReplicaSettings(
-        NodeAddress.parse(identity.address()),
-        settings.location(),
-        settings.seeds().stream().map(NodeAddress::parse).toList(),
-        settings.bootstrap(),
-        settings.tolerance(),
-        SNAPSHOT_THRESHOLD_BYTES);
+  private ControlReplica newReplica(AgentSettings agentSettings, AgentIdentity identity) {
+    return new ControlReplica(
+        agentSettings.replicaSettings(SNAPSHOT_THRESHOLD_BYTES), state, identity.incarnation());
   }
 
   /**
--- a/src/main/java/slateslip/dataplane/subscription/Subscription.java
+++ b/src/main/java/slateslip/dataplane/subscription/Subscription.java
@@ -8,11 +8,6 @@
 import slateslip.distribution.DataPlaneMessage;
 import slateslip.distribution.QuotaAllocation;
 import slateslip.distribution.QuotaReport;
-import slateslip.distribution.transfer.SegmentAssembler;
-import slateslip.distribution.transfer.SegmentOutcome;
-import slateslip.protocol.Decoded;
-import slateslip.protocol.Framing;
-import slateslip.protocol.distribution.DistributionCodec;
 
 /**
  * Keeps streams to up to three control agents. The active stream carries configurations, backend
@@ -41,44 +36,24 @@
   /** A longer time between two ticks means that this process was delayed, not its peers. */
   private static final long STALL_THRESHOLD_MILLIS = 3 * TICK_MILLIS;
 
-  private static final long REPORT_INTERVAL_MILLIS = 250;
-
-  /**
-   * Interval between two quota reports without tenants. Such a report only shows that this data
-   * plane is alive, and has to arrive well within the 1.5 s after which a data plane is treated as
-   * unresponsive.
-   */
-  private static final long EMPTY_REPORT_INTERVAL_MILLIS = 500;
-
   /**
    * How long the list of backends may stay incomplete after a restart of all control agents: each
    * backend registers again within three heartbeats.
    */
   private static final long SETTLING_MILLIS = 4_000;
 
-  /** Interval between two pings. Agents close a stream after three seconds without a message. */
-  private static final long PING_INTERVAL_MILLIS = 1_000;
-
-  /**
-   * Minimum number of lease renewals within the duration of a lease. A lease is also renewed at
-   * least once per {@link #PING_INTERVAL_MILLIS}.
-   */
-  private static final long RENEWALS_PER_LEASE = 8;
-
   private final DataPlaneIdentity identity;
-  private final long leaseMillis;
+  private final PingSchedule pings;
   private final ControlStreams streams;
   private final BackendDirectory sessions = new BackendDirectory();
-  private final SegmentAssembler assembler = new SegmentAssembler(Framing.MAX_MESSAGE_BYTES);
-  private final DistributionCodec codec = new DistributionCodec();
+  private final TransferReceiver transfers = new TransferReceiver();
+  private final QuotaReportSchedule reportSchedule = new QuotaReportSchedule();
   private List<SubscriptionOutput> outputs = new ArrayList<>();
   private ConfigurationDocument document;
   private boolean backendsReceived;
   private ControlStream active;
   private long laggingSinceMillis = Long.MAX_VALUE;
   private long lastTickMillis;
-  private long lastReportMillis;
-  private long lastPingMillis;
   private long readySinceMillis = Long.MAX_VALUE;
 
   /** Creates a subscription of a data plane that needs no key lease. */
@@ -95,7 +70,7 @@
    */
   public Subscription(DataPlaneIdentity identity, List<String> seeds, long leaseMillis) {
     this.identity = identity;
-    this.leaseMillis = leaseMillis;
+    this.pings = new PingSchedule(leaseMillis);
     this.streams = new ControlStreams(identity, seeds);
   }
 
@@ -178,7 +153,7 @@
             configurationVersion(),
             asActive,
             true,
-            assembler.largestPartial()));
+            transfers.largestPartial()));
   }
 
   private void send(ControlStream stream, DataPlaneMessage message) {
@@ -261,30 +236,20 @@
   }
 
   private void reportQuotas(long now, QuotaReport report) {
-    if (active != null && now - lastReportMillis >= reportIntervalMillis(report)) {
-      lastReportMillis = now;
+    if (active != null && reportSchedule.takeIfDue(now, report)) {
       send(active, new DataPlaneMessage.Demand(report));
     }
   }
 
-  private static long reportIntervalMillis(QuotaReport report) {
-    if (report.waiting()) {
-      // half a tick, so that a report is sent at each tick even if the tick comes early
-      return TICK_MILLIS / 2;
-    }
-    return report.tenants().isEmpty() ? EMPTY_REPORT_INTERVAL_MILLIS : REPORT_INTERVAL_MILLIS;
-  }
-
   /**
    * Sends pings on the streams that carry no quota reports, so that the agents see that this data
    * plane is alive. Where keys are leased, all agents are pinged, because a pong confirms that the
    * agent knows the newest configuration version.
    */
   private void sendPings(long now) {
-    if (now - lastPingMillis < pingIntervalMillis()) {
+    if (!pings.takeIfDue(now, needsLease())) {
       return;
     }
-    lastPingMillis = now;
     for (ControlStream stream : streams.all()) {
       if (stream.isOpen() && (stream != active || needsLease())) {
         send(stream, new DataPlaneMessage.Ping(now));
@@ -292,18 +257,12 @@
     }
   }
 
-  private long pingIntervalMillis() {
-    return needsLease()
-        ? Math.min(PING_INTERVAL_MILLIS, leaseMillis / RENEWALS_PER_LEASE)
-        : PING_INTERVAL_MILLIS;
-  }
-
   /**
    * Returns whether keys are leased, which requires a lease duration and a configuration with
    * tenants.
    */
   private boolean needsLease() {
-    return leaseMillis > 0 && document != null && document.hasTenants();
+    return pings.leaseMillis() > 0 && document != null && document.hasTenants();
   }
 
   /**
@@ -318,7 +277,7 @@
     boolean newestInForce =
         stream.heartbeat != null && stream.configurationVersion() == configurationVersion();
     if (needsLease() && newestInForce) {
-      outputs.add(new SubscriptionOutput.ExtendKeyLease(pong.nonce() + leaseMillis));
+      outputs.add(new SubscriptionOutput.ExtendKeyLease(pong.nonce() + pings.leaseMillis()));
     }
   }
 
@@ -345,34 +304,20 @@
   /** Acknowledges a segment, and handles the message whose last segment has arrived. */
   private void segmentReceived(
       long now, ControlStream stream, ControlPlaneMessage.Segment segment) {
-    SegmentOutcome outcome = assembler.add(segment);
-    if (outcome instanceof SegmentOutcome.Incomplete incomplete) {
+    TransferReceiver.Result result = transfers.add(segment);
+    if (result instanceof TransferReceiver.Result.Incomplete incomplete) {
       send(stream, new DataPlaneMessage.SegmentAcknowledge(incomplete.position()));
-    } else if (outcome instanceof SegmentOutcome.Complete complete) {
+    } else if (result instanceof TransferReceiver.Result.Complete complete) {
       send(stream, new DataPlaneMessage.SegmentAcknowledge(complete.position()));
-      transferCompleted(now, stream, complete.message());
-    } else if (outcome instanceof SegmentOutcome.Corrupt corrupt) {
-      closeCorrupt(now, stream, corrupt.reason());
-    }
-  }
-
-  private void transferCompleted(long now, ControlStream stream, byte[] encoded) {
-    Decoded<ControlPlaneMessage> decoded = codec.decodeToDataPlane(encoded);
-    if (decoded instanceof Decoded.Malformed<ControlPlaneMessage> malformed) {
-      closeCorrupt(now, stream, malformed.reason());
-    } else if (decoded instanceof Decoded.Message<ControlPlaneMessage> known
-        && !(known.value() instanceof ControlPlaneMessage.Segment)) {
-      messageReceived(now, stream, known.value());
+      messageReceived(now, stream, complete.message());
+    } else if (result instanceof TransferReceiver.Result.Malformed malformed) {
+      outputs.add(
+          new SubscriptionOutput.LogLine(
+              "malformed transfer from control agent " + stream.agent + ": " + malformed.reason()));
+      close(now, stream);
     }
   }
 
-  private void closeCorrupt(long now, ControlStream stream, String reason) {
-    outputs.add(
-        new SubscriptionOutput.LogLine(
-            "malformed transfer from control agent " + stream.agent + ": " + reason));
-    close(now, stream);
-  }
-
   private void messageReceived(long now, ControlStream stream, ControlPlaneMessage message) {
     if (message instanceof ControlPlaneMessage.Heartbeat heartbeat) {
       stream.heartbeat(now, heartbeat);
--- a/src/test/java/slateslip/configuration/DocumentDifferenceTest.java
+++ b/src/test/java/slateslip/configuration/DocumentDifferenceTest.java
@@ -7,6 +7,7 @@
 import static slateslip.configuration.ConfigurationSamples.FULL_DOCUMENT;
 import static slateslip.configuration.ConfigurationSamples.bytes;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -23,6 +24,10 @@
     return ((ConfigurationOutcome.Parsed) outcome).document();
   }
 
+  private static String text(byte[] json) {
+    return new String(json, StandardCharsets.UTF_8);
+  }
+
   private static String names(Random random, String kind, boolean reordered) {
     List<String> items = new ArrayList<>();
     for (int number = random.nextInt(3); number < 8; number++) {
@@ -68,7 +73,7 @@
         patches++;
         ConfigurationOutcome patched = before.committedPatch(patch.get());
         byte[] json = ((ConfigurationOutcome.Parsed) patched).document().toJson();
-        assertThat("round " + round, new String(json), equalTo(new String(after.toJson())));
+        assertThat("round " + round, text(json), equalTo(text(after.toJson())));
       }
     }
     assertThat(patches, is(greaterThan(ROUNDS / 50)));
@@ -79,7 +84,7 @@
     ConfigurationDocument before = committed(FULL_DOCUMENT);
     ConfigurationDocument after =
         committed(FULL_DOCUMENT.replace("\"version\":7", "\"version\":9"));
-    assertThat(new String(after.patchFrom(before).orElseThrow()), is("{\"version\":9}"));
+    assertThat(text(after.patchFrom(before).orElseThrow()), is("{\"version\":9}"));
   }
 
   @Test
--- a/src/test/java/slateslip/dataplane/subscription/SubscriptionTest.java
+++ b/src/test/java/slateslip/dataplane/subscription/SubscriptionTest.java
@@ -9,9 +9,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Base64;
 import java.util.List;
-import java.util.Random;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -21,9 +19,6 @@
 import slateslip.distribution.QuotaAllocation;
 import slateslip.distribution.QuotaReport;
 import slateslip.distribution.TransferPosition;
-import slateslip.distribution.transfer.CompressedMessage;
-import slateslip.distribution.transfer.SegmentSender;
-import slateslip.protocol.distribution.DistributionCodec;
 
 /**
  * Tests which control agent a data plane makes active, and which messages of the agents it applies.
@@ -382,88 +377,4 @@
     heartbeat(new HeartbeatSample(dialled.get(0), true, 0, all));
     assertThat(takeActivatedAgents(), hasItem(dialled.get(0)));
   }
-
-  private List<ControlPlaneMessage.Segment> segmentsOf(ControlPlaneMessage message) {
-    SegmentSender sender =
-        new SegmentSender(
-            CompressedMessage.of(new DistributionCodec().encode(message)), TransferPosition.NONE);
-    List<ControlPlaneMessage.Segment> segments = new ArrayList<>();
-    while (sender.hasNext()) {
-      segments.add(sender.next());
-    }
-    return segments;
-  }
-
-  private static byte[] largeDocument(long version) {
-    byte[] drawn = new byte[60_000];
-    new Random(version).nextBytes(drawn);
-    String note = Base64.getEncoder().encodeToString(drawn);
-    String text = new String(document(version, "s"), StandardCharsets.UTF_8);
-    return text.replaceFirst("\\{", "{\"note\":\"" + note + "\",").getBytes(StandardCharsets.UTF_8);
-  }
-
-  @Test
-  void configurationInSegmentsIsAppliedWhenComplete() {
-    makeNearActive();
-    List<ControlPlaneMessage.Segment> segments =
-        segmentsOf(new ControlPlaneMessage.ConfigurationSnapshot(5, largeDocument(5)));
-    for (ControlPlaneMessage.Segment segment : segments) {
-      assertThat(takeAppliedVersions(), is(empty()));
-      receive(NEAR, segment);
-    }
-    assertThat(takeAppliedVersions(), contains(5L));
-    assertThat(takeAcknowledgements(), contains(new DataPlaneMessage.Acknowledge(5, 0)));
-  }
-
-  /** Guards against a stream that ends while a configuration is under way (review, case 7). */
-  @Test
-  void segmentsKeepStreamOpenAndNextStreamContinuesTransfer() {
-    makeNearActive();
-    List<ControlPlaneMessage.Segment> segments =
-        segmentsOf(new ControlPlaneMessage.ConfigurationSnapshot(5, largeDocument(5)));
-    for (ControlPlaneMessage.Segment segment : segments.subList(0, 2)) {
-      advance(600, currentHeartbeat(FAR), currentHeartbeat(FARTHER));
-      receive(NEAR, segment);
-    }
-    advance(600, currentHeartbeat(FAR), currentHeartbeat(FARTHER));
-    assertThat(takeOutputs(SubscriptionOutput.Close.class), is(empty()));
-    outputs.clear();
-    feed(new SubscriptionInput.Disconnected(NEAR));
-    DataPlaneMessage.Subscribe subscribe =
-        takeOutputs(SubscriptionOutput.Send.class).stream()
-            .map(SubscriptionOutput.Send::message)
-            .filter(DataPlaneMessage.Subscribe.class::isInstance)
-            .map(DataPlaneMessage.Subscribe.class::cast)
-            .filter(DataPlaneMessage.Subscribe::active)
-            .findFirst()
-            .orElseThrow();
-    ControlPlaneMessage.Segment second = segments.get(1);
-    assertThat(
-        subscribe.partial(),
-        is(new TransferPosition(second.transfer(), second.offset() + second.content().length)));
-    segments.subList(2, segments.size()).forEach(segment -> receive(FAR, segment));
-    assertThat(takeAppliedVersions(), contains(5L));
-  }
-
-  /** Guards against a stream to an earlier program version that ends within a long message. */
-  @Test
-  void bytesOfIncompleteMessageKeepStreamOpen() {
-    makeNearActive();
-    for (int round = 0; round < 4; round++) {
-      advance(600, currentHeartbeat(FAR), currentHeartbeat(FARTHER));
-      feed(new SubscriptionInput.BytesReceived(NEAR));
-    }
-    assertThat(takeOutputs(SubscriptionOutput.Close.class), is(empty()));
-    advance(800, currentHeartbeat(FAR), currentHeartbeat(FARTHER));
-    assertThat(
-        takeOutputs(SubscriptionOutput.Close.class), contains(new SubscriptionOutput.Close(NEAR)));
-  }
-
-  @Test
-  void corruptTransferClosesStream() {
-    makeNearActive();
-    receive(NEAR, new ControlPlaneMessage.Segment(1, 3, 0, new byte[] {1, 2, 3}));
-    assertThat(
-        takeOutputs(SubscriptionOutput.Close.class), contains(new SubscriptionOutput.Close(NEAR)));
-  }
 }
