Control stream: an encoded session table is shared for a second only

Callers would see: a data plane that starts long after the last change of the session table treats backends that are warm as ones that have just started, and sends them less.

Change: a table is encoded anew when it is older than a second. A configuration of one version never changes and is shared without a limit.

--- a/src/main/java/slateslip/controlplane/agent/DataPlaneSubscriptions.java
+++ b/src/main/java/slateslip/controlplane/agent/DataPlaneSubscriptions.java
@@ -24,7 +24,7 @@
   private static final Logger LOG = Logger.getLogger(DataPlaneSubscriptions.class);
 
   private final DistributionCodec codec = new DistributionCodec();
-  private final OutgoingMessages outgoingMessages = new OutgoingMessages(codec);
+  private final OutgoingMessages outgoingMessages;
   private final Map<DataPlaneStream, SubscriberStream> streams = new LinkedHashMap<>();
   private final DepartedSubscribers departed = new DepartedSubscribers();
   private final Scheduler scheduler;
@@ -57,6 +57,7 @@
       BooleanSupplier keyLeaseRequired,
       Consumer<LongConsumer> versionConfirmation) {
     this.scheduler = scheduler;
+    outgoingMessages = new OutgoingMessages(codec, scheduler::nowMicros);
     this.configurations = configurations;
     this.sessions = sessions;
     this.heartbeat = heartbeat;
--- a/src/main/java/slateslip/controlplane/agent/OutgoingMessages.java
+++ b/src/main/java/slateslip/controlplane/agent/OutgoingMessages.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.function.LongSupplier;
 import slateslip.distribution.ControlPlaneMessage;
 import slateslip.distribution.transfer.CompressedMessage;
 import slateslip.distribution.transfer.SegmentSender;
@@ -9,7 +10,8 @@
 
 /**
  * Encodes configurations and session tables for data planes that read segments, and compresses long
- * ones. All data planes that need the same document or table share one compressed copy.
+ * ones. All data planes that need the same document share one compressed copy, and so do those that
+ * need the same session table within a second.
  */
 final class OutgoingMessages {
   /** Longest message that is sent whole, in bytes. */
@@ -17,6 +19,12 @@
 
   private static final int MAX_SHARED_MESSAGES = 4;
 
+  /**
+   * Time for which an encoded session table is shared, in microseconds. Renewals change the
+   * remaining warm-up of backends without a new revision of the table.
+   */
+  private static final long MAX_TABLE_AGE_MICROS = 1_000_000;
+
   /** A message in the form in which it is sent. */
   sealed interface Outgoing {
     /** A message that is sent whole. */
@@ -30,27 +38,42 @@
   private record SharedKey(
       Class<? extends ControlPlaneMessage> type, long from, long to, boolean complete) {}
 
+  /** A message and the time at which it was encoded. */
+  private record Shared(Outgoing outgoing, long encodedMicros) {}
+
   private final DistributionCodec codec;
-  private final Map<SharedKey, Outgoing> shared = new LinkedHashMap<>();
+  private final LongSupplier clockMicros;
+  private final Map<SharedKey, Shared> shared = new LinkedHashMap<>();
 
-  OutgoingMessages(DistributionCodec codec) {
+  /**
+   * Creates an instance without shared messages.
+   *
+   * @param clockMicros the steady clock, in microseconds
+   */
+  OutgoingMessages(DistributionCodec codec, LongSupplier clockMicros) {
     this.codec = codec;
+    this.clockMicros = clockMicros;
   }
 
   /** Returns a message in the form in which it is sent. */
   Outgoing of(ControlPlaneMessage message) {
     SharedKey key = sharedKey(message);
-    Outgoing known = shared.get(key);
-    if (known != null) {
-      return known;
+    Shared known = shared.get(key);
+    if (known != null && !isOutdated(message, known)) {
+      return known.outgoing();
     }
     Outgoing outgoing = encode(message);
     if (key != null) {
-      retain(key, outgoing);
+      retain(key, new Shared(outgoing, clockMicros.getAsLong()));
     }
     return outgoing;
   }
 
+  private boolean isOutdated(ControlPlaneMessage message, Shared known) {
+    return message instanceof ControlPlaneMessage.SessionSnapshot
+        && clockMicros.getAsLong() - known.encodedMicros() >= MAX_TABLE_AGE_MICROS;
+  }
+
   private Outgoing encode(ControlPlaneMessage message) {
     byte[] encoded = codec.encode(message);
     return encoded.length <= MAX_WHOLE_BYTES
@@ -58,8 +81,8 @@
         : new Outgoing.Segmented(CompressedMessage.of(encoded));
   }
 
-  private void retain(SharedKey key, Outgoing outgoing) {
-    shared.put(key, outgoing);
+  private void retain(SharedKey key, Shared message) {
+    shared.put(key, message);
     if (shared.size() > MAX_SHARED_MESSAGES) {
       shared.remove(shared.keySet().iterator().next());
     }
