--- a/src/test/java/slateslip/simulation/agents/ConfigurationChange.java
+++ b/src/test/java/slateslip/simulation/agents/ConfigurationChange.java
@@ -1,6 +1,7 @@
 package slateslip.simulation.agents;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
 import slateslip.configuration.FleetConfiguration;
@@ -62,17 +63,41 @@
    */
   static ConfigurationChange incompressible(
       long base, long version, String marker, int bytes, SplittableRandom random) {
-    StringBuilder routes = new StringBuilder(route("first", "/first/"));
-    while (routes.length() < bytes) {
-      String name = drawnName(random);
-      routes.append(',').append(route(name, "/" + name + "/"));
-    }
     String body =
-        "{\"version\":%d,\"routes\":[%s],\"services\":[%s],\"tenants\":[%s]}"
-            .formatted(version, routes, service(marker), TENANT);
+        "{\"version\":%d,\"routes\":[%s,%s],\"services\":[%s],\"tenants\":[%s]}"
+            .formatted(
+                version,
+                route("first", "/first/"),
+                drawnRoutes(bytes, random),
+                service(marker),
+                TENANT);
     return change(OperatorRequest.Method.PUT, base, version, marker, true, body);
   }
 
+  /**
+   * Returns a change that replaces the service and adds routes of about the given size that have
+   * drawn names, so that they hardly compress.
+   */
+  static ConfigurationChange growth(
+      long base, long version, String marker, int bytes, SplittableRandom random) {
+    String body =
+        "{\"version\":%d,\"upsert\":{\"services\":[%s],\"routes\":[%s]}}"
+            .formatted(version, service(marker), drawnRoutes(bytes, random));
+    return change(OperatorRequest.Method.PATCH, base, version, marker, true, body);
+  }
+
+  /** Returns at least one route, and routes of about the given size in bytes. */
+  private static String drawnRoutes(int bytes, SplittableRandom random) {
+    List<String> routes = new ArrayList<>();
+    int length = 0;
+    do {
+      String name = drawnName(random);
+      routes.add(route(name, "/" + name + "/"));
+      length += routes.get(routes.size() - 1).length() + 1;
+    } while (length < bytes);
+    return String.join(",", routes);
+  }
+
   private static String drawnName(SplittableRandom random) {
     StringBuilder name = new StringBuilder();
     while (name.length() < DRAWN_NAME_LENGTH) {
--- a/src/test/java/slateslip/simulation/agents/SimulatedNetwork.java
+++ b/src/test/java/slateslip/simulation/agents/SimulatedNetwork.java
@@ -32,20 +32,23 @@
   private final Map<Link, Integer> partitionCounts = new HashMap<>();
   private final Map<String, Long> extraDelay = new HashMap<>();
   private final List<SimulatedSocket> sockets = new ArrayList<>();
-  private final Map<String, Downlink> downlinks = new HashMap<>();
+  private final Map<String, SharedLink> downlinks = new HashMap<>();
+  private final Map<String, SharedLink> uplinks = new HashMap<>();
   private long bytesPerMilli = Long.MAX_VALUE;
 
-  /** The link towards one machine, which all its connections share. */
-  private static final class Downlink {
+  /** One direction of the link of a machine, which all its connections share in order. */
+  private static final class SharedLink {
     private final long bytesPerMilli;
     private long freeAtMicros;
+    private long longestQueueMicros;
 
-    private Downlink(long bytesPerMilli) {
+    private SharedLink(long bytesPerMilli) {
       this.bytesPerMilli = bytesPerMilli;
     }
 
-    /** Returns when the last byte of a message arrives that reaches the link at a time. */
-    private long arrival(long atMicros, long bytes) {
+    /** Returns when the last byte of a message leaves the link that reaches the link at a time. */
+    private long carry(long atMicros, long bytes) {
+      longestQueueMicros = Math.max(longestQueueMicros, freeAtMicros - atMicros);
       freeAtMicros = Math.max(freeAtMicros, atMicros) + bytes * 1_000 / bytesPerMilli;
       return freeAtMicros;
     }
@@ -70,7 +73,23 @@
    * machine.
    */
   void limitDownlink(String machine, long downlinkBytesPerMilli) {
-    downlinks.put(machine, new Downlink(downlinkBytesPerMilli));
+    downlinks.put(machine, new SharedLink(downlinkBytesPerMilli));
+  }
+
+  /**
+   * Limits the rate, in bytes per millisecond, at which all connections together carry data from a
+   * machine.
+   */
+  void limitUplink(String machine, long uplinkBytesPerMilli) {
+    uplinks.put(machine, new SharedLink(uplinkBytesPerMilli));
+  }
+
+  /**
+   * Returns the longest time in microseconds that a message has waited for the limited uplink of a
+   * machine.
+   */
+  long longestUplinkQueueMicros(String machine) {
+    return uplinks.get(machine).longestQueueMicros;
   }
 
   long delay() {
@@ -170,12 +189,13 @@
   void transmit(SimulatedSocket sender, long bytes, Runnable arrival) {
     Link link = new Link(sender.machine().address(), sender.peerMachine().address());
     long slow = Math.max(extra(link.from()), extra(link.to()));
+    SharedLink uplink = uplinks.get(link.from());
+    long sentAt = uplink == null ? events.nowMicros() : uplink.carry(events.nowMicros(), bytes);
     long delay = delay() + slow + bytes * 1_000 / bytesPerMilli;
-    long at =
-        Math.max(sender.lastArrival() + bytes * 1_000 / bytesPerMilli, events.nowMicros() + delay);
-    Downlink downlink = downlinks.get(link.to());
+    long at = Math.max(sender.lastArrival() + bytes * 1_000 / bytesPerMilli, sentAt + delay);
+    SharedLink downlink = downlinks.get(link.to());
     if (downlink != null) {
-      at = downlink.arrival(at, bytes);
+      at = downlink.carry(at, bytes);
     }
     sender.setLastArrival(at);
     events.at(at, () -> deliverOrHold(link, sender, arrival));
