Control stream: a drain no longer waits behind a configuration on the same stream

While a long configuration was under way to a data plane behind 7 Mbit/s, session changes did not arrive there before the transfer had ended: a backend's drain was acknowledged after 0.3 s, and the data plane went on routing to the backend.

Cause: room in the window of 64 KiB comes back one segment at a time, and the configuration lane was always asked first, so it took all of it.

Change: room goes first to the lane that did not send last.

--- a/src/main/java/slateslip/controlplane/agent/SubscriberStream.java
+++ b/src/main/java/slateslip/controlplane/agent/SubscriberStream.java
@@ -31,11 +31,13 @@
   private final SubscriberDelivery delivery;
   private final Lane configurations;
   private final Lane sessions;
+  private Lane nextLane;
 
   /** Length of each whole message that the data plane has not acknowledged, oldest first. */
   private final Deque<Integer> unacknowledgedBytes = new ArrayDeque<>();
 
   private int wholeBytesInFlight;
+
   private boolean acceptsSegments;
   private TransferPosition partial = TransferPosition.NONE;
 
@@ -50,6 +52,7 @@
     this.delivery = delivery;
     configurations = new Lane(delivery::pendingConfigurations);
     sessions = new Lane(delivery::pendingSessions);
+    nextLane = sessions;
   }
 
   SubscriberDelivery delivery() {
@@ -70,6 +73,10 @@
     delivery.subscribe(message);
     acceptsSegments = message.acceptsSegments();
     partial = message.partial();
+    clearTransfers();
+  }
+
+  private void clearTransfers() {
     unacknowledgedBytes.clear();
     wholeBytesInFlight = 0;
     configurations.clear();
@@ -92,7 +99,8 @@
    */
   int segmentAcknowledged(TransferPosition position) {
     sessions.acknowledged(position);
-    return configurations.acknowledged(position);
+    int progress = configurations.acknowledged(position);
+    return progress;
   }
 
   /** Sends what is pending, as far as the stream accepts data and few bytes are in flight. */
@@ -108,29 +116,36 @@
     stream.flush();
   }
 
-  /** Sends segments of both lanes in turn, so that neither waits for the whole other transfer. */
+  /**
+   * Sends messages and segments of both lanes in turn, so that neither waits for the whole other
+   * transfer: room in the window goes first to the lane that did not send last.
+   */
   private void sendSegments() {
     boolean sent = true;
     while (sent && stream.isWritable()) {
-      boolean configurationSent = sendNext(configurations);
-      boolean sessionsSent = sendNext(sessions);
-      sent = configurationSent || sessionsSent;
+      sent = sendNext(nextLane) || sendNext(otherLane(nextLane));
     }
   }
 
+  private Lane otherLane(Lane lane) {
+    return lane == configurations ? sessions : configurations;
+  }
+
+  /** Sends one message or segment of a lane. Returns false if nothing is due or has room. */
   private boolean sendNext(Lane lane) {
-    lane.refill();
-    if (!lane.hasNext() || !mayBeInFlight(SegmentSender.SEGMENT_BYTES)) {
+    if (!hasRoom() || !lane.sendNext()) {
       return false;
     }
-    stream.write(codec.encode(lane.next()));
+    nextLane = otherLane(lane);
     return true;
   }
 
-  private boolean mayBeInFlight(int additionalBytes) {
-    int bytesInFlight =
-        wholeBytesInFlight + configurations.bytesInFlight() + sessions.bytesInFlight();
-    return bytesInFlight + additionalBytes <= MAX_BYTES_IN_FLIGHT;
+  private boolean hasRoom() {
+    return bytesInFlight() + SegmentSender.SEGMENT_BYTES <= MAX_BYTES_IN_FLIGHT;
+  }
+
+  private int bytesInFlight() {
+    return wholeBytesInFlight + configurations.bytesInFlight() + sessions.bytesInFlight();
   }
 
   private void writeWhole(byte[] encoded) {
@@ -170,35 +185,36 @@
       current = null;
     }
 
-    /** Sends the short messages that are due and begins the transfer of the next long one. */
-    private void refill() {
-      while (current == null
-          && stream.isWritable()
-          && mayBeInFlight(OutgoingMessages.MAX_WHOLE_BYTES)) {
-        if (waiting.isEmpty()) {
-          waiting.addAll(pending.get());
-        }
-        if (waiting.isEmpty()) {
-          return;
-        }
-        begin(outgoingMessages.of(waiting.remove()));
+    /**
+     * Sends the next segment of the transfer. Without a transfer, sends the next message that is
+     * due, of which a long one begins a transfer. Returns false if nothing is due.
+     */
+    private boolean sendNext() {
+      if (current == null) {
+        return sendNextMessage();
       }
+      return current.hasNext() && sendSegment();
     }
 
-    private void begin(Outgoing outgoing) {
-      if (outgoing instanceof Outgoing.Segmented segmented) {
-        current = new SegmentSender(segmented.message(), partial);
-      } else if (outgoing instanceof Outgoing.Whole whole) {
+    private boolean sendNextMessage() {
+      if (waiting.isEmpty()) {
+        waiting.addAll(pending.get());
+      }
+      if (waiting.isEmpty()) {
+        return false;
+      }
+      Outgoing outgoing = outgoingMessages.of(waiting.remove());
+      if (outgoing instanceof Outgoing.Whole whole) {
         writeWhole(whole.encoded());
+        return true;
       }
+      current = new SegmentSender(((Outgoing.Segmented) outgoing).message(), partial);
+      return sendSegment();
     }
 
-    private boolean hasNext() {
-      return current != null && current.hasNext();
-    }
-
-    private ControlPlaneMessage.Segment next() {
-      return current.next();
+    private boolean sendSegment() {
+      stream.write(codec.encode(current.next()));
+      return true;
     }
 
     private int bytesInFlight() {
--- a/src/test/java/slateslip/simulation/agents/SlowLinkTest.java
+++ b/src/test/java/slateslip/simulation/agents/SlowLinkTest.java
@@ -28,10 +28,14 @@
   /** Time for a restarted data plane to connect, besides the time of the transfer. */
   private static final long CONNECT_MICROS = 2 * SECOND;
 
+  /** The acknowledgement of a drain waits for data planes for this time. */
+  private static final long MAX_DRAIN_MICROS = 300 * MILLI;
+
   private static final int MIN_BYTES_PER_MILLI = 875;
   private static final int MAX_BYTES_PER_MILLI = 15_000;
   private static final int MAX_CONFIGURATION_BYTES = 1_500_000;
   private static final int REVIEW_CONFIGURATION_BYTES = 850_000;
+  private static final int LONG_CONFIGURATION_BYTES = 4_000_000;
   private static final int MANY_BACKENDS = 12_000;
   private static final long SEEDS = 20;
 
@@ -174,6 +178,41 @@
     fleet.assertStreamStayedAlive();
   }
 
+  /** Guards against a drain that waits behind a configuration on the same stream (issue 56). */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void drainReachesDataPlaneWithinTransferOfConfiguration(long seed) {
+    SlowFleet fleet = new SlowFleet(seed, MIN_BYTES_PER_MILLI, AgentMutation.NONE);
+    ControlMachine agent = fleet.run.primary();
+    BackendSession backend = session(1);
+    agent.process().execute(agent, () -> agent.heartbeat(backend, acknowledged -> {}));
+    fleet.run.advance(SECOND);
+    ConfigurationChange change =
+        ConfigurationChange.incompressible(1, 2, "m2", LONG_CONFIGURATION_BYTES, fleet.random);
+    fleet.run.world().history().sent(change);
+    fleet.run.world().call(agent, change.call(), response -> {});
+    fleet.run.advance(400 * MILLI);
+    agent.process().execute(agent, () -> agent.heartbeat(draining(backend), acknowledged -> {}));
+    long drainMicros =
+        fleet.run.timeUntil(
+            () -> fleet.slow.backends().get(backend.id()).draining(), MAX_DRAIN_MICROS);
+    assertThat(drainMicros, greaterThanOrEqualTo(0L));
+    assertThat("version in force during the transfer", fleet.slow.version(), is(1L));
+  }
+
+  private static BackendSession draining(BackendSession session) {
+    return new BackendSession(
+        session.id(),
+        session.service(),
+        session.address(),
+        session.zone(),
+        session.version(),
+        session.slots(),
+        true,
+        0,
+        session.sequence() + 1);
+  }
+
   private static BackendSession session(int number) {
     String id = "i-%08x".formatted(number * 0x9e3779b1);
     String address =
