Control stream: all streams of an agent share a window; peers' heartbeats stay quick

After a restart of all processes one control agent may serve all data planes. Each stream had 64 KiB in flight, so 94 data planes put 6 MB into the queue of the agent's link: 0.4 s at 120 Mbit/s, beside heartbeats to peers that have 0.5 s and acknowledgements of drains that wait for 0.2 to 0.3 s.

Change: SharedWindow limits the bytes in flight of all streams to 512 KiB. A stream without bytes in flight may always send 4 KiB, so one that does not read delays no other. Length of a segment is the sender's choice, so data planes of the earlier build read these segments.

--- a/src/main/java/slateslip/controlplane/agent/DataPlaneSubscriptions.java
+++ b/src/main/java/slateslip/controlplane/agent/DataPlaneSubscriptions.java
@@ -15,6 +15,7 @@
 import slateslip.distribution.delivery.DepartedSubscribers;
 import slateslip.distribution.delivery.SubscriberDelivery;
 import slateslip.distribution.sessions.SessionTable;
+import slateslip.distribution.transfer.SharedWindow;
 import slateslip.protocol.distribution.DistributionCodec;
 
 /**
@@ -25,6 +26,7 @@
 
   private final DistributionCodec codec = new DistributionCodec();
   private final OutgoingMessages outgoingMessages;
+  private final SharedWindow window = new SharedWindow();
   private final Map<DataPlaneStream, SubscriberStream> streams = new LinkedHashMap<>();
   private final DepartedSubscribers departed = new DepartedSubscribers();
   private final Scheduler scheduler;
@@ -131,12 +133,16 @@
 
   private SubscriberStream newSubscriber(DataPlaneStream stream) {
     SubscriberDelivery delivery = new SubscriberDelivery(configurations, sessions);
-    return new SubscriberStream(stream, codec, outgoingMessages, delivery);
+    return new SubscriberStream(stream, codec, outgoingMessages, window, delivery);
   }
 
   void closed(DataPlaneStream stream) {
     SubscriberStream subscriber = streams.remove(stream);
-    if (subscriber == null || !subscriber.isActive()) {
+    if (subscriber == null) {
+      return;
+    }
+    subscriber.closed();
+    if (!subscriber.isActive()) {
       return;
     }
     SubscriberDelivery delivery = subscriber.delivery();
--- a/src/main/java/slateslip/controlplane/agent/SubscriberStream.java
+++ b/src/main/java/slateslip/controlplane/agent/SubscriberStream.java
@@ -10,24 +10,20 @@
 import slateslip.distribution.TransferPosition;
 import slateslip.distribution.delivery.SubscriberDelivery;
 import slateslip.distribution.transfer.SegmentSender;
+import slateslip.distribution.transfer.SharedWindow;
 import slateslip.protocol.distribution.DistributionCodec;
 
 /**
  * The stream of one data plane and what is sent on it. Configurations and session tables are sent
- * in segments, of which few bytes are in flight, so that a heartbeat, a pong or a quota waits for
- * these bytes at most. A data plane that does not read segments receives each message whole.
- * Confined to the event loop.
+ * in segments, of which few bytes are in flight on this stream and on all streams of the agent, so
+ * that a heartbeat, a pong or a quota waits for these bytes at most. A data plane that does not
+ * read segments receives each message whole. Confined to the event loop.
  */
 final class SubscriberStream {
-  /**
-   * Number of bytes of configurations and sessions that may be in flight: 75 ms on a link of 7
-   * Mbit/s.
-   */
-  private static final int MAX_BYTES_IN_FLIGHT = 64 * 1024;
-
   private final DataPlaneStream stream;
   private final DistributionCodec codec;
   private final OutgoingMessages outgoingMessages;
+  private final SharedWindow window;
   private final SubscriberDelivery delivery;
   private final Lane configurations;
   private final Lane sessions;
@@ -38,6 +34,9 @@
 
   private int wholeBytesInFlight;
 
+  /** The bytes in flight of this stream that the shared window counts. */
+  private int countedBytes;
+
   private boolean acceptsSegments;
   private TransferPosition partial = TransferPosition.NONE;
 
@@ -45,10 +44,12 @@
       DataPlaneStream stream,
       DistributionCodec codec,
       OutgoingMessages outgoingMessages,
+      SharedWindow window,
       SubscriberDelivery delivery) {
     this.stream = stream;
     this.codec = codec;
     this.outgoingMessages = outgoingMessages;
+    this.window = window;
     this.delivery = delivery;
     configurations = new Lane(delivery::pendingConfigurations);
     sessions = new Lane(delivery::pendingSessions);
@@ -76,11 +77,17 @@
     clearTransfers();
   }
 
+  /** Ends all transfers of a stream that has ended. */
+  void closed() {
+    clearTransfers();
+  }
+
   private void clearTransfers() {
     unacknowledgedBytes.clear();
     wholeBytesInFlight = 0;
     configurations.clear();
     sessions.clear();
+    countBytesInFlight();
   }
 
   /**
@@ -90,6 +97,7 @@
     delivery.acknowledge(message);
     Integer oldest = unacknowledgedBytes.poll();
     wholeBytesInFlight -= oldest == null ? 0 : oldest;
+    countBytesInFlight();
   }
 
   /**
@@ -100,6 +108,7 @@
   int segmentAcknowledged(TransferPosition position) {
     sessions.acknowledged(position);
     int progress = configurations.acknowledged(position);
+    countBytesInFlight();
     return progress;
   }
 
@@ -121,9 +130,8 @@
    * transfer: room in the window goes first to the lane that did not send last.
    */
   private void sendSegments() {
-    boolean sent = true;
-    while (sent && stream.isWritable()) {
-      sent = sendNext(nextLane) || sendNext(otherLane(nextLane));
+    while (stream.isWritable() && (sendNext(nextLane) || sendNext(otherLane(nextLane)))) {
+      countBytesInFlight();
     }
   }
 
@@ -133,21 +141,29 @@
 
   /** Sends one message or segment of a lane. Returns false if nothing is due or has room. */
   private boolean sendNext(Lane lane) {
-    if (!hasRoom() || !lane.sendNext()) {
+    int maxBytes = maxSegmentBytes();
+    if (maxBytes == 0 || !lane.sendNext(maxBytes)) {
       return false;
     }
     nextLane = otherLane(lane);
     return true;
   }
 
-  private boolean hasRoom() {
-    return bytesInFlight() + SegmentSender.SEGMENT_BYTES <= MAX_BYTES_IN_FLIGHT;
+  /** Returns the maximum length of the next segment in bytes; 0 if none may be sent now. */
+  private int maxSegmentBytes() {
+    return window.maxSegmentBytes(bytesInFlight());
   }
 
   private int bytesInFlight() {
     return wholeBytesInFlight + configurations.bytesInFlight() + sessions.bytesInFlight();
   }
 
+  private void countBytesInFlight() {
+    int bytes = bytesInFlight();
+    window.changed(bytes - countedBytes);
+    countedBytes = bytes;
+  }
+
   private void writeWhole(byte[] encoded) {
     stream.write(encoded);
     unacknowledgedBytes.add(encoded.length);
@@ -189,14 +205,14 @@
      * Sends the next segment of the transfer. Without a transfer, sends the next message that is
      * due, of which a long one begins a transfer. Returns false if nothing is due.
      */
-    private boolean sendNext() {
+    private boolean sendNext(int maxBytes) {
       if (current == null) {
-        return sendNextMessage();
+        return sendNextMessage(maxBytes);
       }
-      return current.hasNext() && sendSegment();
+      return current.hasNext() && sendSegment(maxBytes);
     }
 
-    private boolean sendNextMessage() {
+    private boolean sendNextMessage(int maxBytes) {
       if (waiting.isEmpty()) {
         waiting.addAll(pending.get());
       }
@@ -209,11 +225,11 @@
         return true;
       }
       current = new SegmentSender(((Outgoing.Segmented) outgoing).message(), partial);
-      return sendSegment();
+      return sendSegment(maxBytes);
     }
 
-    private boolean sendSegment() {
-      stream.write(codec.encode(current.next()));
+    private boolean sendSegment(int maxBytes) {
+      stream.write(codec.encode(current.next(maxBytes)));
       return true;
     }
 
--- a/src/main/java/slateslip/distribution/transfer/SegmentSender.java
+++ b/src/main/java/slateslip/distribution/transfer/SegmentSender.java
@@ -38,9 +38,13 @@
     return sentBytes < message.length();
   }
 
-  /** Returns the next segment and records it as sent. Must only be called if there is one. */
-  public ControlPlaneMessage.Segment next() {
-    ControlPlaneMessage.Segment segment = message.segment(sentBytes, SEGMENT_BYTES);
+  /**
+   * Returns the next segment and records it as sent. Must only be called if there is one.
+   *
+   * @param maxBytes maximum length of the segment's content
+   */
+  public ControlPlaneMessage.Segment next(int maxBytes) {
+    ControlPlaneMessage.Segment segment = message.segment(sentBytes, maxBytes);
     sentBytes += segment.content().length;
     return segment;
   }
--- a/src/test/java/slateslip/dataplane/subscription/SubscriptionTransferTest.java
+++ b/src/test/java/slateslip/dataplane/subscription/SubscriptionTransferTest.java
@@ -95,7 +95,7 @@
             CompressedMessage.of(new DistributionCodec().encode(message)), TransferPosition.NONE);
     List<ControlPlaneMessage.Segment> segments = new ArrayList<>();
     while (sender.hasNext()) {
-      segments.add(sender.next());
+      segments.add(sender.next(SegmentSender.SEGMENT_BYTES));
     }
     return segments;
   }
--- a/src/test/java/slateslip/distribution/transfer/SegmentTransferTest.java
+++ b/src/test/java/slateslip/distribution/transfer/SegmentTransferTest.java
@@ -45,7 +45,7 @@
         return null;
       }
       if (sender.hasNext() && random.nextBoolean()) {
-        inFlight.add(sender.next());
+        inFlight.add(sender.next(random.nextInt(1, SegmentSender.SEGMENT_BYTES + 1)));
       } else if (!inFlight.isEmpty()) {
         SegmentOutcome outcome = assembler.add(inFlight.remove());
         if (outcome instanceof SegmentOutcome.Complete complete) {
@@ -90,13 +90,13 @@
     CompressedMessage compressed = CompressedMessage.of(message);
     TransferPosition lost = new TransferPosition(compressed.transfer(), 65_536);
     SegmentSender sender = new SegmentSender(compressed, lost);
-    Segment afterGap = sender.next();
+    Segment afterGap = sender.next(SegmentSender.SEGMENT_BYTES);
     assertThat(afterGap.offset(), is(65_536));
     SegmentOutcome outcome = assembler.add(afterGap);
     TransferPosition position = ((SegmentOutcome.Incomplete) outcome).position();
     assertThat(position.receivedBytes(), is(0));
     assertThat(sender.acknowledged(position.receivedBytes()), is(0));
-    assertThat(sender.next().offset(), is(0));
+    assertThat(sender.next(SegmentSender.SEGMENT_BYTES).offset(), is(0));
   }
 
   @Test
@@ -104,7 +104,7 @@
     CompressedMessage compressed =
         CompressedMessage.of(randomBytes(new SplittableRandom(4), 60_000));
     SegmentSender sender = new SegmentSender(compressed, new TransferPosition(1, 16_384));
-    assertThat(sender.next().offset(), is(0));
+    assertThat(sender.next(SegmentSender.SEGMENT_BYTES).offset(), is(0));
   }
 
   @Test
@@ -114,7 +114,7 @@
     SegmentSender sender = new SegmentSender(compressed, TransferPosition.NONE);
     Segment last = null;
     while (sender.hasNext()) {
-      last = sender.next();
+      last = sender.next(SegmentSender.SEGMENT_BYTES);
       assembler.add(last);
     }
     TransferPosition whole = new TransferPosition(compressed.transfer(), compressed.length());
@@ -144,7 +144,8 @@
   @Test
   void transferThatDoesNotMatchItsIdentityIsCorrupt() {
     CompressedMessage compressed = CompressedMessage.of(new byte[20]);
-    Segment segment = new SegmentSender(compressed, TransferPosition.NONE).next();
+    Segment segment =
+        new SegmentSender(compressed, TransferPosition.NONE).next(SegmentSender.SEGMENT_BYTES);
     Segment altered =
         new Segment(
             segment.transfer() + 1, segment.totalBytes(), segment.offset(), segment.content());
@@ -158,6 +159,8 @@
     SegmentAssembler small = new SegmentAssembler(100_000);
     SegmentSender sender =
         new SegmentSender(CompressedMessage.of(new byte[200_000]), TransferPosition.NONE);
-    assertThat(small.add(sender.next()), is(instanceOf(SegmentOutcome.Corrupt.class)));
+    assertThat(
+        small.add(sender.next(SegmentSender.SEGMENT_BYTES)),
+        is(instanceOf(SegmentOutcome.Corrupt.class)));
   }
 }
