--- a/src/main/java/slateslip/dataplane/subscription/PingSchedule.java
+++ b/src/main/java/slateslip/dataplane/subscription/PingSchedule.java
@@ -23,11 +23,6 @@
     this.leaseMillis = leaseMillis;
   }
 
-  /** Returns the duration of a key lease in milliseconds; 0 if no lease is needed. */
-  long leaseMillis() {
-    return leaseMillis;
-  }
-
   /**
    * Returns whether a ping is due, and records it as sent in that case.
    *
--- a/src/main/java/slateslip/dataplane/subscription/Subscription.java
+++ b/src/main/java/slateslip/dataplane/subscription/Subscription.java
@@ -44,6 +44,7 @@
 
   private final DataPlaneIdentity identity;
   private final PingSchedule pings;
+  private final KeyLease lease;
   private final ControlStreams streams;
   private final BackendDirectory sessions = new BackendDirectory();
   private final TransferReceiver transfers = new TransferReceiver();
@@ -71,6 +72,7 @@
   public Subscription(DataPlaneIdentity identity, List<String> seeds, long leaseMillis) {
     this.identity = identity;
     this.pings = new PingSchedule(leaseMillis);
+    this.lease = new KeyLease(leaseMillis);
     this.streams = new ControlStreams(identity, seeds);
   }
 
@@ -166,7 +168,7 @@
     for (ControlStream stream : streams.all()) {
       closeIfTimedOut(now, stream);
     }
-    streams.dial(now).forEach(this::dial);
+    streams.dial(now).forEach(stream -> outputs.add(new SubscriptionOutput.Dial(stream.agent)));
     closeSurplusStream(now);
     chooseActive(now);
     reportQuotas(now, report);
@@ -197,10 +199,6 @@
     }
   }
 
-  private void dial(ControlStream stream) {
-    outputs.add(new SubscriptionOutput.Dial(stream.agent));
-  }
-
   private void closeSurplusStream(long now) {
     streams.surplus(active).ifPresent(stream -> close(now, stream));
   }
@@ -257,28 +255,14 @@
     }
   }
 
-  /**
-   * Returns whether keys are leased, which requires a lease duration and a configuration with
-   * tenants.
-   */
   private boolean needsLease() {
-    return pings.leaseMillis() > 0 && document != null && document.hasTenants();
+    return lease.isNeeded(document);
   }
 
-  /**
-   * Extends the key lease if the pong confirms the configuration in force.
-   *
-   * <p>The agent's last heartbeat before the pong names a version that is at least as new as every
-   * version that was acknowledged before the ping was sent. If this version is in force here, every
-   * newer version was acknowledged after the ping was sent, so the lease starts at the time of the
-   * ping. An agent with an older version may not know any key yet; its pong confirms nothing.
-   */
   private void extendLease(ControlStream stream, ControlPlaneMessage.Pong pong) {
-    boolean newestInForce =
-        stream.heartbeat != null && stream.configurationVersion() == configurationVersion();
-    if (needsLease() && newestInForce) {
-      outputs.add(new SubscriptionOutput.ExtendKeyLease(pong.nonce() + pings.leaseMillis()));
-    }
+    lease
+        .extendedUntilMillis(stream, pong, document)
+        .ifPresent(until -> outputs.add(new SubscriptionOutput.ExtendKeyLease(until)));
   }
 
   private void received(long now, SubscriptionInput.Received received) {
