RECOVER: a transfer continues on the next stream although the state has changed

Callers saw 503 from a restarted data plane for as long as its connections broke sooner than a long message arrived: without a session table and a configuration a data plane is not ready.

Cause: a transfer is named by a digest of its bytes, and an agent sent only the newest state. A session table was encoded anew a second later; a configuration had new bytes after each change. So the next stream began at the first byte. The subscription named one incomplete transfer, and a data plane kept two, while each of three agents has a table of its own.

Change: an agent retains the last eight tables and configurations that it sent in segments (16 MiB at most). A data plane that is not ready reports each incomplete transfer (with the existing SegmentAcknowledge) before it subscribes; the agent continues it and then sends what has changed since: patches, or a delta of sessions with the remaining warm-up of those that were warming. A data plane keeps eight incomplete transfers within 16 MiB. A data plane that is ready takes the newest state as before, because an older complete table would remove newer backends for a moment.

Earlier builds ignore a SegmentAcknowledge of a transfer that is not under way; their subscriptions name one transfer as before.

--- a/src/main/java/slateslip/controlplane/agent/OutgoingMessages.java
+++ b/src/main/java/slateslip/controlplane/agent/OutgoingMessages.java
@@ -2,7 +2,9 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.LongSupplier;
+import slateslip.controlplane.agent.RetainedTransfers.Retained;
 import slateslip.distribution.ControlPlaneMessage;
 import slateslip.distribution.transfer.CompressedMessage;
 import slateslip.distribution.transfer.SegmentSender;
@@ -44,6 +46,7 @@
   private final DistributionCodec codec;
   private final LongSupplier clockMicros;
   private final Map<SharedKey, Shared> shared = new LinkedHashMap<>();
+  private final RetainedTransfers retained = new RetainedTransfers();
 
   /**
    * Creates an instance without shared messages.
@@ -76,9 +79,17 @@
 
   private Outgoing encode(ControlPlaneMessage message) {
     byte[] encoded = codec.encode(message);
-    return encoded.length <= MAX_WHOLE_BYTES
-        ? new Outgoing.Whole(encoded)
-        : new Outgoing.Segmented(CompressedMessage.of(encoded));
+    if (encoded.length <= MAX_WHOLE_BYTES) {
+      return new Outgoing.Whole(encoded);
+    }
+    CompressedMessage compressed = CompressedMessage.of(encoded);
+    retained.add(message, compressed);
+    return new Outgoing.Segmented(compressed);
+  }
+
+  /** Returns the configuration or session table of an earlier transfer, if it is retained. */
+  Optional<Retained> retained(long transfer) {
+    return retained.find(transfer);
   }
 
   private void retain(SharedKey key, Shared message) {
--- a/src/main/java/slateslip/controlplane/agent/SubscriberStream.java
+++ b/src/main/java/slateslip/controlplane/agent/SubscriberStream.java
@@ -5,10 +5,12 @@
 import java.util.List;
 import java.util.function.Supplier;
 import slateslip.controlplane.agent.OutgoingMessages.Outgoing;
+import slateslip.controlplane.agent.RetainedTransfers.Retained;
 import slateslip.distribution.ControlPlaneMessage;
 import slateslip.distribution.DataPlaneMessage;
 import slateslip.distribution.TransferPosition;
 import slateslip.distribution.delivery.SubscriberDelivery;
+import slateslip.distribution.transfer.CompressedMessage;
 import slateslip.distribution.transfer.SegmentSender;
 import slateslip.distribution.transfer.SharedWindow;
 import slateslip.protocol.distribution.DistributionCodec;
@@ -38,7 +40,10 @@
   private int countedBytes;
 
   private boolean acceptsSegments;
-  private TransferPosition partial = TransferPosition.NONE;
+  private final PartialTransfers partialTransfers = new PartialTransfers();
+
+  /** Transfers that the data plane reported before it subscribed to configurations. */
+  private final PartialTransfers transfersToContinue = new PartialTransfers();
 
   SubscriberStream(
       DataPlaneStream stream,
@@ -69,12 +74,30 @@
     return isActive() && delivery.subscription().orElseThrow().node().equals(node);
   }
 
-  /** Processes a subscription; a transfer continues at what the data plane has received. */
+  /** Processes a subscription; transfers continue at what the data plane has received. */
   void subscribe(DataPlaneMessage.Subscribe message) {
     delivery.subscribe(message);
     acceptsSegments = message.acceptsSegments();
-    partial = message.partial();
+    partialTransfers.received(message.partial());
     clearTransfers();
+    if (isActive()) {
+      transfersToContinue.largestFirst().forEach(this::continueTransfer);
+      transfersToContinue.clear();
+    }
+  }
+
+  /** Continues the transfer of a message that is no longer the newest one of its kind. */
+  private void continueTransfer(TransferPosition position) {
+    Retained retained = outgoingMessages.retained(position.transfer()).orElse(null);
+    if (retained instanceof Retained.Configuration configuration) {
+      if (delivery.continueConfiguration(configuration.version())) {
+        configurations.begin(configuration.message());
+      }
+    } else if (retained instanceof Retained.Sessions table) {
+      delivery
+          .continueSessions(table.revision(), table.complete(), table.warmingIds())
+          .ifPresent(following -> sessions.begin(table.message(), following));
+    }
   }
 
   /** Ends all transfers of a stream that has ended. */
@@ -101,11 +124,16 @@
   }
 
   /**
-   * Records what the data plane has received of a transfer.
+   * Records what the data plane has received of a transfer. A data plane that has no complete state
+   * yet reports each incomplete transfer before it subscribes to configurations.
    *
    * @return the number of bytes of a configuration that were not acknowledged before
    */
   int segmentAcknowledged(TransferPosition position) {
+    partialTransfers.received(position);
+    if (!isActive()) {
+      transfersToContinue.received(position);
+    }
     sessions.acknowledged(position);
     int progress = configurations.acknowledged(position);
     countBytesInFlight();
@@ -224,10 +252,19 @@
         writeWhole(whole.encoded());
         return true;
       }
-      current = new SegmentSender(((Outgoing.Segmented) outgoing).message(), partial);
+      begin(((Outgoing.Segmented) outgoing).message());
       return sendSegment(maxBytes);
     }
 
+    private void begin(CompressedMessage message) {
+      current = new SegmentSender(message, partialTransfers.of(message.transfer()));
+    }
+
+    private void begin(CompressedMessage message, ControlPlaneMessage following) {
+      begin(message);
+      waiting.add(following);
+    }
+
     private boolean sendSegment(int maxBytes) {
       stream.write(codec.encode(current.next(maxBytes)));
       return true;
--- a/src/main/java/slateslip/dataplane/subscription/Subscription.java
+++ b/src/main/java/slateslip/dataplane/subscription/Subscription.java
@@ -229,10 +229,24 @@
     }
     active = stream;
     laggingSinceMillis = Long.MAX_VALUE;
+    reportPartialTransfers(stream);
     subscribe(stream, true);
     outputs.add(new SubscriptionOutput.LogLine("active control agent: " + stream.agent));
   }
 
+  /**
+   * Reports what has been received of incomplete transfers, so that the agent continues them even
+   * if there is a newer state. A data plane that is ready takes the newest state instead, because a
+   * complete but older session table would remove newer backends for a moment.
+   */
+  private void reportPartialTransfers(ControlStream stream) {
+    if (!isReady()) {
+      transfers
+          .partials()
+          .forEach(position -> send(stream, new DataPlaneMessage.SegmentAcknowledge(position)));
+    }
+  }
+
   private void reportQuotas(long now, QuotaReport report) {
     if (active != null && reportSchedule.takeIfDue(now, report)) {
       send(active, new DataPlaneMessage.Demand(report));
--- a/src/main/java/slateslip/dataplane/subscription/TransferReceiver.java
+++ b/src/main/java/slateslip/dataplane/subscription/TransferReceiver.java
@@ -1,5 +1,6 @@
 package slateslip.dataplane.subscription;
 
+import java.util.List;
 import slateslip.distribution.ControlPlaneMessage;
 import slateslip.distribution.TransferPosition;
 import slateslip.distribution.transfer.SegmentAssembler;
@@ -53,4 +54,9 @@
   TransferPosition largestPartial() {
     return assembler.largestPartial();
   }
+
+  /** Returns what has been received of each incomplete transfer. */
+  List<TransferPosition> partials() {
+    return assembler.partials();
+  }
 }
--- a/src/main/java/slateslip/distribution/delivery/SubscriberDelivery.java
+++ b/src/main/java/slateslip/distribution/delivery/SubscriberDelivery.java
@@ -94,6 +94,53 @@
     return messages;
   }
 
+  /**
+   * Records a complete configuration as sent of which the data plane has received a part, if only a
+   * complete configuration leads to the newest version, and patches lead there from this version.
+   *
+   * @return whether the transfer of that configuration is to be continued
+   */
+  public boolean continueConfiguration(long version) {
+    long newestVersion = configurations.version();
+    boolean useful =
+        isActive()
+            && version > sentVersion
+            && patches(sentVersion, newestVersion).isEmpty()
+            && !patches(version, newestVersion).isEmpty();
+    if (useful) {
+      sentVersion = version;
+    }
+    return useful;
+  }
+
+  /**
+   * Records a session table as sent of which the data plane has received a part, if the changes
+   * since that table are known.
+   *
+   * @param complete whether a backend that the table does not contain is gone
+   * @param outdatedIds backends whose state has changed without a new revision
+   * @return the message that must follow the table; empty if the table must not be continued
+   */
+  public Optional<ControlPlaneMessage> continueSessions(
+      long revision, boolean complete, List<String> outdatedIds) {
+    boolean useful =
+        isActive()
+            && sentRevision == NOTHING_SENT
+            && complete == sessions.isComplete()
+            && sessions.changesAfter(revision).isPresent();
+    if (!useful) {
+      return Optional.empty();
+    }
+    sentRevision = revision;
+    return Optional.of(
+        new ControlPlaneMessage.SessionDelta(
+            revision, known(outdatedIds), sessions.deregisteredIds()));
+  }
+
+  private List<BackendSession> known(List<String> ids) {
+    return ids.stream().map(sessions::session).flatMap(Optional::stream).toList();
+  }
+
   /** Returns the configurations to be sent now and records them as sent. */
   public List<ControlPlaneMessage> pendingConfigurations() {
     List<ControlPlaneMessage> messages = new ArrayList<>();
@@ -176,8 +223,7 @@
   }
 
   private ControlPlaneMessage delta(long revision, SessionChangeSet change) {
-    List<BackendSession> changed = new ArrayList<>();
-    change.changed().forEach(id -> sessions.session(id).ifPresent(changed::add));
-    return new ControlPlaneMessage.SessionDelta(revision, changed, change.removed());
+    return new ControlPlaneMessage.SessionDelta(
+        revision, known(change.changed()), change.removed());
   }
 }
--- a/src/main/java/slateslip/distribution/transfer/SegmentAssembler.java
+++ b/src/main/java/slateslip/distribution/transfer/SegmentAssembler.java
@@ -1,8 +1,10 @@
 package slateslip.distribution.transfer;
 
 import java.io.ByteArrayOutputStream;
+import java.util.Comparator;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import slateslip.distribution.ControlPlaneMessage.Segment;
@@ -14,8 +16,14 @@
  * the length that a segment states.
  */
 public final class SegmentAssembler {
-  /** Number of incomplete transfers that are kept: one configuration and one session table. */
-  private static final int MAX_PARTIAL_TRANSFERS = 2;
+  /**
+   * Number of incomplete transfers that are kept. On a link that breaks often, a data plane may
+   * receive parts of a session table from each of three agents and parts of several configurations.
+   */
+  private static final int MAX_PARTIAL_TRANSFERS = 8;
+
+  /** Number of the longest messages whose bytes all incomplete transfers may have together. */
+  private static final int MAX_PARTIAL_MESSAGES = 2;
 
   private final int maxMessageBytes;
   private final Map<Long, ByteArrayOutputStream> partial = new LinkedHashMap<>(4, 0.75f, true);
@@ -58,7 +66,8 @@
   private ByteArrayOutputStream received(long transfer) {
     ByteArrayOutputStream received =
         partial.computeIfAbsent(transfer, added -> new ByteArrayOutputStream());
-    if (partial.size() > MAX_PARTIAL_TRANSFERS) {
+    while (partial.size() > MAX_PARTIAL_TRANSFERS
+        || (partial.size() > 1 && partialBytes() > (long) MAX_PARTIAL_MESSAGES * maxMessageBytes)) {
       Iterator<Long> leastRecent = partial.keySet().iterator();
       leastRecent.next();
       leastRecent.remove();
@@ -66,6 +75,10 @@
     return received;
   }
 
+  private long partialBytes() {
+    return partial.values().stream().mapToLong(ByteArrayOutputStream::size).sum();
+  }
+
   private SegmentOutcome complete(TransferPosition position, byte[] content) {
     partial.remove(position.transfer());
     if (CompressedMessage.identity(content) != position.transfer()) {
@@ -81,12 +94,16 @@
 
   /** Returns the incomplete transfer with the most bytes, or {@link TransferPosition#NONE}. */
   public TransferPosition largestPartial() {
-    TransferPosition largest = TransferPosition.NONE;
-    for (Map.Entry<Long, ByteArrayOutputStream> each : partial.entrySet()) {
-      if (each.getValue().size() > largest.receivedBytes()) {
-        largest = new TransferPosition(each.getKey(), each.getValue().size());
-      }
-    }
-    return largest;
+    return partials().stream()
+        .max(Comparator.comparingInt(TransferPosition::receivedBytes))
+        .orElse(TransferPosition.NONE);
+  }
+
+  /** Returns what has been received of each incomplete transfer. */
+  public List<TransferPosition> partials() {
+    return partial.entrySet().stream()
+        .filter(each -> each.getValue().size() > 0)
+        .map(each -> new TransferPosition(each.getKey(), each.getValue().size()))
+        .toList();
   }
 }
--- a/src/test/java/slateslip/dataplane/subscription/SubscriptionTransferTest.java
+++ b/src/test/java/slateslip/dataplane/subscription/SubscriptionTransferTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsInAnyOrder;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
 
@@ -140,14 +141,41 @@
             .filter(DataPlaneMessage.Subscribe::active)
             .findFirst()
             .orElseThrow();
-    ControlPlaneMessage.Segment second = segments.get(1);
-    assertThat(
-        subscribe.partial(),
-        is(new TransferPosition(second.transfer(), second.offset() + second.content().length)));
+    assertThat(subscribe.partial(), is(positionAfter(segments.get(1))));
     segments.subList(2, segments.size()).forEach(segment -> receive(FAR, segment));
     assertThat(takeAppliedVersions(), contains(5L));
   }
 
+  /** Guards against an agent that begins a session table anew on each stream (issue 56). */
+  @Test
+  void eachIncompleteTransferIsReportedToNextAgent() {
+    ControlPlaneMessage.Segment first = firstSegmentOf(5);
+    ControlPlaneMessage.Segment second = firstSegmentOf(6);
+    receive(NEAR, first);
+    receive(NEAR, second);
+    outputs.clear();
+    feed(new SubscriptionInput.Disconnected(NEAR));
+    assertThat(
+        takeOutputs(SubscriptionOutput.Send.class).stream()
+            .filter(send -> send.agent().equals(FAR))
+            .limit(2)
+            .map(SubscriptionOutput.Send::message)
+            .toList(),
+        containsInAnyOrder(
+            new DataPlaneMessage.SegmentAcknowledge(positionAfter(first)),
+            new DataPlaneMessage.SegmentAcknowledge(positionAfter(second))));
+  }
+
+  private ControlPlaneMessage.Segment firstSegmentOf(long version) {
+    return segmentsOf(
+            new ControlPlaneMessage.ConfigurationSnapshot(version, largeDocument(version)))
+        .get(0);
+  }
+
+  private static TransferPosition positionAfter(ControlPlaneMessage.Segment segment) {
+    return new TransferPosition(segment.transfer(), segment.offset() + segment.content().length);
+  }
+
   /** Guards against a stream to an earlier program version that ends within a long message. */
   @Test
   void bytesOfIncompleteMessageKeepStreamOpen() {
--- a/src/test/java/slateslip/distribution/transfer/SegmentTransferTest.java
+++ b/src/test/java/slateslip/distribution/transfer/SegmentTransferTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
@@ -122,6 +123,35 @@
     assertThat(assembler.largestPartial(), is(TransferPosition.NONE));
   }
 
+  /** Guards against a transfer that is dropped because parts of others arrive (issue 56). */
+  @Test
+  void partsOfOtherTransfersDoNotEndTransfer() {
+    SplittableRandom random = new SplittableRandom(6);
+    CompressedMessage message = CompressedMessage.of(randomBytes(random, 60_000));
+    SegmentSender sender = new SegmentSender(message, TransferPosition.NONE);
+    assembler.add(sender.next(SegmentSender.SEGMENT_BYTES));
+    for (int other = 0; other < 5; other++) {
+      CompressedMessage newer = CompressedMessage.of(randomBytes(random, 60_000));
+      assembler.add(
+          new SegmentSender(newer, TransferPosition.NONE).next(SegmentSender.SEGMENT_BYTES));
+    }
+    assertThat(
+        assembler.partials(),
+        hasItem(new TransferPosition(message.transfer(), SegmentSender.SEGMENT_BYTES)));
+  }
+
+  /** Guards against incomplete transfers that use up the memory. */
+  @Test
+  void incompleteTransfersHaveLimitedLength() {
+    SegmentAssembler small = new SegmentAssembler(40_000);
+    for (int transfer = 1; transfer <= 8; transfer++) {
+      small.add(new Segment(transfer, 40_000, 0, new byte[16_000]));
+    }
+    long bytes = small.partials().stream().mapToLong(TransferPosition::receivedBytes).sum();
+    assertThat(bytes, lessThanOrEqualTo(96_000L));
+    assertThat(small.partials(), hasItem(new TransferPosition(8, 16_000)));
+  }
+
   @Test
   void segmentsOutsideOfTheirTransferAreCorrupt() {
     byte[] content = new byte[10];
