Control agents: long messages to peers go in segments; heartbeats do not wait for them

A change of 4 MB at agents behind 120 Mbit/s replaced the primary although nothing had failed; one of 7.5 MB was never accepted. A returning agent with an empty disk behind a slow link that breaks never got the state.

Appends, state transfers and forwarded requests were one message each, on the connection of the heartbeats, beside PRIMARY_TIMEOUT (0.5 s) and PEER_TIMEOUT (0.7 s); after a break they began at the first byte.

Change: such messages beyond 16 KiB are compressed and go in segments of which 256 KiB are in flight, with the classes of the transfer to data planes. A queue for each peer keeps their order, and continues on the next connection. Progress in bytes extends the time for the write to disk; the primary judges a message as lost only after it is delivered. Heartbeats, votes and session changes do not wait. The hello message says whether an agent reads segments, so agents of earlier builds get whole messages.

SlowLinkTest: the mutation SLOW_LINK_DROPS_HEARTBEATS is now tested with a transfer of 1.5 s. The one before took some 0.35 s, less than the two heartbeat intervals that the rule allows, so that it depended on the moment of the heartbeats whether the mutation showed. The test without a mutation holds with both lengths.

CommittedConfigurations and PrimaryAllocatorRole leave ControlAgent.

--- a/src/main/java/slateslip/controlplane/agent/AgentIdentity.java
+++ b/src/main/java/slateslip/controlplane/agent/AgentIdentity.java
@@ -11,6 +11,6 @@
 public record AgentIdentity(String address, long incarnation) {
   /** Returns the first message that this process sends on each connection to a peer. */
   public ControlPeerMessage.Hello hello() {
-    return new ControlPeerMessage.Hello(address, incarnation);
+    return new ControlPeerMessage.Hello(address, incarnation, true);
   }
 }
--- a/src/main/java/slateslip/controlplane/agent/ControlAgent.java
+++ b/src/main/java/slateslip/controlplane/agent/ControlAgent.java
@@ -4,7 +4,6 @@
 import java.util.Collection;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
@@ -12,15 +11,16 @@
 import slateslip.configuration.ConfigurationDocument;
 import slateslip.controlplane.state.ConfigurationState;
 import slateslip.coordination.ControlReplica;
+import slateslip.coordination.NodeAddress;
 import slateslip.coordination.NodeId;
 import slateslip.distribution.BackendSession;
 import slateslip.distribution.ControlPlaneMessage;
 import slateslip.distribution.DataPlaneMessage;
-import slateslip.distribution.delivery.ConfigurationSource;
 import slateslip.distribution.peer.ControlPeerMessage;
 import slateslip.distribution.peer.OperatorRequest;
 import slateslip.distribution.peer.OperatorResponse;
 import slateslip.distribution.sessions.SessionTable;
+import slateslip.distribution.transfer.SegmentOutcome;
 import slateslip.logging.LogContext;
 import slateslip.protocol.coordination.ReplicaFrame;
 
@@ -62,6 +62,7 @@
   private final QuotaService quotas;
   private final VersionConfirmation versionConfirmation;
   private final PlacementMonitor placementMonitor = new PlacementMonitor();
+  private final PeerTransferReceiver peerTransfers = new PeerTransferReceiver();
   private AgentSettings settings;
 
   /**
@@ -90,13 +91,13 @@
             scheduler,
             newReplica(settings, identity),
             writeAheadLog,
-            (to, message) -> links.send(to.toString(), message),
+            new ReplicaSender(),
             this::configurationChanged,
             onBrokenInvariant);
     subscribers =
         new DataPlaneSubscriptions(
             scheduler,
-            new CommittedConfigurations(),
+            new CommittedConfigurations(state),
             sessionTable,
             this::dataPlaneHeartbeat,
             new StreamListener(),
@@ -129,7 +130,7 @@
             scheduler,
             links,
             subscribers,
-            new PrimaryAllocatorRole(),
+            new PrimaryAllocatorRole(replica),
             settings.quotaWindowMicros());
     peerMessages =
         new PeerMessageDispatcher(sessionTable, links, sessions, operatorRequests, rollout, quotas);
@@ -321,21 +322,28 @@
     peerMessages.dispatch(sender, message);
   }
 
-  /** Provides the committed configurations for delivery to data planes. */
-  private final class CommittedConfigurations implements ConfigurationSource {
-    @Override
-    public long version() {
-      return state.version();
-    }
+  @Override
+  public SegmentOutcome peerSegmentReceived(
+      ControlPeerMessage.Hello sender, ControlPeerMessage.Segment segment) {
+    SegmentOutcome outcome = peerTransfers.add(sender.address(), segment);
+    outcome
+        .reached()
+        .ifPresent(
+            position ->
+                links.send(sender.address(), new ControlPeerMessage.SegmentAcknowledge(position)));
+    return outcome;
+  }
 
+  /** Sends the messages of the replica to peers. */
+  private final class ReplicaSender implements ReplicaHost.PeerSender {
     @Override
-    public byte[] document() {
-      return state.document().orElseThrow().toJson();
+    public void send(NodeAddress to, byte[] message) {
+      links.send(to.toString(), message);
     }
 
     @Override
-    public Optional<Patch> patchFrom(long version) {
-      return state.patchFrom(version);
+    public boolean transfer(NodeAddress to, byte[] message, PeerTransferQueue.Order order) {
+      return links.transfer(to.toString(), message, order);
     }
   }
 
@@ -353,27 +361,15 @@
     }
 
     @Override
-    public void peerRemoved(String peer) {
-      rollout.peerRemoved(peer);
-      sessions.peerRemoved(peer);
+    public void transferProgressed(String peer) {
+      replica.transferProgressed(NodeAddress.parse(peer), links.isInTransfer(peer));
     }
-  }
 
-  /** Assigns the role of quota allocator to the primary. */
-  private final class PrimaryAllocatorRole implements QuotaService.AllocatorRole {
     @Override
-    public String address() {
-      return replica.role().primary().address().toString();
-    }
-
-    @Override
-    public boolean isSelf() {
-      return replica.isServing();
-    }
-
-    @Override
-    public AllocatorTerm term() {
-      return new AllocatorTerm(replica.term());
+    public void peerRemoved(String peer) {
+      peerTransfers.remove(peer);
+      rollout.peerRemoved(peer);
+      sessions.peerRemoved(peer);
     }
   }
 
--- a/src/main/java/slateslip/controlplane/agent/IncomingConnection.java
+++ b/src/main/java/slateslip/controlplane/agent/IncomingConnection.java
@@ -3,6 +3,7 @@
 import org.jboss.logging.Logger;
 import slateslip.distribution.DataPlaneMessage;
 import slateslip.distribution.peer.ControlPeerMessage;
+import slateslip.distribution.transfer.SegmentOutcome;
 import slateslip.protocol.Decoded;
 import slateslip.protocol.MessageReader;
 import slateslip.protocol.coordination.ReplicaFrame;
@@ -40,6 +41,10 @@
     /** Called for each message of a peer; {@code sender} is the hello message of the connection. */
     void peerMessageReceived(ControlPeerMessage.Hello sender, ControlPeerMessage message);
 
+    /** Called for each segment of a peer's long message. Returns what has been received. */
+    SegmentOutcome peerSegmentReceived(
+        ControlPeerMessage.Hello sender, ControlPeerMessage.Segment segment);
+
     /** Called for each message about the replicated control state. */
     void replicaMessageReceived(ReplicaFrame frame);
   }
@@ -114,7 +119,7 @@
     if (MessageReader.schemaOf(message) == ControlPeerCodec.SCHEMA_ID) {
       Decoded<ControlPeerMessage> decoded = peerCodec.decode(message);
       if (decoded instanceof Decoded.Message<ControlPeerMessage> known) {
-        listener.peerMessageReceived(peer, known.value());
+        peerMessageReceived(known.value());
       } else if (decoded instanceof Decoded.Malformed<ControlPeerMessage> malformed) {
         close(malformed.reason());
       }
@@ -128,6 +133,19 @@
     }
   }
 
+  private void peerMessageReceived(ControlPeerMessage message) {
+    if (!(message instanceof ControlPeerMessage.Segment segment)) {
+      listener.peerMessageReceived(peer, message);
+      return;
+    }
+    SegmentOutcome outcome = listener.peerSegmentReceived(peer, segment);
+    if (outcome instanceof SegmentOutcome.Complete complete) {
+      peerMessageReceived(complete.message());
+    } else if (outcome instanceof SegmentOutcome.Corrupt corrupt) {
+      close(corrupt.reason());
+    }
+  }
+
   private void close(String reason) {
     LOG.warnf("connection of %s closed: %s", stream, reason);
     stream.close();
--- a/src/main/java/slateslip/controlplane/agent/OperatorRequestHandler.java
+++ b/src/main/java/slateslip/controlplane/agent/OperatorRequestHandler.java
@@ -97,7 +97,7 @@
     lastRequestId++;
     long requestId = lastRequestId;
     pendingForwards.put(requestId, new PendingForward(peer, responseHandler));
-    links.send(peer, new ControlPeerMessage.ForwardedRequest(requestId, request));
+    links.transfer(peer, new ControlPeerMessage.ForwardedRequest(requestId, request));
     scheduler.schedule(FORWARD_TIMEOUT_MICROS, () -> timeOut(requestId));
   }
 
--- a/src/main/java/slateslip/controlplane/agent/PeerLinks.java
+++ b/src/main/java/slateslip/controlplane/agent/PeerLinks.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import slateslip.distribution.TransferPosition;
 import slateslip.distribution.peer.ControlPeerMessage;
 import slateslip.distribution.peer.Reachability;
 import slateslip.protocol.Decoded;
@@ -21,6 +22,8 @@
   private final Reachability reachability;
   private final Map<String, Long> connectedSinceMicros = new TreeMap<>();
   private final Map<String, PeerConnector.PeerConnection> links = new TreeMap<>();
+  private final Map<String, PeerTransferQueue> transfers = new TreeMap<>();
+  private final SharedCompression compression = new SharedCompression();
   private final Listener listener;
 
   /** Receives notifications about connections to peers. */
@@ -31,6 +34,11 @@
     /** Called when an established connection to the peer is broken. */
     void peerDisconnected(String peer);
 
+    /**
+     * Called when the peer has acknowledged bytes of a long message, and when its transfer ended.
+     */
+    void transferProgressed(String peer);
+
     /** Called when the peer is removed after a long silence. */
     void peerRemoved(String peer);
   }
@@ -55,10 +63,20 @@
   /** Connects to those of the given IPv4 addresses that are not known yet. */
   void connectTo(Collection<String> addresses) {
     for (String address : reachability.addPeers(scheduler.nowMicros(), addresses)) {
+      transfers.put(address, newTransfers(address));
       links.put(address, connector.connect(address, codec.encode(self), new LinkListener(address)));
     }
   }
 
+  private PeerTransferQueue newTransfers(String peer) {
+    return new PeerTransferQueue(
+        scheduler,
+        compression,
+        segment -> send(peer, segment),
+        message -> send(peer, message),
+        () -> listener.transferProgressed(peer));
+  }
+
   /**
    * Records a heartbeat of a peer and connects to the agents that the heartbeat lists and that are
    * not known yet.
@@ -80,6 +98,7 @@
     long now = scheduler.nowMicros();
     for (String removed : reachability.removeExpired(now, retainedAgents)) {
       links.remove(removed).close();
+      transfers.remove(removed);
       listener.peerRemoved(removed);
     }
     List<String> knownAgents = reachability.knownPeers();
@@ -91,6 +110,7 @@
               peer,
               new ControlPeerMessage.Heartbeat(number, acknowledgedNumber, complete, knownAgents));
           resetIfUnreachable(now, peer, link);
+          transfers.get(peer).retransmitIfDue();
         });
   }
 
@@ -116,6 +136,42 @@
     }
   }
 
+  /**
+   * Sends an encoded message that may be long. Short messages that are sent later may arrive
+   * before; messages that are sent by this method arrive in order. The message may be lost.
+   *
+   * @return whether the message is in transfer or waits for one; its delivery is then reported as
+   *     progress
+   */
+  boolean transfer(String peer, byte[] message, PeerTransferQueue.Order order) {
+    PeerTransferQueue queue = transfers.get(peer);
+    if (queue == null || !queue.isUsable()) {
+      send(peer, message);
+      return false;
+    }
+    queue.send(message, order);
+    return queue.isBusy();
+  }
+
+  /** Sends a message that may be long, after those that were sent by the other method. */
+  void transfer(String peer, ControlPeerMessage message) {
+    transfer(peer, codec.encode(message), PeerTransferQueue.Order.FOLLOWS);
+  }
+
+  /** Returns whether a message to the peer is in transfer. */
+  boolean isInTransfer(String peer) {
+    PeerTransferQueue queue = transfers.get(peer);
+    return queue != null && queue.isBusy();
+  }
+
+  /** Records what a peer has received of a long message. */
+  void segmentAcknowledged(String peer, TransferPosition position) {
+    PeerTransferQueue queue = transfers.get(peer);
+    if (queue != null) {
+      queue.acknowledged(position);
+    }
+  }
+
   /** Returns whether the connection to the peer is established and the peer is in reach. */
   boolean isUsable(String peer) {
     return connectedSinceMicros.containsKey(peer)
@@ -138,6 +194,7 @@
       if (codec.decode(encodedPeerHello) instanceof Decoded.Message<ControlPeerMessage> message
           && message.value() instanceof ControlPeerMessage.Hello hello) {
         connectedSinceMicros.put(peer, scheduler.nowMicros());
+        transfers.get(peer).connected(hello.acceptsSegments());
         listener.peerConnected(peer, hello.incarnation());
       } else {
         links.get(peer).reset();
@@ -147,8 +204,16 @@
     @Override
     public void disconnected() {
       if (connectedSinceMicros.remove(peer) != null) {
+        disconnectTransfers();
         listener.peerDisconnected(peer);
       }
     }
+
+    private void disconnectTransfers() {
+      PeerTransferQueue queue = transfers.get(peer);
+      if (queue != null) {
+        queue.disconnected();
+      }
+    }
   }
 }
--- a/src/main/java/slateslip/controlplane/agent/PeerMessageDispatcher.java
+++ b/src/main/java/slateslip/controlplane/agent/PeerMessageDispatcher.java
@@ -55,6 +55,8 @@
       operatorRequests.forwardedResponseReceived(peer, response);
     } else if (message instanceof ControlPeerMessage.DeliveryReport report) {
       rollout.reportReceived(sender, report);
+    } else if (message instanceof ControlPeerMessage.SegmentAcknowledge acknowledge) {
+      links.segmentAcknowledged(peer, acknowledge.position());
     } else if (message instanceof ControlPeerMessage.DemandReport demand) {
       quotas.demandReportReceived(peer, demand);
     } else if (message instanceof ControlPeerMessage.QuotaAllocations allocations) {
--- a/src/main/java/slateslip/controlplane/agent/ReplicaHost.java
+++ b/src/main/java/slateslip/controlplane/agent/ReplicaHost.java
@@ -1,5 +1,6 @@
 package slateslip.controlplane.agent;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +15,7 @@
 import slateslip.coordination.PlacementState;
 import slateslip.coordination.PrimaryTerm;
 import slateslip.coordination.ReplicaInput;
+import slateslip.coordination.ReplicaMessage;
 import slateslip.coordination.View;
 import slateslip.coordination.ViewMember;
 import slateslip.logging.LogContext;
@@ -42,6 +44,12 @@
   interface PeerSender {
     /** Sends an encoded message to a peer; the message may be lost. */
     void send(NodeAddress to, byte[] message);
+
+    /**
+     * Sends an encoded message that may be long, in order with other such messages; the message may
+     * be lost. Returns whether the transfer takes some time.
+     */
+    boolean transfer(NodeAddress to, byte[] message, PeerTransferQueue.Order order);
   }
 
   /**
@@ -155,12 +163,22 @@
     logRoleChange(effects.role());
     role = effects.role();
     effects.writes().forEach(this::write);
-    effects.sends().forEach(this::send);
+    List<ReplicaInput.TransferProgressed> transfers = sendAll(effects.sends());
     if (effects.applied()) {
       onApplied.run();
     }
     effects.results().forEach(this::complete);
     scheduleWake(effects.wakeAtMicros());
+    transfers.forEach(this::handle);
+  }
+
+  /**
+   * Reports the progress of a transfer to a peer.
+   *
+   * @param inTransfer false if everything that was sent to the peer is delivered or lost
+   */
+  void transferProgressed(NodeAddress to, boolean inTransfer) {
+    handle(new ReplicaInput.TransferProgressed(to, inTransfer));
   }
 
   /** Logs changes of the epoch and of the primary, which an engineer on call looks for first. */
@@ -197,8 +215,23 @@
     handle(durable ? new ReplicaInput.Written(token) : new ReplicaInput.WriteFailed(token));
   }
 
-  private void send(Effects.Send send) {
-    sender.send(send.to(), ReplicaMessageCodec.encode(role.self(), send.message()));
+  /** Sends messages and returns which transfers have begun or have been replaced. */
+  private List<ReplicaInput.TransferProgressed> sendAll(List<Effects.Send> sends) {
+    List<ReplicaInput.TransferProgressed> transfers = new ArrayList<>();
+    for (Effects.Send send : sends) {
+      byte[] encoded = ReplicaMessageCodec.encode(role.self(), send.message());
+      if (send.message() instanceof ReplicaMessage.Install) {
+        boolean inTransfer = sender.transfer(send.to(), encoded, PeerTransferQueue.Order.REPLACES);
+        transfers.add(new ReplicaInput.TransferProgressed(send.to(), inTransfer));
+      } else if (send.message() instanceof ReplicaMessage.Append) {
+        if (sender.transfer(send.to(), encoded, PeerTransferQueue.Order.FOLLOWS)) {
+          transfers.add(new ReplicaInput.TransferProgressed(send.to(), true));
+        }
+      } else {
+        sender.send(send.to(), encoded);
+      }
+    }
+    return transfers;
   }
 
   private void complete(ClientResult result) {
--- /dev/null
+++ b/src/main/java/slateslip/controlplane/agent/SharedCompression.java
@@ -0,0 +1,19 @@
+package slateslip.controlplane.agent;
+
+import java.util.Arrays;
+import slateslip.distribution.transfer.CompressedMessage;
+
+/** Compresses messages to peers; the same message to several peers is compressed once. */
+final class SharedCompression {
+  private byte[] lastMessage = new byte[0];
+  private CompressedMessage lastCompressed = CompressedMessage.of(lastMessage);
+
+  /** Returns an encoded message in compressed form. */
+  CompressedMessage compress(byte[] message) {
+    if (!Arrays.equals(message, lastMessage)) {
+      lastMessage = message;
+      lastCompressed = CompressedMessage.of(message);
+    }
+    return lastCompressed;
+  }
+}
--- a/src/main/java/slateslip/coordination/ControlReplica.java
+++ b/src/main/java/slateslip/coordination/ControlReplica.java
@@ -66,6 +66,8 @@
       written(written.token());
     } else if (input instanceof ReplicaInput.WriteFailed failed) {
       context.durableWrites.failed(context.nowMicros, failed.token());
+    } else if (input instanceof ReplicaInput.TransferProgressed transfer) {
+      primary.transferProgressed(transfer.to(), transfer.inTransfer());
     } else if (input instanceof ReplicaInput.Shutdown) {
       context.shuttingDown = true;
     } else if (input instanceof ReplicaInput.Propose propose) {
--- a/src/main/java/slateslip/coordination/Peer.java
+++ b/src/main/java/slateslip/coordination/Peer.java
@@ -20,6 +20,7 @@
   PrimaryTerm sentTerm = PrimaryTerm.NONE;
   long sentSequence;
   long sentRound;
+  private boolean inTransfer;
   private boolean awaitingDurable;
   private long awaitingDurableSinceMicros;
   private long durableTimeoutMicros;
@@ -62,6 +63,24 @@
         bytes * ReplicationTimeouts.TRANSFER_TIMEOUT_PER_MB_MICROS / BYTES_PER_MEGABYTE;
   }
 
+  /**
+   * Records the progress of the messages to the peer. The time within which the peer must have them
+   * on disk begins again with each progress, because the link may be slow.
+   *
+   * @param round the newest heartbeat round; the reply to a later one shows whether the messages
+   *     have arrived
+   */
+  void transferProgressed(boolean stillInTransfer, long round, long nowMicros) {
+    inTransfer = stillInTransfer;
+    sentRound = round;
+    awaitingDurableSinceMicros = nowMicros;
+  }
+
+  /** Returns whether a message to the peer is still being delivered. */
+  boolean inTransfer() {
+    return inTransfer;
+  }
+
   /**
    * Returns whether the peer has all records up to the sequence number on disk in the given term,
    * and has neither adopted nor accepted a later view.
--- a/src/main/java/slateslip/coordination/PrimaryRole.java
+++ b/src/main/java/slateslip/coordination/PrimaryRole.java
@@ -141,7 +141,7 @@
 
   private void resendIfLost(Peer peer, long round) {
     boolean sentBefore = peer.sentTerm.equals(term) && peer.sentRound < round;
-    if (!sentBefore) {
+    if (!sentBefore || peer.inTransfer()) {
       return;
     }
     boolean lost =
@@ -152,6 +152,15 @@
     }
   }
 
+  /**
+   * Records the progress of a message to a node. Progress extends the time for the write to disk.
+   */
+  void transferProgressed(NodeAddress to, boolean inTransfer) {
+    peers.targets().stream()
+        .filter(peer -> peer.node.address().equals(to))
+        .forEach(peer -> peer.transferProgressed(inTransfer, peers.round(), context.nowMicros));
+  }
+
   /** Handles a node's report of the last record that the node has on disk. */
   void synced(NodeId from, ReplicaMessage.Synced message) {
     if (!leading || !message.term().equals(term)) {
--- a/src/main/java/slateslip/coordination/ReplicaInput.java
+++ b/src/main/java/slateslip/coordination/ReplicaInput.java
@@ -37,6 +37,15 @@
    */
   record WriteFailed(long token) implements ReplicaInput {}
 
+  /**
+   * The progress of a long message to a node, which takes some time to be delivered.
+   *
+   * @param to the receiver of the message
+   * @param inTransfer whether a message is still being delivered; if not, all messages that were
+   *     sent to the node are delivered or lost
+   */
+  record TransferProgressed(NodeAddress to, boolean inTransfer) implements ReplicaInput {}
+
   /** A request to end the process: other nodes take over the roles of this node in the view. */
   record Shutdown() implements ReplicaInput {}
 
--- a/src/main/java/slateslip/distribution/peer/ControlPeerMessage.java
+++ b/src/main/java/slateslip/distribution/peer/ControlPeerMessage.java
@@ -1,8 +1,10 @@
 package slateslip.distribution.peer;
 
 import java.util.List;
+import slateslip.distribution.ControlPlaneMessage;
 import slateslip.distribution.QuotaAllocation;
 import slateslip.distribution.QuotaReport;
+import slateslip.distribution.TransferPosition;
 
 /** A message between control agents about sessions, operator requests, or data planes. */
 public sealed interface ControlPeerMessage {
@@ -11,8 +13,16 @@
    *
    * @param address IPv4 address of the sender
    * @param incarnation random number that the sender's process drew at its start
+   * @param acceptsSegments whether the sender reads {@link Segment}; false for an agent of an
+   *     earlier program version
    */
-  record Hello(String address, long incarnation) implements ControlPeerMessage {}
+  record Hello(String address, long incarnation, boolean acceptsSegments)
+      implements ControlPeerMessage {
+    /** Creates the hello message of an agent that does not read segments. */
+    public Hello(String address, long incarnation) {
+      this(address, incarnation, false);
+    }
+  }
 
   /**
    * Shows that the sender is alive; sent several times a second.
@@ -66,6 +76,15 @@
    */
   record DeliveryReport(long slowestVersion, long deliveredBytes) implements ControlPeerMessage {}
 
+  /**
+   * Carries a part of a long message, which is compressed and split so that heartbeats and votes do
+   * not wait behind it. The complete bytes decode to a message between control agents.
+   */
+  record Segment(ControlPlaneMessage.Segment part) implements ControlPeerMessage {}
+
+  /** Acknowledges the bytes of a transfer that have been received without a gap. */
+  record SegmentAcknowledge(TransferPosition position) implements ControlPeerMessage {}
+
   /** Reports the quota demand of data planes that are connected to the sender. */
   record DemandReport(List<DataPlaneDemand> dataPlanes) implements ControlPeerMessage {}
 
--- a/src/main/java/slateslip/distribution/transfer/SegmentOutcome.java
+++ b/src/main/java/slateslip/distribution/transfer/SegmentOutcome.java
@@ -1,9 +1,18 @@
 package slateslip.distribution.transfer;
 
+import java.util.Optional;
 import slateslip.distribution.TransferPosition;
 
 /** Result of receiving one segment. */
 public sealed interface SegmentOutcome {
+  /** Returns what has been received of the transfer; empty if the sender is faulty. */
+  default Optional<TransferPosition> reached() {
+    if (this instanceof Incomplete incomplete) {
+      return Optional.of(incomplete.position());
+    }
+    return this instanceof Complete complete ? Optional.of(complete.position()) : Optional.empty();
+  }
+
   /** More segments are needed; {@code position} is what has been received so far. */
   record Incomplete(TransferPosition position) implements SegmentOutcome {}
 
--- a/src/main/java/slateslip/distribution/transfer/SegmentSender.java
+++ b/src/main/java/slateslip/distribution/transfer/SegmentSender.java
@@ -49,6 +49,11 @@
     return segment;
   }
 
+  /** Returns the number of bytes that have been acknowledged. */
+  public int acknowledgedBytes() {
+    return acknowledgedBytes;
+  }
+
   /** Returns the number of bytes that have been sent and are not acknowledged. */
   public int bytesInFlight() {
     return sentBytes - acknowledgedBytes;
--- a/src/main/java/slateslip/protocol/peer/ControlPeerDecoder.java
+++ b/src/main/java/slateslip/protocol/peer/ControlPeerDecoder.java
@@ -4,11 +4,13 @@
 import java.util.List;
 import org.agrona.DirectBuffer;
 import slateslip.distribution.BackendSession;
+import slateslip.distribution.ControlPlaneMessage;
 import slateslip.distribution.QuotaAllocation;
 import slateslip.distribution.QuotaAllocation.TenantShare;
 import slateslip.distribution.QuotaReport;
 import slateslip.distribution.Spending;
 import slateslip.distribution.TenantDemand;
+import slateslip.distribution.TransferPosition;
 import slateslip.distribution.peer.ControlPeerMessage;
 import slateslip.distribution.peer.ControlPeerMessage.DataPlaneDemand;
 import slateslip.distribution.peer.ControlPeerMessage.DataPlaneQuota;
@@ -27,6 +29,8 @@
 import slateslip.protocol.peer.generated.HelloDecoder;
 import slateslip.protocol.peer.generated.MessageHeaderDecoder;
 import slateslip.protocol.peer.generated.QuotaAllocationsDecoder;
+import slateslip.protocol.peer.generated.SegmentAcknowledgeDecoder;
+import slateslip.protocol.peer.generated.SegmentDecoder;
 import slateslip.protocol.peer.generated.SessionChangesAcknowledgedDecoder;
 import slateslip.protocol.peer.generated.SessionChangesDecoder;
 import slateslip.protocol.peer.generated.SessionRenewalsDecoder;
@@ -55,6 +59,8 @@
       case DeliveryReportDecoder.TEMPLATE_ID -> readDeliveryReport(buffer);
       case DemandReportDecoder.TEMPLATE_ID -> readDemandReport(buffer);
       case QuotaAllocationsDecoder.TEMPLATE_ID -> readQuotaAllocations(buffer);
+      case SegmentDecoder.TEMPLATE_ID -> readSegment(buffer);
+      case SegmentAcknowledgeDecoder.TEMPLATE_ID -> readSegmentAcknowledge(buffer);
       default -> null;
     };
   }
@@ -71,7 +77,8 @@
   private ControlPeerMessage readHello(DirectBuffer buffer) {
     HelloDecoder decoder = new HelloDecoder().wrapAndApplyHeader(buffer, 0, header);
     long incarnation = decoder.incarnation();
-    return new ControlPeerMessage.Hello(decoder.address(), incarnation);
+    boolean acceptsSegments = isSet(decoder.acceptsSegments());
+    return new ControlPeerMessage.Hello(decoder.address(), incarnation, acceptsSegments);
   }
 
   private ControlPeerMessage readHeartbeat(DirectBuffer buffer) {
@@ -98,6 +105,22 @@
         id, new OperatorRequest(method, baseVersion, body));
   }
 
+  private ControlPeerMessage readSegment(DirectBuffer buffer) {
+    SegmentDecoder decoder = new SegmentDecoder().wrapAndApplyHeader(buffer, 0, header);
+    byte[] content = new byte[checkedLength(buffer, decoder.limit(), decoder.contentLength())];
+    decoder.getContent(content, 0, content.length);
+    return new ControlPeerMessage.Segment(
+        new ControlPlaneMessage.Segment(
+            decoder.transfer(), decoder.totalBytes(), decoder.startOffset(), content));
+  }
+
+  private ControlPeerMessage readSegmentAcknowledge(DirectBuffer buffer) {
+    SegmentAcknowledgeDecoder decoder =
+        new SegmentAcknowledgeDecoder().wrapAndApplyHeader(buffer, 0, header);
+    return new ControlPeerMessage.SegmentAcknowledge(
+        new TransferPosition(decoder.transfer(), decoder.receivedBytes()));
+  }
+
   private ControlPeerMessage readForwardedResponse(DirectBuffer buffer) {
     ForwardedResponseDecoder decoder =
         new ForwardedResponseDecoder().wrapAndApplyHeader(buffer, 0, header);
--- a/src/main/java/slateslip/protocol/peer/ControlPeerEncoder.java
+++ b/src/main/java/slateslip/protocol/peer/ControlPeerEncoder.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import slateslip.distribution.BackendSession;
+import slateslip.distribution.ControlPlaneMessage;
 import slateslip.distribution.QuotaAllocation;
 import slateslip.distribution.QuotaAllocation.TenantShare;
 import slateslip.distribution.QuotaReport;
@@ -22,6 +23,8 @@
 import slateslip.protocol.peer.generated.HelloEncoder;
 import slateslip.protocol.peer.generated.MessageHeaderEncoder;
 import slateslip.protocol.peer.generated.QuotaAllocationsEncoder;
+import slateslip.protocol.peer.generated.SegmentAcknowledgeEncoder;
+import slateslip.protocol.peer.generated.SegmentEncoder;
 import slateslip.protocol.peer.generated.SessionChangesAcknowledgedEncoder;
 import slateslip.protocol.peer.generated.SessionChangesEncoder;
 import slateslip.protocol.peer.generated.SessionRenewalsEncoder;
@@ -62,9 +65,29 @@
     if (message instanceof ControlPeerMessage.QuotaAllocations allocations) {
       return write(allocations);
     }
+    if (message instanceof ControlPeerMessage.Segment segment) {
+      return write(segment.part());
+    }
+    if (message instanceof ControlPeerMessage.SegmentAcknowledge acknowledge) {
+      return new SegmentAcknowledgeEncoder()
+          .wrapAndApplyHeader(messageBuffer.buffer(), 0, header)
+          .transfer(acknowledge.position().transfer())
+          .receivedBytes(acknowledge.position().receivedBytes())
+          .encodedLength();
+    }
     return writeSessions(message);
   }
 
+  private int write(ControlPlaneMessage.Segment segment) {
+    return new SegmentEncoder()
+        .wrapAndApplyHeader(messageBuffer.buffer(), 0, header)
+        .transfer(segment.transfer())
+        .totalBytes(segment.totalBytes())
+        .startOffset(segment.offset())
+        .putContent(segment.content(), 0, segment.content().length)
+        .encodedLength();
+  }
+
   private int writeSessions(ControlPeerMessage message) {
     if (message instanceof ControlPeerMessage.SessionChanges changes) {
       return write(changes);
@@ -84,6 +107,7 @@
     return new HelloEncoder()
         .wrapAndApplyHeader(messageBuffer.buffer(), 0, header)
         .incarnation(message.incarnation())
+        .acceptsSegments(flag(message.acceptsSegments()))
         .address(message.address())
         .encodedLength();
   }
--- a/src/test/java/slateslip/protocol/peer/ControlPeerCodecTest.java
+++ b/src/test/java/slateslip/protocol/peer/ControlPeerCodecTest.java
@@ -19,6 +19,7 @@
 import slateslip.distribution.QuotaReport;
 import slateslip.distribution.Spending;
 import slateslip.distribution.TenantDemand;
+import slateslip.distribution.TransferPosition;
 import slateslip.distribution.peer.ConfigurationStateSnapshot;
 import slateslip.distribution.peer.ConfigurationStateSnapshot.CommittedChange;
 import slateslip.distribution.peer.ControlPeerMessage;
@@ -58,6 +59,8 @@
         new QuotaAllocation(6, lease, List.of(new TenantShare("a", 0.5, true)));
     return Stream.of(
         new ControlPeerMessage.Hello("10.1.0.6", -9),
+        new ControlPeerMessage.Hello("10.1.0.6", -9, true),
+        new ControlPeerMessage.SegmentAcknowledge(new TransferPosition(-7, 16_384)),
         new ControlPeerMessage.Heartbeat(5, 4, true, List.of("10.1.0.6", "10.2.0.6")),
         new ControlPeerMessage.SessionChanges(
             3, true, List.of(new SessionEntry(session, 9, 8)), List.of("i-0")),
--- a/src/test/java/slateslip/simulation/agents/AgentMutation.java
+++ b/src/test/java/slateslip/simulation/agents/AgentMutation.java
@@ -69,7 +69,9 @@
   /** An agent sends no heartbeats and pongs while a transfer is in progress on the stream. */
   SLOW_LINK_DROPS_HEARTBEATS,
   /** A rollout does not wait for a data plane whose stream has ended a moment ago. */
-  SLOW_LINK_FORGETS_RECONNECTING;
+  SLOW_LINK_FORGETS_RECONNECTING,
+  /** Long messages between control agents are sent whole, so that heartbeats wait for them. */
+  SLOW_LINK_WHOLE_MESSAGES_TO_PEERS;
 
   /** More bytes in flight than the messages that are not part of a transfer have. */
   private static final long TRANSFER_BYTES = 8 * 1024;
@@ -157,6 +159,13 @@
     return this == SLOW_LINK_WHOLE_MESSAGES;
   }
 
+  /** Returns the hello message with which an agent responds to a peer. */
+  ControlPeerMessage.Hello alterHello(ControlPeerMessage.Hello hello) {
+    return this == SLOW_LINK_WHOLE_MESSAGES_TO_PEERS
+        ? new ControlPeerMessage.Hello(hello.address(), hello.incarnation())
+        : hello;
+  }
+
   /** Returns whether an agent forgets a data plane as soon as its stream has ended. */
   boolean forgetsReconnecting() {
     return this == SLOW_LINK_FORGETS_RECONNECTING;
--- a/src/test/java/slateslip/simulation/agents/ControlMachine.java
+++ b/src/test/java/slateslip/simulation/agents/ControlMachine.java
@@ -75,7 +75,7 @@
     SimulatedProcess process = new SimulatedProcess(events, random.split(), clockRate);
     started(process);
     AgentIdentity identity = new AgentIdentity(address(), mutation.incarnation(random.nextLong()));
-    hello = new ControlPeerCodec().encode(identity.hello());
+    hello = new ControlPeerCodec().encode(mutation.alterHello(identity.hello()));
     AgentSettings settings =
         new AgentSettings(
             address(),
--- a/src/test/java/slateslip/simulation/agents/SlowLinkTest.java
+++ b/src/test/java/slateslip/simulation/agents/SlowLinkTest.java
@@ -228,25 +228,28 @@
     assertThat(fleet.run.timeUntilApplied(2, 2 * SECOND), greaterThanOrEqualTo(0L));
   }
 
-  private static void restartWithLargeConfiguration(AgentMutation mutation) {
+  private static void restartWithLargeConfiguration(int bytes, AgentMutation mutation) {
     SlowFleet fleet = new SlowFleet(3, MIN_BYTES_PER_MILLI, mutation);
-    fleet.submitIncompressible(2, REVIEW_CONFIGURATION_BYTES);
+    fleet.submitIncompressible(2, bytes);
     fleet.run.advance(5 * SECOND);
     restart(fleet);
-    long timeoutMicros = CONNECT_MICROS + fleet.transferMicros(REVIEW_CONFIGURATION_BYTES);
+    long timeoutMicros = CONNECT_MICROS + fleet.transferMicros(bytes);
     assertThat(fleet.run.timeUntilApplied(2, timeoutMicros), greaterThanOrEqualTo(0L));
     fleet.assertStreamStayedAlive();
   }
 
-  @Test
-  void configurationOfReviewCaseReachesRestartedDataPlane() {
-    restartWithLargeConfiguration(AgentMutation.NONE);
+  @ParameterizedTest
+  @ValueSource(ints = {REVIEW_CONFIGURATION_BYTES, LONG_CONFIGURATION_BYTES})
+  void largeConfigurationReachesRestartedDataPlane(int bytes) {
+    restartWithLargeConfiguration(bytes, AgentMutation.NONE);
   }
 
+  /** The transfer takes longer than several heartbeat intervals. */
   @ParameterizedTest
   @MethodSource("transferMutations")
   void transferMutationIsDetected(AgentMutation mutation) {
-    assertThrows(Throwable.class, () -> restartWithLargeConfiguration(mutation));
+    assertThrows(
+        Throwable.class, () -> restartWithLargeConfiguration(LONG_CONFIGURATION_BYTES, mutation));
   }
 
   static AgentMutation[] transferMutations() {
