Control agents: the response to a forwarded read does not delay heartbeats

Four reads of a configuration of 7.5 MB at agents other than the primary replaced the primary, although nothing had failed: a response was one message on the connection of the heartbeats.

Change: such responses use the queue of long messages. The queue now tells requests and responses of operators, which are independent, from messages of the replica: a state transfer does not replace the former, and they are no progress of a record, so that an operator who reads all the time does not hide that a record was lost.

--- a/src/main/java/slateslip/controlplane/agent/OperatorRequestHandler.java
+++ b/src/main/java/slateslip/controlplane/agent/OperatorRequestHandler.java
@@ -112,7 +112,7 @@
   void forwardedRequestReceived(String peer, ControlPeerMessage.ForwardedRequest message) {
     Consumer<OperatorResponse> respond =
         response ->
-            links.send(
+            links.transfer(
                 peer, new ControlPeerMessage.ForwardedResponse(message.requestId(), response));
     if (replica.isServing()) {
       handleAsPrimary(message.request(), respond);
--- a/src/main/java/slateslip/controlplane/agent/PeerLinks.java
+++ b/src/main/java/slateslip/controlplane/agent/PeerLinks.java
@@ -150,18 +150,18 @@
       return false;
     }
     queue.send(message, order);
-    return queue.isBusy();
+    return queue.holdsReplaceable();
   }
 
   /** Sends a message that may be long, after those that were sent by the other method. */
   void transfer(String peer, ControlPeerMessage message) {
-    transfer(peer, codec.encode(message), PeerTransferQueue.Order.FOLLOWS);
+    transfer(peer, codec.encode(message), PeerTransferQueue.Order.INDEPENDENT);
   }
 
   /** Returns whether a message to the peer is in transfer. */
   boolean isInTransfer(String peer) {
     PeerTransferQueue queue = transfers.get(peer);
-    return queue != null && queue.isBusy();
+    return queue != null && queue.holdsReplaceable();
   }
 
   /** Records what a peer has received of a long message. */
--- a/src/main/java/slateslip/controlplane/agent/PeerTransferQueue.java
+++ b/src/main/java/slateslip/controlplane/agent/PeerTransferQueue.java
@@ -34,18 +34,28 @@
   private final Consumer<ControlPeerMessage.Segment> segments;
   private final Consumer<byte[]> wholeMessages;
   private final Runnable onProgress;
-  private final Deque<byte[]> waiting = new ArrayDeque<>();
+  private final Deque<Waiting> waiting = new ArrayDeque<>();
   private CompressedMessage currentMessage;
   private SegmentSender current;
+  private boolean currentReplaceable;
   private boolean connected;
   private boolean acceptsSegments;
   private long lastProgressMicros;
 
+  /**
+   * A message that waits for earlier ones.
+   *
+   * @param replaceable whether a message with {@link Order#REPLACES} contains what it contains
+   */
+  private record Waiting(byte[] message, boolean replaceable) {}
+
   /** How a message relates to messages that were sent before and have not been delivered. */
   enum Order {
+    /** The message is delivered after them and is never replaced. */
+    INDEPENDENT,
     /** The message is delivered after them. */
     FOLLOWS,
-    /** The message contains what they contain, so they need not be delivered. */
+    /** The message contains what they contain, unless they are independent. */
     REPLACES
   }
 
@@ -54,7 +64,8 @@
    *
    * @param segments sends a segment to the peer
    * @param wholeMessages sends an encoded message to the peer
-   * @param onProgress called after the peer has acknowledged bytes, and after a transfer has ended
+   * @param onProgress called after the peer has acknowledged bytes while {@link #holdsReplaceable},
+   *     also when it thereby ends
    */
   PeerTransferQueue(
       Scheduler scheduler,
@@ -74,33 +85,40 @@
    * or a transfer to it was interrupted a moment ago.
    */
   boolean isUsable() {
-    return acceptsSegments && (connected || isBusy());
+    return acceptsSegments && (connected || current != null);
   }
 
-  /** Returns whether a message is in transfer or waits for one. */
-  boolean isBusy() {
-    return current != null;
+  /**
+   * Returns whether a message other than an independent one is in transfer or waits. Independent
+   * ones do not count, so that an operator who reads again and again does not hide the loss of a
+   * record.
+   */
+  boolean holdsReplaceable() {
+    return current != null
+        && (currentReplaceable || waiting.stream().anyMatch(Waiting::replaceable));
   }
 
   /** Sends an encoded message after those that were sent before; the message may be lost. */
   void send(byte[] message, Order order) {
+    Waiting next = new Waiting(message, order != Order.INDEPENDENT);
     if (order == Order.REPLACES) {
-      waiting.clear();
+      waiting.removeIf(Waiting::replaceable);
     }
     if (current == null) {
-      begin(message);
-    } else if (order == Order.REPLACES) {
+      begin(next);
+    } else if (order == Order.REPLACES && currentReplaceable) {
       replaceCurrent(message);
     } else if (waiting.size() < MAX_WAITING) {
-      waiting.add(message);
+      waiting.add(next);
     }
   }
 
-  private void begin(byte[] message) {
-    if (message.length <= MAX_WHOLE_BYTES) {
-      wholeMessages.accept(message);
+  private void begin(Waiting next) {
+    if (next.message().length <= MAX_WHOLE_BYTES) {
+      wholeMessages.accept(next.message());
     } else {
-      begin(compression.compress(message));
+      currentReplaceable = next.replaceable();
+      begin(compression.compress(next.message()));
     }
   }
 
@@ -116,6 +134,7 @@
     if (message.length <= MAX_WHOLE_BYTES) {
       current = null;
       wholeMessages.accept(message);
+      beginNext();
       return;
     }
     CompressedMessage compressed = compression.compress(message);
@@ -137,6 +156,7 @@
     if (current == null || current.transfer() != position.transfer()) {
       return;
     }
+    boolean heldReplaceable = holdsReplaceable();
     if (current.acknowledged(position.receivedBytes()) > 0) {
       lastProgressMicros = scheduler.nowMicros();
     }
@@ -146,7 +166,9 @@
     } else {
       sendSegments();
     }
-    onProgress.run();
+    if (heldReplaceable) {
+      onProgress.run();
+    }
   }
 
   private void beginNext() {
@@ -165,7 +187,7 @@
     acceptsSegments = peerAcceptsSegments;
     if (acceptsSegments) {
       retransmit();
-    } else if (isBusy()) {
+    } else if (current != null) {
       waiting.clear();
       current = null;
       onProgress.run();
