Control agents: a stalled transfer is repeated, and what waits is bounded by bytes

Change: progress is recorded for every known node; without progress for 2 s a message counts as lost, and the repetition continues the transfer because its bytes are the same. Waiting messages have 16 MiB at most. The last compressed message is released at the next heartbeat.

--- a/src/main/java/slateslip/controlplane/agent/PeerLinks.java
+++ b/src/main/java/slateslip/controlplane/agent/PeerLinks.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import slateslip.distribution.TransferPosition;
 import slateslip.distribution.peer.ControlPeerMessage;
@@ -103,6 +104,7 @@
     }
     List<String> knownAgents = reachability.knownPeers();
     long number = reachability.heartbeatNumber(now);
+    compression.clear();
     links.forEach(
         (peer, link) -> {
           long acknowledgedNumber = reachability.lastHeartbeatNumber(peer);
@@ -194,7 +196,7 @@
       if (codec.decode(encodedPeerHello) instanceof Decoded.Message<ControlPeerMessage> message
           && message.value() instanceof ControlPeerMessage.Hello hello) {
         connectedSinceMicros.put(peer, scheduler.nowMicros());
-        transfers.get(peer).connected(hello.acceptsSegments());
+        queue().ifPresent(queue -> queue.connected(hello.acceptsSegments()));
         listener.peerConnected(peer, hello.incarnation());
       } else {
         links.get(peer).reset();
@@ -204,16 +206,13 @@
     @Override
     public void disconnected() {
       if (connectedSinceMicros.remove(peer) != null) {
-        disconnectTransfers();
+        queue().ifPresent(PeerTransferQueue::disconnected);
         listener.peerDisconnected(peer);
       }
     }
 
-    private void disconnectTransfers() {
-      PeerTransferQueue queue = transfers.get(peer);
-      if (queue != null) {
-        queue.disconnected();
-      }
+    private Optional<PeerTransferQueue> queue() {
+      return Optional.ofNullable(transfers.get(peer));
     }
   }
 }
--- a/src/main/java/slateslip/controlplane/agent/PeerTransferQueue.java
+++ b/src/main/java/slateslip/controlplane/agent/PeerTransferQueue.java
@@ -20,8 +20,11 @@
   /** Maximum number of bytes in flight: 17 ms on a link of 120 Mbit/s. */
   private static final int MAX_BYTES_IN_FLIGHT = 256 * 1024;
 
-  /** Maximum number of messages that wait; further messages are lost. */
-  private static final int MAX_WAITING = 8;
+  /**
+   * Maximum length of all messages that wait, in bytes. Further messages are lost, except the state
+   * of the replica, of which at most one waits.
+   */
+  private static final int MAX_WAITING_BYTES = 16 * 1024 * 1024;
 
   /**
    * Time without an acknowledgement after which the bytes in flight are sent again, because the
@@ -108,11 +111,15 @@
       begin(next);
     } else if (order == Order.REPLACES && currentReplaceable) {
       replaceCurrent(message);
-    } else if (waiting.size() < MAX_WAITING) {
+    } else if (order == Order.REPLACES || waitingBytes() + message.length <= MAX_WAITING_BYTES) {
       waiting.add(next);
     }
   }
 
+  private long waitingBytes() {
+    return waiting.stream().mapToLong(each -> each.message().length).sum();
+  }
+
   private void begin(Waiting next) {
     if (next.message().length <= MAX_WHOLE_BYTES) {
       wholeMessages.accept(next.message());
--- a/src/main/java/slateslip/controlplane/agent/SharedCompression.java
+++ b/src/main/java/slateslip/controlplane/agent/SharedCompression.java
@@ -5,8 +5,8 @@
 
 /** Compresses messages to peers; the same message to several peers is compressed once. */
 final class SharedCompression {
-  private byte[] lastMessage = new byte[0];
-  private CompressedMessage lastCompressed = CompressedMessage.of(lastMessage);
+  private byte[] lastMessage;
+  private CompressedMessage lastCompressed;
 
   /** Returns an encoded message in compressed form. */
   CompressedMessage compress(byte[] message) {
@@ -16,4 +16,10 @@
     }
     return lastCompressed;
   }
+
+  /** Releases the memory of the last message. */
+  void clear() {
+    lastMessage = null;
+    lastCompressed = null;
+  }
 }
--- a/src/main/java/slateslip/coordination/Peer.java
+++ b/src/main/java/slateslip/coordination/Peer.java
@@ -21,6 +21,7 @@
   long sentSequence;
   long sentRound;
   private boolean inTransfer;
+  private long lastTransferProgressMicros = NEVER_MICROS;
   private boolean awaitingDurable;
   private long awaitingDurableSinceMicros;
   private long durableTimeoutMicros;
@@ -72,13 +73,15 @@
    */
   void transferProgressed(boolean stillInTransfer, long round, long nowMicros) {
     inTransfer = stillInTransfer;
+    lastTransferProgressMicros = nowMicros;
     sentRound = round;
     awaitingDurableSinceMicros = nowMicros;
   }
 
-  /** Returns whether a message to the peer is still being delivered. */
-  boolean inTransfer() {
-    return inTransfer;
+  /** Returns whether a message to the peer is still being delivered and makes progress. */
+  boolean inTransfer(long nowMicros) {
+    return inTransfer
+        && nowMicros - lastTransferProgressMicros < ReplicationTimeouts.TRANSFER_TIMEOUT_MICROS;
   }
 
   /**
--- a/src/main/java/slateslip/coordination/PeerTable.java
+++ b/src/main/java/slateslip/coordination/PeerTable.java
@@ -37,6 +37,11 @@
     return peers.computeIfAbsent(node, added -> new Peer(added, context.nowMicros));
   }
 
+  /** Returns all known nodes with an address; a node that has lost its disk is another node. */
+  List<Peer> atAddress(NodeAddress address) {
+    return peers.values().stream().filter(peer -> peer.node.address().equals(address)).toList();
+  }
+
   /** Returns the location that a node has reported, or {@link NodeLocation#UNKNOWN}. */
   NodeLocation location(NodeId node) {
     Peer peer = peers.get(node);
--- a/src/main/java/slateslip/coordination/PrimaryRole.java
+++ b/src/main/java/slateslip/coordination/PrimaryRole.java
@@ -141,7 +141,7 @@
 
   private void resendIfLost(Peer peer, long round) {
     boolean sentBefore = peer.sentTerm.equals(term) && peer.sentRound < round;
-    if (!sentBefore || peer.inTransfer()) {
+    if (!sentBefore || peer.inTransfer(context.nowMicros)) {
       return;
     }
     boolean lost =
@@ -156,8 +156,8 @@
    * Records the progress of a message to a node. Progress extends the time for the write to disk.
    */
   void transferProgressed(NodeAddress to, boolean inTransfer) {
-    peers.targets().stream()
-        .filter(peer -> peer.node.address().equals(to))
+    peers
+        .atAddress(to)
         .forEach(peer -> peer.transferProgressed(inTransfer, peers.round(), context.nowMicros));
   }
 
--- a/src/main/java/slateslip/coordination/ReplicationTimeouts.java
+++ b/src/main/java/slateslip/coordination/ReplicationTimeouts.java
@@ -33,6 +33,9 @@
   /** Additional time for each MiB of a state transfer or record. */
   static final long TRANSFER_TIMEOUT_PER_MB_MICROS = 500 * MICROS_PER_MILLI;
 
+  /** Time without progress after which a message in transfer to a node may be lost. */
+  static final long TRANSFER_TIMEOUT_MICROS = 2_000 * MICROS_PER_MILLI;
+
   /** Duration of a write above which the disk is unhealthy. */
   static final long DISK_WRITE_TIMEOUT_MICROS = 400 * MICROS_PER_MILLI;
 
