Transfers: a message that is sent again with the same bytes is delivered again

Found by reading. A receiver answered every later segment of the transfer that it had completed last with "all received". If a sender sent the same bytes as a message once more, it took the second segment's answer for the end, and the message was never delivered: a primary that repeats a state transfer because the follower did not know its view yet, or an agent whose session table is the same as that of the agent before, whose data plane then acknowledged no revision.

Change: the first segment begins the transfer again; only segments without it are late ones.

--- a/src/main/java/slateslip/distribution/transfer/SegmentAssembler.java
+++ b/src/main/java/slateslip/distribution/transfer/SegmentAssembler.java
@@ -49,7 +49,7 @@
         || end > segment.totalBytes()) {
       return new SegmentOutcome.Corrupt("a segment lies outside of its transfer");
     }
-    if (segment.offset() > 0 && segment.transfer() == lastCompleted.transfer()) {
+    if (isLateSegmentOfCompletedTransfer(segment)) {
       return new SegmentOutcome.Incomplete(lastCompleted);
     }
     ByteArrayOutputStream received = received(segment.transfer());
@@ -63,6 +63,13 @@
         : complete(position, received.toByteArray());
   }
 
+  /** A first segment begins the transfer again: the sender sends the same message once more. */
+  private boolean isLateSegmentOfCompletedTransfer(Segment segment) {
+    return segment.offset() > 0
+        && segment.transfer() == lastCompleted.transfer()
+        && !partial.containsKey(segment.transfer());
+  }
+
   private ByteArrayOutputStream received(long transfer) {
     ByteArrayOutputStream received =
         partial.computeIfAbsent(transfer, added -> new ByteArrayOutputStream());
--- a/src/test/java/slateslip/distribution/transfer/SegmentTransferTest.java
+++ b/src/test/java/slateslip/distribution/transfer/SegmentTransferTest.java
@@ -19,6 +19,7 @@
 final class SegmentTransferTest {
   private static final int MAX_MESSAGE_BYTES = 8 * 1024 * 1024;
   private static final int SEEDS = 300;
+  private static final int MAX_STREAMS = 1_000;
 
   private final SegmentAssembler assembler = new SegmentAssembler(MAX_MESSAGE_BYTES);
 
@@ -32,7 +33,8 @@
   private void transfer(SplittableRandom random, byte[] message) {
     CompressedMessage compressed = CompressedMessage.of(message);
     byte[] received = null;
-    while (received == null) {
+    for (int streams = 0; received == null; streams++) {
+      assertThat("streams", streams, lessThanOrEqualTo(MAX_STREAMS));
       SegmentSender sender = new SegmentSender(compressed, assembler.largestPartial());
       received = transferOnOneStream(random, sender);
     }
@@ -152,6 +154,15 @@
     assertThat(small.partials(), hasItem(new TransferPosition(8, 16_000)));
   }
 
+  /** Guards against a message that is lost because the same bytes were received before. */
+  @Test
+  void sameMessageIsDeliveredAgain() {
+    SplittableRandom random = new SplittableRandom(7);
+    byte[] message = randomBytes(random, 100_000);
+    transfer(random, message);
+    transfer(random, message);
+  }
+
   @Test
   void segmentsOutsideOfTheirTransferAreCorrupt() {
     byte[] content = new byte[10];
