--- a/src/test/java/slateslip/simulation/agents/AgentFault.java
+++ b/src/test/java/slateslip/simulation/agents/AgentFault.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.SplittableRandom;
 
@@ -72,7 +73,7 @@
 
     /** Returns the kinds of the schedules that do not limit the rates of links. */
     static List<Kind> ofFastLinks() {
-      return List.of(values()).subList(0, RESET_DATA_PLANE.ordinal());
+      return List.copyOf(EnumSet.range(KILL, FREEZE_DATA_PLANE));
     }
   }
 
